Let the control log hold a traffic configuration and form itself from seeds

Cause: the log kept service documents under compare-and-set, and its voters were listed and replaced by an operator. A deployment that names three seed addresses and nothing else could not found it. Change: a traffic configuration under the operators' own version and evacuations are commands of the log; seeds found it, every other control process joins, lost voters are replaced by rule. A whole frame that a killed process left unsynced is synced when the folder is opened.

--- a/crates/control/src/change.rs
+++ b/crates/control/src/change.rs
@@ -4,6 +4,7 @@
     crate::{
         entry::{Command, LogIndex},
         groups::{GroupOutcome, GroupRequest},
+        traffic::{TrafficChange, TrafficOutcome},
     },
     gullglade_document::{DocumentError, ServiceDocument},
     gullglade_units::{ChangeId, RegionName, ServiceName, WallMillis},
@@ -118,27 +119,51 @@
     Service(ChangeRequest),
     /// Of a region's claim group.
     ClaimGroup(GroupRequest),
+    /// Of the traffic configuration.
+    Traffic(TrafficChange),
 }
 
 impl ConfigChange {
-    pub(crate) fn id(&self) -> &ChangeId {
+    /// The change as the table of outcomes knows it; `None` for a change that needs no id, since
+    /// deciding it again has the same outcome.
+    pub(crate) fn identified(&self) -> Option<IdentifiedChange<'_>> {
         match self {
-            Self::Service(request) => &request.id,
-            Self::ClaimGroup(request) => &request.id,
+            Self::Service(request) => Some(IdentifiedChange::Service(request)),
+            Self::ClaimGroup(request) => Some(IdentifiedChange::ClaimGroup(request)),
+            Self::Traffic(_) => None,
         }
     }
 
-    pub(crate) fn target(&self) -> ChangeTarget {
+    pub(crate) fn command(&self) -> Command {
         match self {
-            Self::Service(request) => ChangeTarget::Service(request.service.clone()),
-            Self::ClaimGroup(request) => ChangeTarget::ClaimGroup(request.region.clone()),
+            Self::Service(request) => Command::Change(request.clone()),
+            Self::ClaimGroup(request) => Command::ClaimGroup(request.clone()),
+            Self::Traffic(change) => Command::Traffic(change.clone()),
         }
     }
+}
 
-    pub(crate) fn command(&self) -> Command {
+/// A change that an operator gave an id, so that a resend gets the first outcome.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum IdentifiedChange<'a> {
+    /// Of a service's document.
+    Service(&'a ChangeRequest),
+    /// Of a region's claim group.
+    ClaimGroup(&'a GroupRequest),
+}
+
+impl<'a> IdentifiedChange<'a> {
+    pub(crate) fn id(self) -> &'a ChangeId {
         match self {
-            Self::Service(request) => Command::Change(request.clone()),
-            Self::ClaimGroup(request) => Command::ClaimGroup(request.clone()),
+            Self::Service(request) => &request.id,
+            Self::ClaimGroup(request) => &request.id,
+        }
+    }
+
+    pub(crate) fn target(self) -> ChangeTarget {
+        match self {
+            Self::Service(request) => ChangeTarget::Service(request.service.clone()),
+            Self::ClaimGroup(request) => ChangeTarget::ClaimGroup(request.region.clone()),
         }
     }
 }
@@ -150,6 +175,8 @@
     Service(ChangeOutcome),
     /// Of a region's claim group.
     ClaimGroup(GroupOutcome),
+    /// Of the traffic configuration.
+    Traffic(TrafficOutcome),
 }
 
 /// The change that stands at a version.
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -14,9 +14,35 @@
     pub address: SocketAddr,
 }
 
+/// How a control process finds the others, where nobody lists the voters.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SeedSettings {
+    /// Where this process's own peer sessions are accepted.
+    pub own: SocketAddr,
+    /// Peer addresses of some control processes, this one's among them or not. At the first start
+    /// of a deployment all processes are given the same ones, and those found the log.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether this is the first start of the whole deployment. Kept in the data folder when that
+    /// is created: a folder that was lost and made anew later never founds a log.
+    pub is_first_start: bool,
+    /// The most voters. Twice the number of disks that may be lost at once, and one more.
+    pub max_voters: usize,
+}
+
+/// How the members of a log come together.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Formation {
+    /// An operator lists the first voters and orders each replacement.
+    Listed,
+    /// The seeds found the log; everybody else joins, and lost voters are replaced, by themselves.
+    Seeded(SeedSettings),
+}
+
 /// Settings of a [`ControlNode`](crate::ControlNode).
 #[derive(Debug, Clone)]
 pub struct ControlConfig {
+    pub(crate) formation: Formation,
+    pub(crate) trusts_disk: bool,
     pub(crate) cluster: String,
     pub(crate) vm: VmName,
     pub(crate) region: RegionName,
@@ -40,6 +66,8 @@
     /// same order on every control process.
     pub fn new(cluster: &str, vm: VmName, region: RegionName, voters: Vec<FirstVoter>) -> Self {
         Self {
+            formation: Formation::Listed,
+            trusts_disk: false,
             cluster: cluster.to_owned(),
             vm,
             region,
@@ -58,6 +86,32 @@
         }
     }
 
+    /// The settings of a process that finds the others through seeds and takes its place among
+    /// them by itself.
+    pub fn seeded(cluster: &str, vm: VmName, region: RegionName, seeds: SeedSettings) -> Self {
+        let mut config = Self::new(cluster, vm, region, Vec::new());
+        config.formation = Formation::Seeded(seeds);
+        config
+    }
+
+    /// States that the disk keeps what it reports as synced. A damaged end of the log is then
+    /// always the remains of an append that was never acknowledged, and casts no doubt on this
+    /// member's vote. Default no.
+    ///
+    /// Without it, voters that all lost power during an append elect nobody unless every voter
+    /// answers, which one lost disk makes impossible.
+    pub fn trust_disk(mut self) -> Self {
+        self.trusts_disk = true;
+        self
+    }
+
+    pub(crate) fn seed_settings(&self) -> Option<&SeedSettings> {
+        match &self.formation {
+            Formation::Listed => None,
+            Formation::Seeded(settings) => Some(settings),
+        }
+    }
+
     /// How often a leader speaks to each member. Default 250 ms: two round trips between regions.
     pub fn heartbeat(mut self, interval: Duration) -> Self {
         self.heartbeat = interval;
--- a/crates/control/src/consensus/change.rs
+++ b/crates/control/src/consensus/change.rs
@@ -5,14 +5,16 @@
         core::ControlCore,
         error::{ChangeError, ReplaceError},
         message::{
-            APPEND, CHANGE, ChangeCall, ChangeReply, HELLO, HelloRequest, READ, REPLACE, ReadReply,
-            ReplaceCall, ReplaceReply, SNAPSHOT, STATUS, VOTE,
+            APPEND, CHANGE, ChangeCall, ChangeReply, HELLO, HelloRequest, JOIN, READ, REPLACE,
+            ReadReply, ReplaceCall, ReplaceReply, SNAPSHOT, STATUS, VOTE,
         },
+        state::NodeState,
     },
     crate::{
         change::{ChangeOutcome, ChangeRequest, ConfigChange, ConfigOutcome},
         entry::LogIndex,
         groups::{GroupOutcome, GroupRequest},
+        traffic::{TrafficChange, TrafficEffect, TrafficOutcome},
     },
     bytes::Bytes,
     gullglade_peer::{PeerFault, PeerHandler, PeerIdentity},
@@ -39,7 +41,7 @@
         request.check()?;
         match self.decide(ConfigChange::Service(request)).await? {
             ConfigOutcome::Service(outcome) => Ok(outcome),
-            ConfigOutcome::ClaimGroup(_) => Err(other_kind()),
+            ConfigOutcome::ClaimGroup(_) | ConfigOutcome::Traffic(_) => Err(other_kind()),
         }
     }
 
@@ -53,7 +55,18 @@
         self.check_documents(&request)?;
         match self.decide(ConfigChange::ClaimGroup(request)).await? {
             ConfigOutcome::ClaimGroup(outcome) => Ok(outcome),
-            ConfigOutcome::Service(_) => Err(other_kind()),
+            ConfigOutcome::Service(_) | ConfigOutcome::Traffic(_) => Err(other_kind()),
+        }
+    }
+
+    /// Has a change of the traffic configuration decided, here or by the leader.
+    pub(crate) async fn change_traffic(
+        &self,
+        change: TrafficChange,
+    ) -> Result<TrafficOutcome, ChangeError> {
+        match self.decide(ConfigChange::Traffic(change)).await? {
+            ConfigOutcome::Traffic(outcome) => Ok(outcome),
+            ConfigOutcome::Service(_) | ConfigOutcome::ClaimGroup(_) => Err(other_kind()),
         }
     }
 
@@ -116,11 +129,33 @@
         if let Some(earlier) = self.state.borrow().config.earlier(change) {
             return Ok(earlier?);
         }
+        if let ConfigChange::Traffic(change) = change
+            && let Some(outcome) = self.unchanged_traffic(change).await?
+        {
+            return Ok(ConfigOutcome::Traffic(outcome));
+        }
         let outcome = self.propose(change.command()).await?;
         let lost = || ChangeError::Unknown { reason: "the log gave no outcome".to_owned() };
         outcome.ok_or_else(lost)
     }
 
+    /// The outcome of a change of the traffic configuration that changes nothing: a resend or an
+    /// older version. It takes no place in the log, where each copy would hold the whole text.
+    async fn unchanged_traffic(
+        &self,
+        change: &TrafficChange,
+    ) -> Result<Option<TrafficOutcome>, ChangeError> {
+        self.wait_for_growth().await;
+        let effect = |s: &NodeState| s.config.traffic().effect(change);
+        if effect(&self.state.borrow()) == TrafficEffect::Applied {
+            return Ok(None);
+        }
+        self.read_index().await?;
+        let state = self.state.borrow();
+        let outcome = state.config.traffic().outcome(TrafficEffect::Unchanged);
+        Ok((effect(&state) == TrafficEffect::Unchanged).then_some(outcome))
+    }
+
     async fn change_there(&self, address: SocketAddr, call: &ChangeCall) -> ChangeReply {
         let reply = self.call(address, CHANGE, call, self.config.change_limit / 2).await;
         reply.unwrap_or_else(|error| {
@@ -211,6 +246,7 @@
                 let call: ReplaceCall = read(body)?;
                 Ok(reply(&self.begin_replacement(call.old, call.address).await))
             }
+            JOIN => Ok(reply(&self.handle_join(read(body)?))),
             READ => Ok(reply(&self.read_index().await)),
             other => Err(PeerFault::unknown_method(other)),
         }
--- a/crates/control/src/consensus/core.rs
+++ b/crates/control/src/consensus/core.rs
@@ -3,13 +3,14 @@
 use {
     super::{
         error::ControlError,
+        joining::JoinTable,
         message::{Envelope, MemberStatus},
         state::NodeState,
         tail::LogTail,
     },
     crate::{
         change::{ChangeOutcome, ConfigOutcome},
-        config::ControlConfig,
+        config::{ControlConfig, Formation},
         disk::DataFolder,
         distribution::ReportTable,
         entry::{Ballot, MemberId, Term},
@@ -17,6 +18,7 @@
         log::{FolderIdentity, LogRecord, LogStore, RecoveredLog},
         signal::WakeSignal,
         state::ConfigState,
+        traffic::{TrafficEffect, TrafficOutcome},
     },
     bytes::Bytes,
     futures::{channel::oneshot, future::poll_fn, lock::Mutex},
@@ -39,6 +41,12 @@
     pub(crate) events: Rc<dyn EventSink>,
     pub(crate) folder: Rc<dyn DataFolder>,
     pub(crate) me: MemberId,
+    /// Whether this member's folder was there at the first start of the deployment.
+    pub(crate) may_found: bool,
+    /// When this process started.
+    pub(crate) started: MonotonicTime,
+    /// Control processes that ask this one, as leader, to be taken in.
+    pub(crate) joining: JoinTable,
     /// Held by whoever writes durable state, from the decision what to write until it is in
     /// [`state`](Self::state).
     pub(crate) store: Mutex<LogStore>,
@@ -60,10 +68,13 @@
         folder: Rc<dyn DataFolder>,
         events: Rc<dyn EventSink>,
     ) -> Result<Rc<Self>, ControlError> {
-        let identity =
-            FolderIdentity::open(&*folder, &config.cluster, &config.vm, &*context.random).await?;
-        let (store, log) = LogStore::open(Rc::clone(&folder), &identity).await?;
-        let state = restore(context.clock.now(), log)?;
+        let is_first_start = config.seed_settings().is_some_and(|s| s.is_first_start);
+        let (cluster, vm, random) = (&config.cluster, &config.vm, &*context.random);
+        let identity = FolderIdentity::open(&*folder, cluster, vm, random, is_first_start).await?;
+        let (store, log) =
+            LogStore::open(Rc::clone(&folder), &identity, config.trusts_disk).await?;
+        let now = context.clock.now();
+        let state = restore(now, log)?;
         Ok(Rc::new(Self {
             config,
             context,
@@ -71,6 +82,9 @@
             events,
             folder,
             me: identity.member,
+            may_found: identity.may_found,
+            started: now,
+            joining: JoinTable::default(),
             store: Mutex::new(store),
             state: RefCell::new(state),
             signal: WakeSignal::default(),
@@ -82,7 +96,10 @@
 
     /// Starts the tasks that a member always runs.
     pub(crate) fn start(self: &Rc<Self>) {
-        self.spawn(Rc::clone(self).run_founding());
+        match self.config.formation {
+            Formation::Listed => self.spawn(Rc::clone(self).run_founding()),
+            Formation::Seeded(_) => self.spawn(Rc::clone(self).run_seeding()),
+        }
         self.spawn(Rc::clone(self).ask_witnesses());
         self.spawn(Rc::clone(self).run_elections());
     }
@@ -223,6 +240,7 @@
             self.events.emit(match outcome {
                 ConfigOutcome::Service(outcome) => outcome_event(outcome),
                 ConfigOutcome::ClaimGroup(outcome) => group_event(outcome),
+                ConfigOutcome::Traffic(outcome) => traffic_event(outcome),
             });
         }
     }
@@ -276,6 +294,14 @@
     }
 }
 
+fn traffic_event(outcome: &TrafficOutcome) -> EventDraft {
+    let is_applied = outcome.effect == TrafficEffect::Applied;
+    EventDraft::new("change.traffic")
+        .field("applied", is_applied)
+        .optional("version", outcome.version)
+        .field("index", outcome.index.0)
+}
+
 /// The state that a recovered log holds. What is behind the snapshot counts as committed only once
 /// a leader says so.
 pub(super) fn restore(now: MonotonicTime, log: RecoveredLog) -> Result<NodeState, ControlError> {
--- a/crates/control/src/consensus/feed.rs
+++ b/crates/control/src/consensus/feed.rs
@@ -22,7 +22,7 @@
 
 impl ControlCore {
     /// A time at which the state here was everything that control had accepted.
-    fn confirmed(&self, state: &NodeState) -> Option<MonotonicTime> {
+    pub(crate) fn confirmed(&self, state: &NodeState) -> Option<MonotonicTime> {
         match &state.role {
             Role::Leader(leadership) if state.is_settled(leadership.term) => {
                 state.quorum_acked(self.me, self.now())
--- a/crates/control/src/consensus/founding.rs
+++ b/crates/control/src/consensus/founding.rs
@@ -46,6 +46,8 @@
             vm: self.config.vm.clone(),
             region: self.config.region.clone(),
             voters,
+            seeds: self.config.seed_settings().map(|s| s.seeds.clone()).unwrap_or_default(),
+            may_found: self.may_found,
             membership: self.state.borrow().membership().map(|m| (**m).clone()),
             witnessed: self.state.borrow().witnessed.get(&asker).copied(),
         }
@@ -116,7 +118,7 @@
         if is_lost { FoundingView::LostDisk } else { FoundingView::Outside }
     }
 
-    async fn found(&self, members: Vec<Member>) {
+    pub(super) async fn found(&self, members: Vec<Member>) {
         let cluster = ClusterId(self.context.random.next_u64());
         let membership = Membership { cluster, members, replacement: None };
         let ballot = Ballot { term: Term(1), vote: Some(self.me) };
--- a/crates/control/src/consensus/message.rs
+++ b/crates/control/src/consensus/message.rs
@@ -4,7 +4,7 @@
     crate::{
         change::{ConfigChange, ConfigOutcome},
         consensus::error::{ChangeError, ReplaceError},
-        entry::{ClusterId, LogEntry, LogIndex, LogPosition, MemberId, Membership, Term},
+        entry::{ClusterId, LogEntry, LogIndex, LogPosition, Member, MemberId, Membership, Term},
     },
     bytes::Bytes,
     gullglade_units::{RegionName, VmName},
@@ -21,6 +21,7 @@
 pub(crate) const SNAPSHOT: &str = "log.snapshot";
 pub(crate) const CHANGE: &str = "log.change";
 pub(crate) const REPLACE: &str = "log.replace";
+pub(crate) const JOIN: &str = "log.join";
 pub(crate) const READ: &str = "log.read";
 pub(crate) const STATUS: &str = "log.status";
 
@@ -47,6 +48,10 @@
     pub(crate) region: RegionName,
     /// The first voters, as its settings name them.
     pub(crate) voters: Vec<(VmName, SocketAddr)>,
+    /// The seeds, as its settings name them.
+    pub(crate) seeds: Vec<SocketAddr>,
+    /// Whether its folder was there at the first start of the deployment.
+    pub(crate) may_found: bool,
     pub(crate) membership: Option<Membership>,
     /// The last entry that the asker acknowledged to this process as its leader.
     pub(crate) witnessed: Option<LogPosition>,
@@ -136,6 +141,23 @@
 
 pub(crate) type ReplaceReply = Result<(), ReplaceError>;
 
+/// "I hear no leader, or am no member: take me in."
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct JoinRequest {
+    /// Who asks, as a learner.
+    pub(crate) member: Member,
+}
+
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) enum JoinReply {
+    /// The process asked leads, and has noted the wish.
+    Noted,
+    /// Another one may lead.
+    AskLeader(SocketAddr),
+    /// No leader is known.
+    NoLeader,
+}
+
 /// The index up to which everything accepted before the question was applied at the leader.
 pub(crate) type ReadReply = Result<LogIndex, ChangeError>;
 
--- a/crates/control/src/consensus/replacement.rs
+++ b/crates/control/src/consensus/replacement.rs
@@ -86,10 +86,13 @@
     /// The next membership on the way, or `None` while the new member has yet to catch up.
     fn next_step(&self, state: &NodeState) -> Option<Membership> {
         let current = state.membership()?;
-        let replacement = current.replacement?;
         if !can_change_membership(state) {
             return None;
         }
+        let Some(replacement) = current.replacement else { return self.growth_step(state) };
+        if self.is_abandoned(state, replacement) {
+            return Some(without_learner(current, replacement.new));
+        }
         let mut next = (**current).clone();
         let is_learner = |id| current.member(id).is_some_and(|m| m.role == MemberRole::Learner);
         if current.member(replacement.old).is_none() {
@@ -109,13 +112,13 @@
     }
 
     /// Whether the learner holds all that is committed and has answered lately.
-    fn has_caught_up(&self, state: &NodeState, id: MemberId) -> bool {
+    pub(super) fn has_caught_up(&self, state: &NodeState, id: MemberId) -> bool {
         let super::state::Role::Leader(leadership) = &state.role else { return false };
         let matched = leadership.progress.get(&id).map_or(LogIndex(0), |p| p.matched);
         matched >= state.commit && self.answers(state, id)
     }
 
-    fn answers(&self, state: &NodeState, id: MemberId) -> bool {
+    pub(super) fn answers(&self, state: &NodeState, id: MemberId) -> bool {
         let super::state::Role::Leader(leadership) = &state.role else { return false };
         let acked = leadership.progress.get(&id).and_then(|p| p.acked);
         let is_recent = |acked| self.now().since(acked) <= self.config.election_least;
@@ -134,7 +137,15 @@
         && !is_waiting
 }
 
-fn promote(membership: &mut Membership, id: MemberId) {
+/// The membership without a learner and without the replacement that it was meant for.
+fn without_learner(current: &Membership, learner: MemberId) -> Membership {
+    let mut next = current.clone();
+    next.members.retain(|m| m.id != learner);
+    next.replacement = None;
+    next
+}
+
+pub(super) fn promote(membership: &mut Membership, id: MemberId) {
     for member in membership.members.iter_mut().filter(|m| m.id == id) {
         member.role = MemberRole::Voter;
     }
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -1,7 +1,7 @@
 //! What the replicated log is made of: terms, indexes, members, commands.
 
 use {
-    crate::{change::ChangeRequest, groups::GroupRequest},
+    crate::{change::ChangeRequest, groups::GroupRequest, traffic::TrafficChange},
     gullglade_units::{RandomSource, RegionName, VmName, WallMillis},
     serde::{Deserialize, Serialize},
     std::{fmt, net::SocketAddr},
@@ -167,6 +167,8 @@
     Membership(Membership),
     /// A change of a region's claim group, to be decided in the log's order.
     ClaimGroup(GroupRequest),
+    /// A change of the traffic configuration, to be decided in the log's order.
+    Traffic(TrafficChange),
 }
 
 /// One entry of the log.
@@ -188,7 +190,11 @@
         const HEAD: usize = 128;
         match &self.command {
             Command::Change(request) => HEAD + request.text.as_ref().map_or(0, |t| t.len()),
-            Command::Noop | Command::Membership(_) | Command::ClaimGroup(_) => HEAD,
+            Command::Traffic(TrafficChange::Configure { text, .. }) => HEAD + text.len(),
+            Command::Noop
+            | Command::Membership(_)
+            | Command::ClaimGroup(_)
+            | Command::Traffic(TrafficChange::Evacuate { .. }) => HEAD,
         }
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,12 +14,13 @@
 mod node;
 mod signal;
 mod state;
+mod traffic;
 
 pub use change::{
     AcceptedChange, ChangeConflict, ChangeOutcome, ChangeRefusal, ChangeRequest, ChangeTarget,
     ConfigOutcome, DocumentVersion, RequestError,
 };
-pub use config::{ControlConfig, FirstVoter};
+pub use config::{ControlConfig, FirstVoter, SeedSettings};
 pub use consensus::{ChangeError, ControlError, MemberStatus, ReplaceError};
 pub use disk::{DataFolder, DiskError, FileFolder, FileStat};
 pub use distribution::{
@@ -39,3 +40,4 @@
 };
 pub use node::ControlNode;
 pub use state::{ConfigState, OUTCOME_DAYS, ServiceRecord};
+pub use traffic::{ConfigVersion, TrafficChange, TrafficEffect, TrafficOutcome, TrafficRecord};
--- a/crates/control/src/log/identity.rs
+++ b/crates/control/src/log/identity.rs
@@ -19,7 +19,7 @@
 
 /// The format of the data folder. Raise it with every change to the files that an older program
 /// would misread.
-pub const FOLDER_FORMAT: u32 = 2;
+pub const FOLDER_FORMAT: u32 = 3;
 
 /// The file that says whose folder it is.
 pub(crate) const IDENTITY_NAME: &str = "identity";
@@ -36,6 +36,10 @@
     pub vm: VmName,
     /// The identity drawn for this folder.
     pub member: MemberId,
+    /// Whether the folder was created at the first start of the deployment, so that its member
+    /// may found the log. In a frame of its own; folders of format 2 have none.
+    #[serde(skip)]
+    pub may_found: bool,
 }
 
 impl FolderIdentity {
@@ -46,6 +50,7 @@
         cluster: &str,
         vm: &VmName,
         random: &dyn RandomSource,
+        may_found: bool,
     ) -> Result<Self, LogError> {
         let files = folder.list().await?;
         if let Some(stat) = files.iter().find(|f| f.name == IDENTITY_NAME) {
@@ -54,8 +59,8 @@
             return Ok(identity);
         }
         check_unused(folder, &files).await?;
-        let identity =
-            Self { cluster: cluster.to_owned(), vm: vm.clone(), member: MemberId::draw(random) };
+        let member = MemberId::draw(random);
+        let identity = Self { cluster: cluster.to_owned(), vm: vm.clone(), member, may_found };
         identity.write(folder).await?;
         Ok(identity)
     }
@@ -66,7 +71,8 @@
     async fn write(&self, folder: &dyn DataFolder) -> Result<(), LogError> {
         let segment = segment_frames(self.member, &RecoveredLog::default());
         write_whole(folder, &segment_name(FIRST_SEQUENCE), segment).await?;
-        let chunks = vec![frame(&encode(&FOLDER_FORMAT)), frame(&encode(self))];
+        let contents = [encode(&FOLDER_FORMAT), encode(self), encode(&self.may_found)];
+        let chunks = contents.iter().map(|content| frame(content)).collect();
         Ok(write_whole(folder, IDENTITY_NAME, chunks).await?)
     }
 
@@ -113,12 +119,16 @@
     let frames = scan(&bytes).map_err(|e| damaged(e.offset))?;
     let format = frames.payloads.first().ok_or_else(|| damaged(0))?;
     check_format(format)?;
-    match frames.payloads.get(1) {
-        Some(payload) if frames.end == FileEnd::Whole => {
-            decode(payload).map_err(|_| damaged(frames.valid_bytes))
-        }
-        _ => Err(damaged(frames.valid_bytes)),
+    let unreadable = || damaged(frames.valid_bytes);
+    if frames.end != FileEnd::Whole {
+        return Err(unreadable());
+    }
+    let payload = frames.payloads.get(1).ok_or_else(unreadable)?;
+    let mut identity: FolderIdentity = decode(payload).map_err(|_| unreadable())?;
+    if let Some(payload) = frames.payloads.get(2) {
+        identity.may_found = decode(payload).map_err(|_| unreadable())?;
     }
+    Ok(identity)
 }
 
 /// Refuses the format of a newer program.
--- a/crates/control/src/log/recovery.rs
+++ b/crates/control/src/log/recovery.rs
@@ -26,6 +26,7 @@
 pub(super) async fn recover(
     folder: &dyn DataFolder,
     member: MemberId,
+    trusts_disk: bool,
 ) -> Result<FolderRecovery, LogError> {
     let files = folder.list().await?;
     for draft in files.iter().filter(|f| f.name.ends_with(DRAFT_SUFFIX)) {
@@ -45,9 +46,15 @@
     let mut log = replay(&frames, member, snapshot)
         .map_err(|fault| fault.into_error(&stat.name, frames.valid_bytes))?;
     let segment_bytes = match frames.end {
-        FileEnd::Whole => bytes.len() as u64,
+        FileEnd::Whole => {
+            // A process that was killed between an append and its sync leaves a whole frame that
+            // the next loss of power may still take away. From here on this member vouches for it.
+            folder.sync(&stat.name).await?;
+            folder.sync_folder().await?;
+            bytes.len() as u64
+        }
         end => {
-            log.doubtful |= end == FileEnd::Doubtful;
+            log.doubtful |= end == FileEnd::Doubtful && !trusts_disk;
             cut_tail(folder, sequence, member, &log).await?
         }
     };
--- a/crates/control/src/log/store.rs
+++ b/crates/control/src/log/store.rs
@@ -75,12 +75,14 @@
 
 impl LogStore {
     /// Opens the log of `identity`, mends the remains of interrupted writes, and returns what it
-    /// holds.
+    /// holds. `trusts_disk`: a damaged end was never acknowledged, see
+    /// [`ControlConfig::trust_disk`](crate::ControlConfig::trust_disk).
     pub async fn open(
         folder: Rc<dyn DataFolder>,
         identity: &FolderIdentity,
+        trusts_disk: bool,
     ) -> Result<(Self, RecoveredLog), LogError> {
-        let recovery = recover(&*folder, identity.member).await?;
+        let recovery = recover(&*folder, identity.member, trusts_disk).await?;
         let store = Self {
             folder,
             member: identity.member,
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -13,11 +13,12 @@
         entry::LogIndex,
         groups::{GroupOutcome, GroupRequest},
         state::ConfigState,
+        traffic::{TrafficChange, TrafficOutcome},
     },
     gullglade_event::EventSink,
     gullglade_peer::{HandlerTable, PeerTransport},
     gullglade_units::{ProcessContext, VmName},
-    std::{net::SocketAddr, rc::Rc},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// The control role of a process: one member of the replicated log.
@@ -65,6 +66,27 @@
         self.core.change_group(request).await
     }
 
+    /// Has a change of the traffic configuration decided by the log.
+    pub async fn change_traffic(
+        &self,
+        change: TrafficChange,
+    ) -> Result<TrafficOutcome, ChangeError> {
+        self.core.change_traffic(change).await
+    }
+
+    /// Completes once the traffic configuration applied here is newer than `index`.
+    pub async fn traffic_after(&self, index: LogIndex) {
+        self.core.until(|s| (s.config.traffic().changed() > index).then_some(())).await;
+    }
+
+    /// How long ago the state here was known to be everything that had been accepted; `None`
+    /// where that was never known in this run.
+    pub fn confirmed_ago(&self) -> Option<Duration> {
+        let state = self.core.state.borrow();
+        let confirmed = self.core.confirmed(&state)?;
+        Some(self.core.now().since(confirmed))
+    }
+
     /// Has the voter on `old` replaced by the control process at `address`, which must have an
     /// empty folder. Returns once the replacement is begun; the leader carries it out.
     pub async fn replace(&self, old: VmName, address: SocketAddr) -> Result<(), ReplaceError> {
--- a/crates/control/src/state/machine.rs
+++ b/crates/control/src/state/machine.rs
@@ -5,10 +5,11 @@
     crate::{
         change::{
             AcceptedChange, ChangeConflict, ChangeOutcome, ChangeRefusal, ChangeRequest,
-            ConfigChange, ConfigOutcome, DocumentVersion,
+            ConfigChange, ConfigOutcome, DocumentVersion, IdentifiedChange,
         },
         entry::{Command, LogEntry, LogIndex},
         groups::GroupRecord,
+        traffic::TrafficRecord,
     },
     bytes::Bytes,
     gullglade_units::{CodecError, RegionName, ServiceName, WallMillis, decode, encode},
@@ -44,6 +45,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ConfigState {
     data: StateData,
+    traffic: TrafficRecord,
     by_index: BTreeMap<LogIndex, ServiceName>,
 }
 
@@ -114,9 +116,14 @@
         let change = match &entry.command {
             Command::Change(request) => ConfigChange::Service(request.clone()),
             Command::ClaimGroup(request) => ConfigChange::ClaimGroup(request.clone()),
+            Command::Traffic(change) => {
+                let outcome = self.traffic.apply(change, entry.index);
+                return Some(Ok(ConfigOutcome::Traffic(outcome)));
+            }
             Command::Noop | Command::Membership(_) => return None,
         };
-        Some(self.decide(&change, entry))
+        let change = change.identified()?;
+        Some(self.decide(change, entry))
     }
 
     /// The first outcome of a change that was decided before, or its refusal.
@@ -124,22 +131,27 @@
         &self,
         change: &ConfigChange,
     ) -> Option<Result<ConfigOutcome, ChangeRefusal>> {
-        self.data.outcomes.earlier(change)
+        self.data.outcomes.earlier(change.identified()?)
+    }
+
+    /// The traffic configuration as it stands.
+    pub fn traffic(&self) -> &TrafficRecord {
+        &self.traffic
     }
 
     fn decide(
         &mut self,
-        change: &ConfigChange,
+        change: IdentifiedChange<'_>,
         entry: &LogEntry,
     ) -> Result<ConfigOutcome, ChangeRefusal> {
-        if let Some(earlier) = self.earlier(change) {
+        if let Some(earlier) = self.data.outcomes.earlier(change) {
             return earlier;
         }
         let outcome = match change {
-            ConfigChange::Service(request) => {
+            IdentifiedChange::Service(request) => {
                 ConfigOutcome::Service(self.decide_service(request, entry))
             }
-            ConfigChange::ClaimGroup(request) => {
+            IdentifiedChange::ClaimGroup(request) => {
                 ConfigOutcome::ClaimGroup(self.data.groups.decide(request, entry))
             }
         };
@@ -184,14 +196,18 @@
 
     /// The state as bytes.
     pub fn image(&self) -> Bytes {
-        Bytes::from(encode(&self.data))
+        Bytes::from(encode(&(&self.data, &self.traffic)))
     }
 
     /// The state of an image.
     pub fn from_image(image: &[u8]) -> Result<Self, CodecError> {
-        let data: StateData = decode(image)?;
+        let (data, traffic): (StateData, _) = match decode(image) {
+            Ok(parts) => parts,
+            // An image of folder format 2 holds no traffic configuration.
+            Err(_) => (decode(image)?, TrafficRecord::default()),
+        };
         let index = |s: &ServiceRecord| (s.change.index, s.change.service.clone());
         let by_index = data.services.values().map(index).collect();
-        Ok(Self { data, by_index })
+        Ok(Self { data, traffic, by_index })
     }
 }
--- a/crates/control/src/state/outcomes.rs
+++ b/crates/control/src/state/outcomes.rs
@@ -1,7 +1,7 @@
 //! The outcomes of changes, kept so that a resend gets the first one.
 
 use {
-    crate::change::{ChangeRefusal, ChangeTarget, ConfigChange, ConfigOutcome},
+    crate::change::{ChangeRefusal, ChangeTarget, ConfigOutcome, IdentifiedChange},
     gullglade_units::{ChangeId, WallMillis, encode},
     serde::{Deserialize, Serialize},
     std::collections::{BTreeMap, VecDeque},
@@ -25,11 +25,11 @@
     checksum: u32,
 }
 
-impl From<&ConfigChange> for ChangeSubject {
-    fn from(change: &ConfigChange) -> Self {
+impl From<IdentifiedChange<'_>> for ChangeSubject {
+    fn from(change: IdentifiedChange<'_>) -> Self {
         let target = change.target();
         match change {
-            ConfigChange::Service(request) => {
+            IdentifiedChange::Service(request) => {
                 let text = request.text.as_deref();
                 Self {
                     target,
@@ -38,7 +38,7 @@
                     checksum: crc32fast::hash(text.unwrap_or_default().as_bytes()),
                 }
             }
-            ConfigChange::ClaimGroup(request) => {
+            IdentifiedChange::ClaimGroup(request) => {
                 let content = encode(&(&request.members, &request.retired));
                 let length = Some(content.len() as u64);
                 Self { target, base: request.base, length, checksum: crc32fast::hash(&content) }
@@ -67,7 +67,7 @@
     /// `None` where the change is new.
     pub(super) fn earlier(
         &self,
-        change: &ConfigChange,
+        change: IdentifiedChange<'_>,
     ) -> Option<Result<ConfigOutcome, ChangeRefusal>> {
         if let Some(kept) = self.kept.get(change.id()) {
             return Some(kept.answer(change));
@@ -84,7 +84,12 @@
     }
 
     /// Keeps the outcome of a new change, decided at `wall`.
-    pub(super) fn keep(&mut self, change: &ConfigChange, outcome: ConfigOutcome, wall: WallMillis) {
+    pub(super) fn keep(
+        &mut self,
+        change: IdentifiedChange<'_>,
+        outcome: ConfigOutcome,
+        wall: WallMillis,
+    ) {
         let subject = ChangeSubject::from(change);
         self.kept.insert(change.id().clone(), KeptOutcome { subject, outcome });
         self.order.push_back((wall, change.id().clone()));
@@ -104,7 +109,7 @@
 }
 
 impl KeptOutcome {
-    fn answer(&self, change: &ConfigChange) -> Result<ConfigOutcome, ChangeRefusal> {
+    fn answer(&self, change: IdentifiedChange<'_>) -> Result<ConfigOutcome, ChangeRefusal> {
         if self.subject == ChangeSubject::from(change) {
             return Ok(self.outcome.clone());
         }
--- a/crates/control/tests/log.rs
+++ b/crates/control/tests/log.rs
@@ -41,8 +41,8 @@
     name: &str,
 ) -> Result<(LogStore, RecoveredLog), LogError> {
     let random = SeededRandom::new(1);
-    let identity = FolderIdentity::open(&**disk, cluster, &vm(name), &random).await?;
-    LogStore::open(Rc::clone(disk) as _, &identity).await
+    let identity = FolderIdentity::open(&**disk, cluster, &vm(name), &random, false).await?;
+    LogStore::open(Rc::clone(disk) as _, &identity, false).await
 }
 
 /// A disk with a ballot and entries 1 to 4, each appended by itself.
@@ -300,17 +300,19 @@
         let folder: Rc<FileFolder> = Rc::new(FileFolder::open(root.path()).expect("opens"));
         let message = FileFolder::open(root.path()).err().map(|e| e.to_string());
         assert!(message.is_some_and(|m| m.contains("in use by another process")));
-        let identity =
-            FolderIdentity::open(&*folder, "prod", &vm("vm-a"), &random).await.expect("identity");
-        let (mut store, _) = LogStore::open(folder, &identity).await.expect("opens");
+        let identity = FolderIdentity::open(&*folder, "prod", &vm("vm-a"), &random, false)
+            .await
+            .expect("identity");
+        let (mut store, _) = LogStore::open(folder, &identity, false).await.expect("opens");
         store.append(&[LogRecord::Entry(entry(1, 1))]).await.expect("appends");
         store.replace(&compacted(3)).await.expect("compacts");
     });
     block_on(async {
         let folder = Rc::new(FileFolder::open(root.path()).expect("opens"));
-        let identity =
-            FolderIdentity::open(&*folder, "prod", &vm("vm-a"), &random).await.expect("identity");
-        let (_, log) = LogStore::open(folder, &identity).await.expect("opens");
+        let identity = FolderIdentity::open(&*folder, "prod", &vm("vm-a"), &random, false)
+            .await
+            .expect("identity");
+        let (_, log) = LogStore::open(folder, &identity, false).await.expect("opens");
         assert_eq!((last_index(&log), log.ballot), (4, ballot(3)));
     });
 }
