Add the traffic configuration and the fleet that gateways follow

traffic: routes by host and longest path prefix, checked; fleet: backend servers and gateways as each control process hears them, merged by every gateway from all of them. Not wired yet.

--- /dev/null
+++ b/crates/fleet/src/book.rs
@@ -0,0 +1,268 @@
+//! What one control process has heard itself.
+
+use {
+    crate::{BackendRecord, BackendStanding, GatewayPhase, GatewayPulse, GatewayStanding},
+    gullglade_units::{BackendName, MonotonicTime, RegionName, VmName},
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+};
+
+/// A cold time that moves by less than this is the same one, told again.
+const COLD_SLACK: Duration = Duration::from_millis(300);
+
+/// How long a departed or silent backend server, or a silent gateway, is remembered. A goodbye
+/// must be remembered for longer than an announcement can be delayed by a network partition: one
+/// that comes later would bring the run back. Ten times the longest partition that is planned for.
+const MEMORY: Duration = Duration::from_secs(120);
+
+/// Settings of a [`FleetBook`].
+#[derive(Clone, Copy, Debug)]
+pub struct FleetSettings {
+    /// The time between two announcements of a backend server.
+    pub announce_interval: Duration,
+    /// Announcements are overdue after this. Backend servers announce late by seconds at times, so
+    /// several intervals.
+    pub backend_silence: Duration,
+    /// A gateway is silent after this without a call; it calls at least every
+    /// [`sync_hold`](Self::sync_hold).
+    pub gateway_silence: Duration,
+    /// How long a gateway's call waits for news.
+    pub sync_hold: Duration,
+}
+
+impl FleetSettings {
+    /// The settings for backend servers that announce themselves every `interval`.
+    pub fn new(interval: Duration) -> Self {
+        Self {
+            announce_interval: interval,
+            backend_silence: interval * 4,
+            gateway_silence: Duration::from_millis(1_800),
+            sync_hold: Duration::from_millis(600),
+        }
+    }
+}
+
+struct BackendEntry {
+    record: BackendRecord,
+    /// When it stops being cold.
+    cold_until: MonotonicTime,
+    heard: MonotonicTime,
+    is_silent: bool,
+    changed: u64,
+}
+
+struct GatewayEntry {
+    pulse: GatewayPulse,
+    heard: MonotonicTime,
+    is_silent: bool,
+    changed: u64,
+}
+
+/// A goodbye. Final for the run that said it.
+struct Departure {
+    heard: MonotonicTime,
+    changed: u64,
+}
+
+/// The backend servers and gateways that one control process hears. Numbers its changes, so that
+/// a gateway is told only what it lacks.
+pub struct FleetBook {
+    settings: FleetSettings,
+    started: MonotonicTime,
+    backends: BTreeMap<BackendName, BackendEntry>,
+    departed: BTreeMap<BackendName, Departure>,
+    gateways: BTreeMap<VmName, GatewayEntry>,
+    last: u64,
+}
+
+impl FleetBook {
+    /// An empty book of a process that starts `now`.
+    pub fn new(settings: FleetSettings, now: MonotonicTime) -> Self {
+        Self {
+            settings,
+            started: now,
+            backends: BTreeMap::new(),
+            departed: BTreeMap::new(),
+            gateways: BTreeMap::new(),
+            last: 0,
+        }
+    }
+
+    /// Its settings.
+    pub fn settings(&self) -> &FleetSettings {
+        &self.settings
+    }
+
+    /// The number of the last change.
+    pub fn last_change(&self) -> u64 {
+        self.last
+    }
+
+    /// Whether this process has run for long enough to have heard every gateway that runs. Before
+    /// that its list of gateways is cut short, and callers would all be sent to the first ones.
+    pub fn has_heard_gateways(&self, now: MonotonicTime) -> bool {
+        now.since(self.started) > self.settings.gateway_silence
+    }
+
+    /// Takes note of an announcement. Returns the standing where it changed.
+    pub fn announce(
+        &mut self,
+        record: BackendRecord,
+        now: MonotonicTime,
+    ) -> Option<BackendStanding> {
+        if self.departed.contains_key(&record.name) {
+            return None;
+        }
+        let cold_until = now + record.cold_for;
+        let next = self.last + 1;
+        if let Some(entry) = self.backends.get_mut(&record.name) {
+            if record.sequence <= entry.record.sequence {
+                return None;
+            }
+            let is_news = entry.is_news(&record, cold_until);
+            entry.record = record;
+            entry.cold_until = cold_until;
+            entry.heard = now;
+            entry.is_silent = false;
+            if !is_news {
+                return None;
+            }
+            entry.changed = next;
+            self.last = next;
+            return Some(entry.standing(now));
+        }
+        let entry =
+            BackendEntry { record, cold_until, heard: now, is_silent: false, changed: next };
+        let standing = entry.standing(now);
+        self.backends.insert(entry.record.name.clone(), entry);
+        self.last = next;
+        Some(standing)
+    }
+
+    /// Takes note of a goodbye, also of a run that was never heard here: it said so once, to this
+    /// process. Returns whether it is news.
+    pub fn leave(&mut self, name: &BackendName, now: MonotonicTime) -> bool {
+        if self.departed.contains_key(name) {
+            return false;
+        }
+        self.backends.remove(name);
+        self.last += 1;
+        self.departed.insert(name.clone(), Departure { heard: now, changed: self.last });
+        true
+    }
+
+    /// The runs whose goodbyes came after `cursor`.
+    pub fn departed_after(&self, cursor: u64) -> Vec<BackendName> {
+        let changed = self.departed.iter().filter(|(_, d)| d.changed > cursor);
+        changed.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Takes note of a gateway's sign of life. Returns its standing where it changed.
+    pub fn pulse(&mut self, pulse: &GatewayPulse, now: MonotonicTime) -> Option<GatewayStanding> {
+        let next = self.last + 1;
+        if let Some(entry) = self.gateways.get_mut(&pulse.profile.vm) {
+            entry.heard = now;
+            if entry.pulse == *pulse && !entry.is_silent {
+                return None;
+            }
+        }
+        let entry =
+            GatewayEntry { pulse: pulse.clone(), heard: now, is_silent: false, changed: next };
+        let standing = entry.standing();
+        self.gateways.insert(pulse.profile.vm.clone(), entry);
+        self.last = next;
+        Some(standing)
+    }
+
+    /// Notices who has fallen silent, and forgets who has long been. Returns what changed.
+    pub fn tick(&mut self, now: MonotonicTime) -> (Vec<BackendStanding>, Vec<GatewayStanding>) {
+        let settings = self.settings;
+        self.backends.retain(|_, e| now.since(e.heard) < MEMORY);
+        self.departed.retain(|_, d| now.since(d.heard) < MEMORY);
+        self.gateways.retain(|_, e| now.since(e.heard) < MEMORY);
+        let mut backends = Vec::new();
+        for entry in self.backends.values_mut() {
+            let is_due = now.since(entry.heard) > settings.backend_silence;
+            if is_due && !entry.is_silent {
+                self.last += 1;
+                entry.is_silent = true;
+                entry.changed = self.last;
+                backends.push(entry.standing(now));
+            }
+        }
+        let mut gateways = Vec::new();
+        for entry in self.gateways.values_mut() {
+            let is_due = now.since(entry.heard) > settings.gateway_silence;
+            if is_due && !entry.is_silent {
+                self.last += 1;
+                entry.is_silent = true;
+                entry.changed = self.last;
+                gateways.push(entry.standing());
+            }
+        }
+        (backends, gateways)
+    }
+
+    /// The backend servers that changed after `cursor`.
+    pub fn backends_after(&self, cursor: u64, now: MonotonicTime) -> Vec<BackendStanding> {
+        let changed = self.backends.values().filter(|e| e.changed > cursor);
+        changed.map(|e| e.standing(now)).collect()
+    }
+
+    /// The gateways that changed after `cursor`.
+    pub fn gateways_after(&self, cursor: u64) -> Vec<GatewayStanding> {
+        self.gateways.values().filter(|e| e.changed > cursor).map(GatewayEntry::standing).collect()
+    }
+
+    /// The callers' addresses of the gateways that callers in `region` should use: those of the
+    /// region that are ready, and where it has none, those of all other regions.
+    pub fn entry_addresses(&self, region: &RegionName) -> Vec<SocketAddr> {
+        let ready = |e: &&GatewayEntry| e.pulse.phase == GatewayPhase::Ready && !e.is_silent;
+        let is_near = |e: &&GatewayEntry| e.pulse.profile.region == *region;
+        let address = |e: &GatewayEntry| e.pulse.profile.caller_address;
+        let near: Vec<_> =
+            self.gateways.values().filter(ready).filter(is_near).map(address).collect();
+        if !near.is_empty() {
+            return near;
+        }
+        self.gateways.values().filter(ready).map(address).collect()
+    }
+
+    /// How many backend servers and gateways are heard.
+    pub fn heard(&self) -> (usize, usize) {
+        let backends = self.backends.values().filter(|e| !e.is_silent).count();
+        let gateways = self.gateways.values().filter(|e| !e.is_silent).count();
+        (backends, gateways)
+    }
+}
+
+impl BackendEntry {
+    /// Whether an announcement says anything that gateways do not know.
+    fn is_news(&self, record: &BackendRecord, cold_until: MonotonicTime) -> bool {
+        let moved = cold_until.since(self.cold_until).max(self.cold_until.since(cold_until));
+        let is_cold_news = !record.cold_for.is_zero() && moved > COLD_SLACK;
+        let known = &self.record;
+        self.is_silent
+            || is_cold_news
+            || known.state != record.state
+            || known.address != record.address
+            || known.service != record.service
+            || known.domain != record.domain
+            || known.slots != record.slots
+    }
+
+    fn standing(&self, now: MonotonicTime) -> BackendStanding {
+        let mut record = self.record.clone();
+        record.cold_for = self.cold_until.since(now);
+        BackendStanding { record, is_silent: self.is_silent }
+    }
+}
+
+impl GatewayEntry {
+    fn standing(&self) -> GatewayStanding {
+        GatewayStanding {
+            profile: self.pulse.profile.clone(),
+            phase: self.pulse.phase,
+            is_silent: self.is_silent,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,32 @@
+//! Backend servers and gateways, as the control processes hear of them.
+//!
+//! Where backend servers announce themselves to control processes, each of those keeps a
+//! [`FleetBook`] in memory of what it heard itself. It does not share it with the other control
+//! processes. Instead every gateway follows all of them ([`FleetFollower`]) and merges what they
+//! say ([`FleetView`]): the higher sequence number wins, a departure is final, and a backend
+//! server counts as heard while any control process hears it.
+//!
+//! This has no step that waits for agreement, so an announcement that one control process
+//! acknowledged reaches every gateway that this process reaches, whoever else is cut off. The
+//! price is one session from each gateway to each control process, which carries a call that is
+//! held until there is news.
+
+mod book;
+mod follower;
+mod member;
+mod message;
+mod server;
+mod source;
+mod view;
+
+pub use {
+    book::{FleetBook, FleetSettings},
+    follower::{FleetFollower, FollowerParts},
+    member::{
+        BackendRecord, BackendStanding, GatewayPhase, GatewayProfile, GatewayStanding, ServingState,
+    },
+    message::{GatewayPulse, SyncReply, SyncRequest, TrafficSnapshot},
+    server::FleetServer,
+    source::TrafficSource,
+    view::{BackendRow, FleetView, GatewayRow, TrafficInForce},
+};
--- /dev/null
+++ b/crates/fleet/src/message.rs
@@ -0,0 +1,75 @@
+//! Messages between gateways and control processes, peer methods "fleet.*".
+
+use {
+    crate::{BackendStanding, GatewayPhase, GatewayProfile, GatewayStanding},
+    bytes::Bytes,
+    gullglade_units::{BackendName, FailureDomain},
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeSet, net::SocketAddr, time::Duration},
+};
+
+/// The prefix of the methods that control processes serve to gateways.
+pub(crate) const FLEET_PREFIX: &str = "fleet";
+
+/// Tells of the gateway, and waits for news.
+pub(crate) const SYNC: &str = "fleet.sync";
+
+/// A sign of life of a gateway.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewayPulse {
+    /// What it is.
+    pub profile: GatewayProfile,
+    /// What it is about to do.
+    pub phase: GatewayPhase,
+}
+
+/// "Here I am; what is new since?"
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SyncRequest {
+    /// Who asks.
+    pub pulse: GatewayPulse,
+    /// The run of the control process that `cursor` is of; 0 for none.
+    pub run: u64,
+    /// The last change of its book that the gateway has.
+    pub cursor: u64,
+    /// The index of the last change of the traffic configuration that the gateway has.
+    pub traffic_index: u64,
+    /// The version of the configuration that the gateway holds.
+    pub version: Option<u64>,
+}
+
+/// The traffic configuration as a control process has it applied.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrafficSnapshot {
+    /// The index of its last change in the log.
+    pub index: u64,
+    /// Its version; `None` before the first configuration.
+    pub version: Option<u64>,
+    /// Its text, where the gateway does not hold this version.
+    pub text: Option<Bytes>,
+    /// The failure domains that are evacuated.
+    pub evacuated: BTreeSet<FailureDomain>,
+}
+
+/// What is new.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SyncReply {
+    /// The run of the control process. Where it is not the one asked about, the reply holds all
+    /// of its book.
+    pub run: u64,
+    /// The last change that the reply holds.
+    pub cursor: u64,
+    /// Backend servers that changed.
+    pub backends: Vec<BackendStanding>,
+    /// Runs of backend servers that said goodbye. Final: a restarted one has another name.
+    pub departed: Vec<BackendName>,
+    /// Gateways that changed.
+    pub gateways: Vec<GatewayStanding>,
+    /// The traffic configuration, where the gateway's is older.
+    pub traffic: Option<TrafficSnapshot>,
+    /// How long ago the configuration applied at the control process was known to be everything
+    /// that had been accepted; `None` where it never was.
+    pub confirmed_ago: Option<Duration>,
+    /// Peer addresses of the control processes, where they are known.
+    pub controls: Vec<SocketAddr>,
+}
--- /dev/null
+++ b/crates/fleet/src/server.rs
@@ -0,0 +1,198 @@
+//! A control process's side: its book, and the gateways that follow it.
+
+use {
+    crate::{
+        BackendRecord, BackendStanding, FleetBook, FleetSettings, GatewayStanding, SyncReply,
+        SyncRequest, TrafficSource,
+        message::{FLEET_PREFIX, SYNC},
+    },
+    bytes::Bytes,
+    futures::{channel::oneshot, future::select},
+    gullglade_event::{EventDraft, EventSink, Level},
+    gullglade_peer::{HandlerTable, PeerFault, PeerHandler, PeerIdentity},
+    gullglade_units::{
+        BackendName, LocalFuture, ProcessContext, RegionName, decode, encode, timeout,
+    },
+    std::{cell::RefCell, net::SocketAddr, pin::pin, rc::Rc, time::Duration},
+};
+
+/// How often silences are looked for.
+const TICK: Duration = Duration::from_millis(300);
+
+/// The fleet as one control process hears it.
+pub struct FleetServer {
+    book: RefCell<FleetBook>,
+    /// Calls that wait for the next change.
+    waiting: RefCell<Vec<oneshot::Sender<()>>>,
+    source: Rc<dyn TrafficSource>,
+    context: ProcessContext,
+    events: Rc<dyn EventSink>,
+    run: u64,
+}
+
+impl FleetServer {
+    /// The fleet of a process that has heard nobody yet.
+    pub fn new(
+        settings: FleetSettings,
+        source: Rc<dyn TrafficSource>,
+        context: ProcessContext,
+        events: Rc<dyn EventSink>,
+    ) -> Rc<Self> {
+        let run = context.random.next_u64() | 1;
+        Rc::new(Self {
+            book: RefCell::new(FleetBook::new(settings, context.clock.now())),
+            waiting: RefCell::default(),
+            source,
+            context,
+            events,
+            run,
+        })
+    }
+
+    /// Serves gateways, and looks for silences, for as long as the process runs.
+    pub fn start(self: &Rc<Self>, handlers: &HandlerTable) {
+        handlers.register(FLEET_PREFIX, Rc::new(SyncHandler(Rc::clone(self))));
+        let server = Rc::clone(self);
+        self.context.spawner.spawn(Box::pin(async move {
+            loop {
+                server.context.clock.sleep(TICK).await;
+                server.tick();
+            }
+        }));
+    }
+
+    /// Takes note of an announcement.
+    pub fn announce(&self, record: BackendRecord) {
+        let change = self.book.borrow_mut().announce(record, self.context.clock.now());
+        if let Some(standing) = change {
+            self.events.emit(backend_event("backend.announced", &standing));
+            self.wake();
+        }
+    }
+
+    /// Takes note of a goodbye.
+    pub fn leave(&self, name: &BackendName) {
+        let is_news = self.book.borrow_mut().leave(name, self.context.clock.now());
+        if is_news {
+            self.events.emit(EventDraft::new("backend.left").field("backend", name));
+            self.wake();
+        }
+    }
+
+    /// The callers' addresses of the gateways that callers in `region` should use; `None` while
+    /// this process may not have heard all of them.
+    pub fn entry_addresses(&self, region: &RegionName) -> Option<Vec<SocketAddr>> {
+        let book = self.book.borrow();
+        book.has_heard_gateways(self.context.clock.now()).then(|| book.entry_addresses(region))
+    }
+
+    /// How many backend servers and gateways are heard.
+    pub fn heard(&self) -> (usize, usize) {
+        self.book.borrow().heard()
+    }
+
+    fn tick(&self) {
+        let (backends, gateways) = self.book.borrow_mut().tick(self.context.clock.now());
+        for standing in &backends {
+            self.events.emit(backend_event("backend.silent", standing).level(Level::Warn));
+        }
+        for standing in &gateways {
+            self.events.emit(gateway_event("gateway.silent", standing).level(Level::Warn));
+        }
+        if !backends.is_empty() || !gateways.is_empty() {
+            self.wake();
+        }
+    }
+
+    fn wake(&self) {
+        for waiting in self.waiting.take() {
+            // Whoever waited may be gone, which takes nothing from the others.
+            let _: Result<(), ()> = waiting.send(());
+        }
+    }
+
+    async fn sync(&self, request: SyncRequest) -> SyncReply {
+        let change = self.book.borrow_mut().pulse(&request.pulse, self.context.clock.now());
+        if let Some(standing) = change {
+            self.events.emit(gateway_event("gateway.heard", &standing));
+            self.wake();
+        }
+        if request.run == self.run {
+            self.wait_for_news(&request).await;
+        }
+        self.reply(&request)
+    }
+
+    async fn wait_for_news(&self, request: &SyncRequest) {
+        let (wake, woken) = oneshot::channel();
+        {
+            let book = self.book.borrow();
+            if book.last_change() > request.cursor {
+                return;
+            }
+            let mut waiting = self.waiting.borrow_mut();
+            waiting.retain(|other| !other.is_canceled());
+            waiting.push(wake);
+        }
+        let hold = self.book.borrow().settings().sync_hold;
+        let changed = self.source.changed(request.traffic_index);
+        let news = async {
+            select(pin!(woken), pin!(changed)).await;
+        };
+        let _: Option<()> = timeout(&*self.context.clock, hold, news).await;
+    }
+
+    fn reply(&self, request: &SyncRequest) -> SyncReply {
+        let cursor = if request.run == self.run { request.cursor } else { 0 };
+        let book = self.book.borrow();
+        SyncReply {
+            run: self.run,
+            cursor: book.last_change(),
+            backends: book.backends_after(cursor, self.context.clock.now()),
+            departed: book.departed_after(cursor),
+            gateways: book.gateways_after(cursor),
+            traffic: self.source.newer(request.traffic_index, request.version),
+            confirmed_ago: self.source.confirmed_ago(),
+            controls: self.source.controls(),
+        }
+    }
+}
+
+fn backend_event(kind: &'static str, standing: &BackendStanding) -> EventDraft {
+    let record = &standing.record;
+    EventDraft::new(kind)
+        .field("backend", &record.name)
+        .field("service", &record.service)
+        .field("address", record.address)
+        .field("domain", &record.domain)
+        .field("state", record.state)
+        .field("sequence", record.sequence)
+        .millis("cold_ms", record.cold_for)
+}
+
+fn gateway_event(kind: &'static str, standing: &GatewayStanding) -> EventDraft {
+    EventDraft::new(kind)
+        .field("gateway", &standing.profile.vm)
+        .field("run", standing.profile.run)
+        .field("phase", standing.phase)
+}
+
+/// Serves the methods "fleet.*".
+struct SyncHandler(Rc<FleetServer>);
+
+impl PeerHandler for SyncHandler {
+    fn call<'a>(
+        &'a self,
+        _from: &'a PeerIdentity,
+        method: &'a str,
+        body: Bytes,
+    ) -> LocalFuture<'a, Result<Bytes, PeerFault>> {
+        Box::pin(async move {
+            if method != SYNC {
+                return Err(PeerFault::unknown_method(method));
+            }
+            let request: SyncRequest = decode(&body).map_err(PeerFault::malformed)?;
+            Ok(Bytes::from(encode(&self.0.sync(request).await)))
+        })
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/source.rs
@@ -0,0 +1,51 @@
+//! Where a control process takes the traffic configuration from.
+
+use {
+    crate::TrafficSnapshot,
+    gullglade_control::{ControlNode, LogIndex},
+    gullglade_units::LocalFuture,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// The replicated log, as far as the fleet needs it.
+pub trait TrafficSource {
+    /// The configuration, where it is newer than `index`; without its text for a gateway that
+    /// holds `version`.
+    fn newer(&self, index: u64, version: Option<u64>) -> Option<TrafficSnapshot>;
+
+    /// Completes once the configuration is newer than `index`.
+    fn changed<'a>(&'a self, index: u64) -> LocalFuture<'a, ()>;
+
+    /// How long ago the state here was known to be everything that had been accepted.
+    fn confirmed_ago(&self) -> Option<Duration>;
+
+    /// Peer addresses of the control processes.
+    fn controls(&self) -> Vec<SocketAddr>;
+}
+
+impl TrafficSource for ControlNode {
+    fn newer(&self, index: u64, version: Option<u64>) -> Option<TrafficSnapshot> {
+        self.read(|state| {
+            let record = state.traffic();
+            (record.changed().0 > index).then(|| TrafficSnapshot {
+                index: record.changed().0,
+                version: record.version(),
+                text: record.text().filter(|_| record.version() != version).cloned(),
+                evacuated: record.evacuated().clone(),
+            })
+        })
+    }
+
+    fn changed<'a>(&'a self, index: u64) -> LocalFuture<'a, ()> {
+        Box::pin(self.traffic_after(LogIndex(index)))
+    }
+
+    fn confirmed_ago(&self) -> Option<Duration> {
+        ControlNode::confirmed_ago(self)
+    }
+
+    fn controls(&self) -> Vec<SocketAddr> {
+        let membership = self.status().membership;
+        membership.into_iter().flat_map(|m| m.members).map(|member| member.address).collect()
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/lib.rs
@@ -0,0 +1,25 @@
+//! The traffic configuration: which host and path go to which service, and under which rules.
+//!
+//! Where a service document ([`gullglade-document`]) states what a team's callers may ask by the
+//! usual protocols, this configuration routes requests that pass through unchanged. It is one
+//! document for all routes, under version numbers that its operators give. Its text is whatever
+//! format the operators write; a [`TrafficFormat`] reads it into [`RawTraffic`], and
+//! [`TrafficConfig`] is the checked form that everything else works with.
+//!
+//! [`gullglade-document`]: https://docs.rs/gullglade-document
+
+mod config;
+mod error;
+mod raw;
+mod route;
+mod service;
+mod table;
+
+pub use {
+    config::{CallerLimits, TrafficConfig},
+    error::TrafficError,
+    raw::{RawRoute, RawService, RawTraffic, TrafficFormat},
+    route::{RequestKind, TrafficRoute, WeightedTarget},
+    service::{ColdRules, EngineProfile, ServicePool},
+    table::RouteTable,
+};
--- /dev/null
+++ b/crates/traffic/tests/traffic.rs
@@ -0,0 +1,128 @@
+//! The checks of a traffic configuration, and the way to a request's route.
+
+use {
+    gullglade_traffic::{
+        CallerLimits, ColdRules, RawRoute, RawService, RawTraffic, RequestKind, TrafficConfig,
+        TrafficError,
+    },
+    std::time::Duration,
+};
+
+fn route(name: &str, host: &str, prefix: &str) -> RawRoute {
+    RawRoute {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RequestKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(300),
+        priority: 0,
+        targets: vec![("desk".to_owned(), 1)],
+        max_attempts: 1,
+        has_affinity: false,
+        gap_objective: None,
+        homes: Vec::new(),
+    }
+}
+
+fn config(routes: Vec<RawRoute>) -> RawTraffic {
+    let cold = ColdRules { duration: Duration::ZERO, requests_per_second: 0.0 };
+    let service = |name: &str| RawService {
+        name: name.to_owned(),
+        health_path: "/health".to_owned(),
+        connection_limit: 100,
+        cold,
+        engine: None,
+    };
+    let limits = CallerLimits {
+        head_bytes: 16_384,
+        body_bytes: 1 << 20,
+        head_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    RawTraffic { version: 7, routes, services: vec![service("desk"), service("pool")], limits }
+}
+
+#[test]
+fn a_request_goes_by_the_longest_prefix_of_its_host() {
+    struct Case {
+        host: &'static str,
+        path: &'static str,
+        found: Option<&'static str>,
+    }
+    let cases = [
+        Case { host: "a.example", path: "/x/1", found: Some("a-x") },
+        Case { host: "A.Example:8080", path: "/x/1", found: Some("a-x") },
+        Case { host: "a.example", path: "/x/y/", found: Some("a-xy") },
+        Case { host: "a.example", path: "/x/y", found: Some("a-x") },
+        Case { host: "a.example", path: "/xx/1", found: None },
+        Case { host: "b.example", path: "/x/1", found: Some("b-all") },
+        Case { host: "c.example", path: "/x/1", found: None },
+    ];
+    let routes = vec![
+        route("a-x", "a.example", "/x/"),
+        route("a-xy", "a.example", "/x/y/"),
+        route("b-all", "b.example", "/"),
+    ];
+    let checked = TrafficConfig::try_from(config(routes)).expect("a good configuration");
+    for case in cases {
+        let found = checked.routes().find(case.host, case.path).map(|r| r.name.as_str());
+        assert_eq!(found, case.found, "{} {}", case.host, case.path);
+    }
+}
+
+#[test]
+fn what_cannot_be_obeyed_is_refused() {
+    struct Case {
+        spoil: fn(&mut RawTraffic),
+        is_expected: fn(&TrafficError) -> bool,
+    }
+    let cases = [
+        Case {
+            spoil: |c| c.routes[0].targets = vec![("nobody".to_owned(), 1)],
+            is_expected: |e| matches!(e, TrafficError::UnknownService { .. }),
+        },
+        Case {
+            spoil: |c| c.routes[1].prefix = c.routes[0].prefix.clone(),
+            is_expected: |e| matches!(e, TrafficError::SamePlace { .. }),
+        },
+        Case {
+            spoil: |c| c.routes[0].targets[0].1 = 0,
+            is_expected: |e| matches!(e, TrafficError::NoWeight { .. }),
+        },
+        Case {
+            spoil: |c| c.routes[0].targets.clear(),
+            is_expected: |e| matches!(e, TrafficError::NoWeight { .. }),
+        },
+        Case {
+            spoil: |c| c.routes[1].timeout = Duration::ZERO,
+            is_expected: |e| matches!(e, TrafficError::NoTimeout { .. }),
+        },
+        Case {
+            spoil: |c| c.routes[1].prefix = "/open".to_owned(),
+            is_expected: |e| matches!(e, TrafficError::BadPrefix { .. }),
+        },
+        Case {
+            spoil: |c| c.services[1].name = "desk".to_owned(),
+            is_expected: |e| matches!(e, TrafficError::SameService { .. }),
+        },
+    ];
+    for (index, case) in cases.iter().enumerate() {
+        let mut raw = config(vec![route("one", "h", "/a/"), route("two", "h", "/b/")]);
+        assert!(TrafficConfig::try_from(raw.clone()).is_ok());
+        (case.spoil)(&mut raw);
+        let error = TrafficConfig::try_from(raw).expect_err("a spoilt configuration");
+        assert!((case.is_expected)(&error), "case {index}: {error}");
+    }
+}
+
+#[test]
+fn weights_divide_a_routes_requests() {
+    let mut split = route("split", "h", "/");
+    split.targets = vec![("desk".to_owned(), 0), ("pool".to_owned(), 90), ("desk".to_owned(), 10)];
+    let checked = TrafficConfig::try_from(config(vec![split])).expect("a good configuration");
+    let found = checked.routes().find("h", "/1").expect("a route");
+    let to_pool =
+        (0..1_000).filter(|i| found.target(f64::from(*i) / 1_000.0).as_str() == "pool").count();
+    assert_eq!(to_pool, 900);
+}
