--- a/crates/node/src/proxy_node.rs
+++ b/crates/node/src/proxy_node.rs
@@ -28,7 +28,7 @@
 
 /// Of the time for a graceful stop, the part in which new requests are still taken. Callers learn
 /// of other gateways within a few seconds; until then they must find this one serving.
-const SERVING_SHARE: f64 = 0.6;
+const SERVING_SHARE: f64 = 0.35;
 
 /// Of the time for a graceful stop, the part after which what is not finished is cut off.
 const FINISHING_SHARE: f64 = 0.96;
