--- a/crates/dispatch/src/cold.rs
+++ b/crates/dispatch/src/cold.rs
@@ -9,7 +9,6 @@
 use {
     gullglade_units::{BackendName, MonotonicTime, VmName},
     std::{
-        collections::VecDeque,
         hash::{DefaultHasher, Hash, Hasher},
         time::Duration,
     },
@@ -20,12 +19,16 @@
 const WINDOW: Duration = Duration::from_millis(1_150);
 
 /// The part of the rate that is used. The rest covers gateways that do not yet know each other.
-const USED_SHARE: f64 = 0.8;
+const USED_SHARE: f64 = 0.7;
 
 /// Sends of this gateway to one cold backend server.
+///
+/// They are spaced evenly. A gateway that stands still between the decision and the write, as a
+/// batch-scheduled process under load does for tenths of a second, would otherwise put the whole
+/// of one window right before the whole of the next.
 #[derive(Debug, Default)]
 pub struct ColdGate {
-    sent: VecDeque<MonotonicTime>,
+    last: Option<MonotonicTime>,
 }
 
 impl ColdGate {
@@ -42,22 +45,15 @@
         whole / count + usize::from(rank < whole % count)
     }
 
-    /// Whether one more send fits into `part`.
-    pub fn has_room(&mut self, part: usize, now: MonotonicTime) -> bool {
-        while self.sent.front().is_some_and(|at| now.since(*at) >= WINDOW) {
-            self.sent.pop_front();
-        }
-        self.sent.len() < part
+    /// When the next send fits into `part` of each window; `None` where no send ever does.
+    pub fn next_send(&self, part: usize) -> Option<MonotonicTime> {
+        let pace = WINDOW.checked_div(u32::try_from(part).unwrap_or(u32::MAX))?;
+        Some(self.last.map_or(MonotonicTime::default(), |last| last + pace))
     }
 
     /// Notes a send.
     pub fn note(&mut self, now: MonotonicTime) {
-        self.sent.push_back(now);
-    }
-
-    /// When the oldest counted send leaves the window.
-    pub fn next_room(&self) -> Option<MonotonicTime> {
-        self.sent.front().map(|at| *at + WINDOW)
+        self.last = Some(now);
     }
 }
 
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -49,6 +49,9 @@
 /// the requests that run together.
 const CROWD_COST_MS: f64 = 40.0;
 
+/// A cold backend server that is not this gateway's to send to is looked at again after this.
+const COLD_LOOK: Duration = Duration::from_millis(500);
+
 /// A region that could not be reached is left alone for this long.
 const REGION_PAUSE: Duration = Duration::from_millis(1_500);
 
@@ -454,7 +457,7 @@
         facts.is_serving && !self.evacuated.contains(&facts.domain)
     }
 
-    fn look_here(&mut self, item: &WorkItem, now: MonotonicTime) -> Local {
+    fn look_here(&self, item: &WorkItem, now: MonotonicTime) -> Local {
         let names: Vec<BackendName> = self
             .backends
             .values()
@@ -476,7 +479,7 @@
         self.choose(item, &sound, now)
     }
 
-    fn choose(&mut self, item: &WorkItem, names: &[BackendName], now: MonotonicTime) -> Local {
+    fn choose(&self, item: &WorkItem, names: &[BackendName], now: MonotonicTime) -> Local {
         let mut best: Option<(f64, f64, &BackendName)> = None;
         let mut least_ms = f64::MAX;
         let mut again = now + Duration::from_millis(50);
@@ -544,20 +547,17 @@
     }
 
     /// When a cold backend server may next be sent to, where it may not now.
-    fn cold_wait(&mut self, name: &BackendName, now: MonotonicTime) -> Option<MonotonicTime> {
+    fn cold_wait(&self, name: &BackendName, now: MonotonicTime) -> Option<MonotonicTime> {
         if !self.is_cold(name, now) {
             return None;
         }
-        let backend = self.backends.get_mut(name)?;
+        let backend = self.backends.get(name)?;
         let service = self.services.get(&backend.facts.service)?;
         let SchedulerSettings { cold_over, cold_slack, own, .. } = &self.settings;
         let rate = service.cold.requests_per_second * cold_over + cold_slack;
         let part = ColdGate::part(rate, name, own, &self.gateways);
-        if backend.cold.has_room(part, now) {
-            return None;
-        }
-        let room = backend.cold.next_room().filter(|_| part > 0);
-        Some(room.unwrap_or(now + Duration::from_millis(500)))
+        let next = backend.cold.next_send(part).unwrap_or(now + COLD_LOOK);
+        (next > now).then_some(next)
     }
 
     /// The region that would serve the request better than this one, if there is one.
--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -254,8 +254,13 @@
     }
 
     /// The callers' addresses of the gateways that callers in `region` should use: those of the
-    /// region that are ready, and where it has none, those of all other regions.
-    pub fn entry_addresses(&self, region: &RegionName) -> Vec<SocketAddr> {
+    /// region that are ready; where it has none, those of other regions that `is_home` allows;
+    /// where there are none either, those of all.
+    pub fn entry_addresses(
+        &self,
+        region: &RegionName,
+        is_home: impl Fn(&RegionName) -> bool,
+    ) -> Vec<SocketAddr> {
         let ready = |e: &&GatewayEntry| e.is_ready();
         let is_near = |e: &&GatewayEntry| e.pulse.profile.region == *region;
         let address = |e: &GatewayEntry| e.pulse.profile.caller_address;
@@ -264,6 +269,12 @@
         if !near.is_empty() {
             return near;
         }
+        let is_allowed = |e: &&GatewayEntry| is_home(&e.pulse.profile.region);
+        let allowed: Vec<_> =
+            self.gateways.values().filter(ready).filter(is_allowed).map(address).collect();
+        if !allowed.is_empty() {
+            return allowed;
+        }
         self.gateways.values().filter(ready).map(address).collect()
     }
 
--- /dev/null
+++ b/crates/fleet/src/entry.rs
@@ -0,0 +1,64 @@
+//! Which gateways callers should use.
+
+use {
+    crate::FleetServer,
+    gullglade_event::{EventDraft, EventSink, Level},
+    gullglade_traffic::{TrafficConfig, TrafficFormat, TrafficRoute},
+    gullglade_units::RegionName,
+    std::{cell::RefCell, net::SocketAddr, rc::Rc},
+};
+
+/// Answers callers that ask where to connect, from what one control process hears.
+pub struct EntryGuide {
+    fleet: Rc<FleetServer>,
+    format: Rc<dyn TrafficFormat>,
+    events: Rc<dyn EventSink>,
+    held: RefCell<Option<Rc<TrafficConfig>>>,
+}
+
+impl EntryGuide {
+    /// A guide over what `fleet` hears.
+    pub fn new(
+        fleet: Rc<FleetServer>,
+        format: Rc<dyn TrafficFormat>,
+        events: Rc<dyn EventSink>,
+    ) -> Self {
+        Self { fleet, format, events, held: RefCell::default() }
+    }
+
+    /// The callers' addresses of the gateways that callers of `host` in `region` should use;
+    /// `None` while this process may not have heard all gateways.
+    ///
+    /// A caller sends its body to the gateway that it connects to. So where its own region has no
+    /// gateway, it is sent to regions in which all routes of its host may be served, if there
+    /// are any.
+    pub fn addresses(&self, host: &str, region: &RegionName) -> Option<Vec<SocketAddr>> {
+        let config = self.config();
+        let is_home = |candidate: &RegionName| {
+            let allows = |route: &Rc<TrafficRoute>| route.allows(candidate);
+            config.as_ref().is_none_or(|config| config.routes().of_host(host).all(allows))
+        };
+        self.fleet.entry_addresses(region, is_home)
+    }
+
+    /// The configuration applied here; it may be older than the newest one.
+    fn config(&self) -> Option<Rc<TrafficConfig>> {
+        let held = self.held.borrow().clone();
+        let version = held.as_ref().map(|config| config.version());
+        let newer = self.fleet.source().newer(0, version).and_then(|snapshot| snapshot.text);
+        let Some(text) = newer else { return held };
+        let read = self.format.read(&text).and_then(TrafficConfig::try_from);
+        match read {
+            Ok(config) => {
+                let config = Rc::new(config);
+                self.held.replace(Some(Rc::clone(&config)));
+                Some(config)
+            }
+            Err(error) => {
+                let event = EventDraft::new("traffic.unreadable").level(Level::Error);
+                self.events.emit(event.error("reason", &error));
+                held
+            }
+        }
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 //! held until there is news.
 
 mod book;
+mod entry;
 mod follower;
 mod member;
 mod message;
@@ -21,6 +22,7 @@
 
 pub use {
     book::{FleetBook, FleetSettings},
+    entry::EntryGuide,
     follower::{FleetFollower, FollowerParts},
     member::{
         BackendRecord, BackendStanding, GatewayPhase, GatewayProfile, GatewayStanding, ServingState,
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -81,9 +81,19 @@
 
     /// The callers' addresses of the gateways that callers in `region` should use; `None` while
     /// this process may not have heard all of them.
-    pub fn entry_addresses(&self, region: &RegionName) -> Option<Vec<SocketAddr>> {
+    pub(crate) fn entry_addresses(
+        &self,
+        region: &RegionName,
+        is_home: impl Fn(&RegionName) -> bool,
+    ) -> Option<Vec<SocketAddr>> {
         let book = self.book.borrow();
-        book.has_heard_gateways(self.context.clock.now()).then(|| book.entry_addresses(region))
+        let has_heard = book.has_heard_gateways(self.context.clock.now());
+        has_heard.then(|| book.entry_addresses(region, is_home))
+    }
+
+    /// The configuration that this process follows.
+    pub(crate) fn source(&self) -> &dyn TrafficSource {
+        &*self.source
     }
 
     /// How many backend servers and gateways are heard.
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -39,6 +39,13 @@
 #[derive(Clone, Copy, Debug)]
 pub struct HeadTimeout(pub Duration);
 
+/// Request extension: sends on a kept connection only if that was used within this time, and on a
+/// new one otherwise.
+///
+/// The longer a connection is idle, the likelier the other side is about to close it.
+#[derive(Clone, Copy, Debug)]
+pub struct KeptWithin(pub Duration);
+
 /// Request extension: sends on a new connection, never on a kept one.
 ///
 /// A kept connection may be closed by the other side while the request is on its way, which
--- a/crates/http/src/client/pool.rs
+++ b/crates/http/src/client/pool.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         ClientConfig, ClientError, ClientReply, FreshConnection, HeadTimeout, HttpClient,
+        KeptWithin,
         connection::{ClientConnection, ConnectionLease},
         reply::{ClientBody, WireSource},
     },
@@ -85,12 +86,20 @@
     }
 
     /// The connection to `address` that was used last, if one is still open.
-    fn take(&self, address: SocketAddr) -> Option<ClientConnection> {
+    /// Those idle for longer than `within` stay for other requests.
+    fn take(&self, address: SocketAddr, within: Option<Duration>) -> Option<ClientConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
+        let now = self.context.clock.now();
         while let Some(kept) = connections.pop() {
-            if self.usable(&kept) {
-                return Some(kept.connection);
+            let is_stale = within.is_some_and(|within| now.since(kept.since) > within);
+            match self.usable(&kept) {
+                true if is_stale => {
+                    connections.push(kept);
+                    return None;
+                }
+                true => return Some(kept.connection),
+                false => {}
             }
         }
         idle.remove(&address);
@@ -151,7 +160,8 @@
     ) -> Result<ClientReply, ClientError> {
         let request = outgoing(address, request)?;
         let fresh = request.extensions().get::<FreshConnection>().is_some();
-        let kept = if fresh { None } else { self.pool.take(address) };
+        let within = request.extensions().get::<KeptWithin>().map(|within| within.0);
+        let kept = if fresh { None } else { self.pool.take(address, within) };
         if let Some(connection) = kept {
             match self.exchange(address, connection, request.clone()).await {
                 // The kept connection had been closed meanwhile and nothing was sent: a new one
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -8,12 +8,17 @@
         outcome::{AttemptEnd, NotRunReason, UnknownReason},
     },
     gullglade_dispatch::WorkOutcome,
-    gullglade_http::{ClientError, ClientReply, FreshConnection, HeadTimeout, HttpClient},
+    gullglade_http::{ClientError, ClientReply, HeadTimeout, HttpClient, KeptWithin},
     gullglade_units::BackendName,
     http::{Request, StatusCode, header::CONTENT_ENCODING},
     std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
+/// A request that may run only once goes over a kept connection only if that was used this lately.
+/// A backend server that closes an idle connection while a request is on its way leaves unknown
+/// whether the request ran, and such a request cannot be sent again.
+const ONCE_ONLY_IDLE: Duration = Duration::from_millis(1_000);
+
 /// What an attempt works with.
 pub(crate) struct AttemptParts {
     pub(crate) client: Rc<dyn HttpClient>,
@@ -67,7 +72,7 @@
             .body(attempt.call.body.clone())?;
         *request.headers_mut() = self.dialect.outgoing(&attempt.call.headers, &order);
         if attempt.is_once_only {
-            request.extensions_mut().insert(FreshConnection);
+            request.extensions_mut().insert(KeptWithin(ONCE_ONLY_IDLE));
         }
         Ok(request)
     }
