Test the seeded log, and mend two faults that the tests found

Findings: (1) the first change after the first election was acknowledged with three voters, before the two others had asked the new leader to be taken in; with two of the three disks lost it was gone. (2) a member that was removed and taken in again got no task that sends it the log. A leader now waits a second after its election while voters are missing, and tasks are counted where they end.

--- a/crates/control/src/consensus/core.rs
+++ b/crates/control/src/consensus/core.rs
@@ -43,8 +43,6 @@
     pub(crate) me: MemberId,
     /// Whether this member's folder was there at the first start of the deployment.
     pub(crate) may_found: bool,
-    /// When this process started.
-    pub(crate) started: MonotonicTime,
     /// Control processes that ask this one, as leader, to be taken in.
     pub(crate) joining: JoinTable,
     /// Held by whoever writes durable state, from the decision what to write until it is in
@@ -83,7 +81,6 @@
             folder,
             me: identity.member,
             may_found: identity.may_found,
-            started: now,
             joining: JoinTable::default(),
             store: Mutex::new(store),
             state: RefCell::new(state),
--- a/crates/control/src/consensus/growth.rs
+++ b/crates/control/src/consensus/growth.rs
@@ -39,9 +39,9 @@
 /// The most members that do not vote.
 const MAX_LEARNERS: usize = 8;
 
-/// How long after its start a leader expects further control processes to ask. All VMs of a
-/// deployment start within 0.3 s of each other, and asking takes two round trips.
-const START_SLACK: Duration = Duration::from_millis(1_500);
+/// How long after its election a leader expects control processes that have no part yet to ask.
+/// Before there was a leader they asked in vain; they ask again after a pause and a round trip.
+const ELECTION_SLACK: Duration = Duration::from_millis(1_000);
 
 /// The longest wait of a change for the log to grow. With the operators' window of a few seconds
 /// for an acknowledgement, a VM that never comes must not hold up the first configuration.
@@ -141,12 +141,22 @@
         let Some(settings) = self.config.seed_settings() else { return };
         let is_grown = |s: &NodeState| {
             let voters = s.membership().map_or(0, |m| m.voters().count());
-            let is_early = self.now().since(self.started) < START_SLACK;
-            let is_voter = |id| s.membership().is_some_and(|m| m.is_voter(id));
-            let is_asked = self.joining.recent(self.now()).iter().any(|m| !is_voter(m.id));
+            let Role::Leader(leadership) = &s.role else { return Some(()) };
+            let is_early = self.now().since(leadership.since) < ELECTION_SLACK;
             let is_full = voters >= settings.max_voters;
-            (!s.is_leader() || is_full || !(is_early || is_asked)).then_some(())
+            let is_due = (is_early && !is_full) || self.has_newcomer(s, is_full);
+            (!is_due).then_some(())
         };
         self.until_within(GROWTH_LIMIT, is_grown).await;
     }
+
+    /// Whether a process has asked that is about to become a voter: in a free place, or in that of
+    /// a voter whose disk it has lost.
+    fn has_newcomer(&self, state: &NodeState, is_full: bool) -> bool {
+        let Some(current) = state.membership() else { return false };
+        let has_lost_disk = |m: &Member| current.voters().any(|v| v.address == m.address);
+        let recent = self.joining.recent(self.now());
+        let mut outside = recent.iter().filter(|m| !current.is_voter(m.id));
+        outside.any(|m| !is_full || current.replacement.is_some() || has_lost_disk(m))
+    }
 }
--- a/crates/control/src/consensus/replicator.rs
+++ b/crates/control/src/consensus/replicator.rs
@@ -8,7 +8,7 @@
     },
     crate::entry::{LogEntry, LogIndex, LogPosition, Member, MemberId, Term},
     gullglade_units::MonotonicTime,
-    std::{collections::BTreeSet, rc::Rc},
+    std::rc::Rc,
 };
 
 /// How far the task has come with its member.
@@ -30,17 +30,28 @@
 impl ControlCore {
     /// Starts a task for every member there is and every one that comes.
     pub(super) async fn run_replicators(self: Rc<Self>, term: Term) {
-        let mut started = BTreeSet::from([self.me]);
         loop {
-            let new = self.until(|s| new_members(s, term, &started)).await;
+            let new = self.until(|s| new_members(s, term)).await;
             let Some(new) = new else { return };
             for id in new {
-                started.insert(id);
-                self.spawn(Rc::clone(&self).run_replicator(id, term));
+                if let Some(leadership) = self.state.borrow_mut().leadership_mut(term) {
+                    leadership.replicating.insert(id);
+                }
+                self.spawn(Rc::clone(&self).replicate(id, term));
             }
         }
     }
 
+    /// One member's task. A member that is removed and taken in again needs another one, so the
+    /// end of each is noted.
+    async fn replicate(self: Rc<Self>, member: MemberId, term: Term) {
+        Rc::clone(&self).run_replicator(member, term).await;
+        if let Some(leadership) = self.state.borrow_mut().leadership_mut(term) {
+            leadership.replicating.remove(&member);
+        }
+        self.signal.notify();
+    }
+
     async fn run_replicator(self: Rc<Self>, member: MemberId, term: Term) {
         let next = self.state.borrow().tail.last().next();
         let (told_commit, sent) = (LogIndex(0), MonotonicTime::default());
@@ -147,16 +158,10 @@
 }
 
 /// The members without a task; `None` once the leadership is over.
-fn new_members(
-    state: &NodeState,
-    term: Term,
-    started: &BTreeSet<MemberId>,
-) -> Option<Option<Vec<MemberId>>> {
-    if state.leadership(term).is_none() {
-        return Some(None);
-    }
+fn new_members(state: &NodeState, term: Term) -> Option<Option<Vec<MemberId>>> {
+    let Some(leadership) = state.leadership(term) else { return Some(None) };
     let members = state.membership()?.members.iter().map(|m| m.id);
-    let new: Vec<_> = members.filter(|id| !started.contains(id)).collect();
+    let new: Vec<_> = members.filter(|id| !leadership.replicating.contains(id)).collect();
     (!new.is_empty()).then_some(Some(new))
 }
 
--- a/crates/control/src/consensus/state.rs
+++ b/crates/control/src/consensus/state.rs
@@ -11,7 +11,7 @@
     futures::channel::oneshot,
     gullglade_units::MonotonicTime,
     std::{
-        collections::{BTreeMap, VecDeque},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         rc::Rc,
     },
 };
@@ -34,6 +34,8 @@
     /// Its first entry.
     pub(crate) first: LogIndex,
     pub(crate) progress: BTreeMap<MemberId, MemberProgress>,
+    /// The members that a task of this term brings in line.
+    pub(crate) replicating: BTreeSet<MemberId>,
 }
 
 /// How far a member has followed the leader.
@@ -181,7 +183,9 @@
     pub(crate) fn begin_leadership(&mut self, term: Term, me: MemberId, now: MonotonicTime) {
         let first = self.tail.last().next();
         let progress = BTreeMap::new();
-        self.role = Role::Leader(Leadership { term, since: now, probe: now, first, progress });
+        let replicating = BTreeSet::from([me]);
+        self.role =
+            Role::Leader(Leadership { term, since: now, probe: now, first, progress, replicating });
         self.leader = Some(me);
         let (done, _) = oneshot::channel();
         self.pending.push_back(Proposal { command: Command::Noop, done });
--- a/crates/control/tests/support/cluster.rs
+++ b/crates/control/tests/support/cluster.rs
@@ -4,7 +4,7 @@
     super::disk::FakeDisk,
     gullglade_control::{
         ChangeError, ChangeOutcome, ChangeRequest, ControlConfig, ControlError, ControlNode,
-        FirstVoter,
+        FirstVoter, SeedSettings,
     },
     gullglade_event::{EventSink, MemorySink},
     gullglade_peer::{
@@ -87,6 +87,10 @@
     pub events: Rc<MemorySink>,
     pub vms: Vec<ControlVm>,
     pub config: Box<dyn Fn(ControlConfig) -> ControlConfig>,
+    /// How many of the VMs are named as seeds; none where the voters are listed.
+    pub seeds: Cell<usize>,
+    /// Whether processes are told that the deployment starts for the first time.
+    pub is_first_start: Cell<bool>,
     voters: usize,
 }
 
@@ -107,6 +111,8 @@
             events: Rc::default(),
             vms: (0..voters + spares).map(vm).collect(),
             config: Box::new(|config| config),
+            seeds: Cell::new(0),
+            is_first_start: Cell::new(false),
             voters,
         }
     }
@@ -137,6 +143,16 @@
     }
 
     fn config_of(&self, index: usize) -> ControlConfig {
+        if self.seeds.get() > 0 {
+            let settings = SeedSettings {
+                own: address(index),
+                seeds: (0..self.seeds.get()).map(address).collect(),
+                is_first_start: self.is_first_start.get(),
+                max_voters: 5,
+            };
+            let config = ControlConfig::seeded("prod", vm(index), region(index), settings);
+            return (self.config)(config.trust_disk());
+        }
         let voters = (0..self.voters).map(|i| FirstVoter { vm: vm(i), address: address(i) });
         (self.config)(ControlConfig::new("prod", vm(index), region(index), voters.collect()))
     }
