--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -25,5 +25,7 @@
     health::HealthRecord,
     load::{BackendLoad, BackendReport},
     scheduler::{BackendFacts, RegionFacts, Scheduler, SchedulerSettings, Verdict},
-    work::{PromptPart, PromptShape, RefusalReason, TicketId, WorkItem, WorkOutcome},
+    work::{
+        PlacementHint, PromptPart, PromptShape, RefusalReason, TicketId, WorkItem, WorkOutcome,
+    },
 };
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -1,18 +1,18 @@
 //! When a backend server would give the first byte of an answer.
 //!
-//! The load pattern: several gateways send to the same backend servers, and each sees only its own
-//! work at once; what the others send shows late and only in part, in the load that answers carry.
-//! So the prediction has two parts: the work of this gateway that waits there, which is known, and
-//! a base that is learned from how much later than that first bytes came. The base fades, since
-//! what caused it may be over.
+//! The load pattern: several gateways send prompts of very different length to the same engines.
+//! An engine reads them one after the other, the more urgent first, so what counts is the reading
+//! that is ahead. Each engine has a virtual clock for it: the time at which it will have read all
+//! that was sent to it, own sends and those that other gateways told of. What the clock does not
+//! know, such as generation that slows reading down, shows in first bytes that come later than
+//! predicted; from those a base is learned, which fades, since what caused it may be over.
 
 use {
+    crate::TicketId,
     gullglade_units::MonotonicTime,
     std::{collections::HashMap, time::Duration},
 };
 
-use crate::TicketId;
-
 /// The weight of the newest first byte in the base.
 const BASE_WEIGHT: f64 = 0.3;
 
@@ -30,6 +30,13 @@
 /// A report is believed for this long.
 const REPORT_AGE: Duration = Duration::from_secs(2);
 
+/// Priorities that are told apart; those beyond count as the last.
+const PRIORITIES: usize = 4;
+
+/// A backend server from which something came this lately is at work, and what it has not yet
+/// answered waits its turn there.
+const PROGRESS_AGE: Duration = Duration::from_millis(700);
+
 /// The load that a backend server stated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BackendReport {
@@ -47,7 +54,7 @@
     tokens: u32,
     sent: MonotonicTime,
     has_begun: bool,
-    /// The milliseconds of this gateway's own work that were ahead when it was sent.
+    /// The reading that was ahead of it when it was sent, milliseconds.
     ahead_ms: f64,
 }
 
@@ -55,6 +62,10 @@
 #[derive(Debug)]
 pub struct BackendLoad {
     sent: HashMap<TicketId, SentWork>,
+    /// By priority: when all reading that goes before a request of it will be done.
+    read_until: [MonotonicTime; PRIORITIES],
+    /// When something last came from it.
+    heard: MonotonicTime,
     base_ms: f64,
     base_at: MonotonicTime,
     read_rate: f64,
@@ -67,6 +78,8 @@
     fn default() -> Self {
         Self {
             sent: HashMap::new(),
+            read_until: [MonotonicTime::default(); PRIORITIES],
+            heard: MonotonicTime::default(),
             base_ms: 0.0,
             base_at: MonotonicTime::default(),
             read_rate: FIRST_READ_RATE,
@@ -97,19 +110,44 @@
     }
 
     /// Milliseconds until the first byte, were a request with `tokens` to read sent now.
-    pub fn first_byte_ms(&self, tokens: u32, now: MonotonicTime) -> f64 {
-        self.base(now) + self.ahead_ms(now) + self.read_ms(tokens)
+    pub fn first_byte_ms(&self, tokens: u32, priority: u8, now: MonotonicTime) -> f64 {
+        self.base(now) + self.ahead_ms(priority, now) + self.read_ms(tokens)
+    }
+
+    /// Milliseconds of reading that goes before a request of this priority.
+    pub fn ahead_ms(&self, priority: u8, now: MonotonicTime) -> f64 {
+        millis(self.read_until[rank(priority)].since(now))
     }
 
-    /// Notes a send.
-    pub fn send(&mut self, ticket: TicketId, tokens: u32, now: MonotonicTime) {
-        let ahead_ms = self.ahead_ms(now);
+    /// Notes a send of this gateway.
+    pub fn send(&mut self, ticket: TicketId, tokens: u32, priority: u8, now: MonotonicTime) {
+        let ahead_ms = self.ahead_ms(priority, now);
         self.sent.insert(ticket, SentWork { tokens, sent: now, has_begun: false, ahead_ms });
         self.sent_since += 1;
+        self.add_reading(self.read_ms(tokens), priority, now);
+    }
+
+    /// Notes a send of another gateway.
+    pub fn note_other(&mut self, tokens: u32, priority: u8, now: MonotonicTime) {
+        self.add_reading(self.read_ms(tokens), priority, now);
+    }
+
+    /// Whether something came from it lately.
+    pub fn is_at_work(&self, now: MonotonicTime) -> bool {
+        now.since(self.heard) < PROGRESS_AGE
+    }
+
+    /// Reading of one priority delays every one that is not more urgent.
+    fn add_reading(&mut self, read_ms: f64, priority: u8, now: MonotonicTime) {
+        let reading = Duration::from_secs_f64(read_ms / 1_000.0);
+        for until in &mut self.read_until[rank(priority)..] {
+            *until = (*until).max(now) + reading;
+        }
     }
 
     /// Notes a first byte, and learns from when it came.
     pub fn begin(&mut self, ticket: TicketId, now: MonotonicTime) {
+        self.heard = now;
         let base = self.base(now);
         let Some(work) = self.sent.get_mut(&ticket) else { return };
         if work.has_begun {
@@ -117,7 +155,7 @@
         }
         work.has_begun = true;
         let work = *work;
-        let took = now.since(work.sent).as_secs_f64() * 1_000.0;
+        let took = millis(now.since(work.sent));
         let known = work.ahead_ms + self.read_ms(work.tokens);
         let beyond = (took - known).max(0.0);
         self.base_ms = base + BASE_WEIGHT * (beyond - base);
@@ -134,6 +172,7 @@
 
     /// Notes the load that the backend server stated.
     pub fn note_report(&mut self, report: BackendReport, now: MonotonicTime) {
+        self.heard = now;
         self.report = Some((report, now));
         self.sent_since = 0;
         self.ended_since = 0;
@@ -149,20 +188,6 @@
         self.base_ms * 0.5_f64.powf(age)
     }
 
-    /// Reading that this gateway's own requests still have ahead there. What was sent a while ago
-    /// has been read in part.
-    fn ahead_ms(&self, now: MonotonicTime) -> f64 {
-        let waiting = self.sent.values().filter(|w| !w.has_begun);
-        let mut tokens = 0;
-        let mut oldest = now;
-        for work in waiting {
-            tokens += work.tokens;
-            oldest = oldest.min(work.sent);
-        }
-        let passed = now.since(oldest).as_secs_f64() * 1_000.0;
-        (self.read_ms(tokens) - passed).max(0.0)
-    }
-
     fn read_ms(&self, tokens: u32) -> f64 {
         f64::from(tokens) / self.read_rate
     }
@@ -178,3 +203,11 @@
         self.read_rate = (self.read_rate + 0.1 * (rate - self.read_rate)).clamp(least, most);
     }
 }
+
+fn rank(priority: u8) -> usize {
+    usize::from(priority).min(PRIORITIES - 1)
+}
+
+fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -14,8 +14,8 @@
 
 use {
     crate::{
-        BackendLoad, BackendReport, CacheEstimate, ColdGate, HealthRecord, RefusalReason,
-        RepeatBudget, TicketId, WorkItem, WorkOutcome,
+        BackendLoad, BackendReport, CacheEstimate, ColdGate, HealthRecord, PlacementHint,
+        RefusalReason, RepeatBudget, TicketId, WorkItem, WorkOutcome,
     },
     gullglade_traffic::ServicePool,
     gullglade_units::{BackendName, FailureDomain, MonotonicTime, RegionName, ServiceName, VmName},
@@ -52,9 +52,6 @@
 /// A cold backend server that is not this gateway's to send to is looked at again after this.
 const COLD_LOOK: Duration = Duration::from_millis(500);
 
-/// A region that could not be reached is left alone for this long.
-const REGION_PAUSE: Duration = Duration::from_millis(1_500);
-
 /// The least time after which a caller may come back: shorter ones only add load.
 const LEAST_RETRY: Duration = Duration::from_millis(250);
 
@@ -190,6 +187,10 @@
     gateway_total: usize,
     budgets: HashMap<ServiceName, RepeatBudget>,
     waiting: Vec<Waiting>,
+    /// Sends that other gateways of the region have not yet been told of.
+    hints: Vec<PlacementHint>,
+    /// Runs of backend servers that are over, whatever is still announced of them.
+    ended: BTreeSet<BackendName>,
     /// Where the requests run that were sent.
     sent: HashMap<TicketId, BackendName>,
     next_ticket: u64,
@@ -211,6 +212,8 @@
             gateway_total: 1,
             budgets: HashMap::new(),
             waiting: Vec::new(),
+            hints: Vec::new(),
+            ended: BTreeSet::new(),
             sent: HashMap::new(),
             next_ticket: 0,
             wake: None,
@@ -233,6 +236,10 @@
     /// Takes the backend servers of the own region as they are believed to be.
     pub fn set_backends(&mut self, facts: impl IntoIterator<Item = BackendFacts>) {
         let mut old = std::mem::take(&mut self.backends);
+        let (ended, facts): (Vec<_>, Vec<_>) =
+            facts.into_iter().partition(|f| self.ended.contains(&f.name));
+        // What is announced no more need not be remembered.
+        self.ended = ended.into_iter().map(|f| f.name).collect();
         for facts in facts {
             let known = old.remove(&facts.name);
             let backend = match known {
@@ -268,7 +275,7 @@
     pub fn offers(&self, now: MonotonicTime) -> Vec<RegionFacts> {
         let mut offers: BTreeMap<&ServiceName, RegionFacts> = BTreeMap::new();
         for backend in self.backends.values().filter(|b| self.may_serve(b)) {
-            let expected = backend.load.first_byte_ms(0, now);
+            let expected = backend.load.first_byte_ms(0, 0, now);
             let offer = offers.entry(&backend.facts.service).or_insert_with(|| RegionFacts {
                 region: self.settings.region.clone(),
                 service: backend.facts.service.clone(),
@@ -352,6 +359,7 @@
             WorkOutcome::Misdirected => {
                 // The run that was meant is over, whatever its last announcement said.
                 self.backends.remove(&name);
+                self.ended.insert(name);
             }
             WorkOutcome::Shed => {
                 let slots = backend.facts.slots;
@@ -368,9 +376,28 @@
         self.budget(service).take(gateways, now)
     }
 
-    /// Notes that a region could not be reached, or had no place.
-    pub fn pause_region(&mut self, region: &RegionName, now: MonotonicTime) {
-        self.region_pauses.insert(region.clone(), now + REGION_PAUSE);
+    /// Notes that a region should get no work for `pause`.
+    pub fn pause_region(&mut self, region: &RegionName, pause: Duration, now: MonotonicTime) {
+        self.region_pauses.insert(region.clone(), now + pause);
+    }
+
+    /// Whether a backend server has shown lately that it works.
+    pub fn is_at_work(&self, name: &BackendName, now: MonotonicTime) -> bool {
+        self.backends.get(name).is_some_and(|b| b.load.is_at_work(now))
+    }
+
+    /// Takes the sends of this gateway since the last call, to be told to the region's others.
+    pub fn take_hints(&mut self) -> Vec<PlacementHint> {
+        std::mem::take(&mut self.hints)
+    }
+
+    /// Notes sends of another gateway of the region.
+    pub fn note_hints(&mut self, hints: &[PlacementHint], now: MonotonicTime) {
+        for hint in hints {
+            if let Some(backend) = self.backends.get_mut(&hint.backend) {
+                backend.load.note_other(hint.tokens, hint.priority, now);
+            }
+        }
     }
 
     fn budget(&mut self, service: &ServiceName) -> &mut RepeatBudget {
@@ -385,7 +412,11 @@
         let is_cold = self.is_cold(name, now);
         let Some(backend) = self.backends.get_mut(name) else { return };
         let tokens = unread_tokens(backend, &waiting.item);
-        backend.load.send(waiting.ticket, tokens, now);
+        let priority = waiting.item.route.priority;
+        backend.load.send(waiting.ticket, tokens, priority, now);
+        if tokens > 0 {
+            self.hints.push(PlacementHint { backend: name.clone(), tokens, priority });
+        }
         backend.health.note_send(now);
         if is_cold {
             backend.cold.note(now);
@@ -490,9 +521,9 @@
             }
             let backend = &self.backends[name];
             let tokens = unread_tokens(backend, item);
-            let expected_ms = backend.load.first_byte_ms(tokens, now);
+            let expected_ms = backend.load.first_byte_ms(tokens, item.route.priority, now);
             least_ms = least_ms.min(expected_ms);
-            if !self.has_room(backend, item, tokens, now) {
+            if !self.has_room(backend, item, now) {
                 continue;
             }
             let crowd = f64::from(backend.load.total(now)) / f64::from(backend.facts.slots.max(1));
@@ -513,13 +544,7 @@
     }
 
     /// Whether a backend server can take the request now.
-    fn has_room(
-        &self,
-        backend: &Backend,
-        item: &WorkItem,
-        tokens: u32,
-        now: MonotonicTime,
-    ) -> bool {
+    fn has_room(&self, backend: &Backend, item: &WorkItem, now: MonotonicTime) -> bool {
         let Some(service) = self.services.get(&item.service) else { return false };
         let connections = service.connection_limit as usize / self.gateways.len().max(1);
         if backend.load.own() >= connections.max(1) {
@@ -528,9 +553,8 @@
         if backend.load.total(now) >= backend.facts.slots.max(1) {
             return false;
         }
-        let ahead_ms = backend.load.first_byte_ms(tokens, now) - backend.load.first_byte_ms(0, now);
-        let backlog_ms = backend.load.first_byte_ms(tokens, now) - ahead_ms;
-        service.engine.is_none() || backend.load.own() == 0 || backlog_ms < BACKLOG_LIMIT_MS
+        let backlog_ms = backend.load.ahead_ms(item.route.priority, now);
+        service.engine.is_none() || backlog_ms < BACKLOG_LIMIT_MS
     }
 
     fn is_cold(&self, name: &BackendName, now: MonotonicTime) -> bool {
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -62,6 +62,18 @@
     pub is_repeat: bool,
 }
 
+/// A send that other gateways of the region should know of: they send to the same engines, and
+/// see nothing of it until answers come.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacementHint {
+    /// Where it was sent.
+    pub backend: BackendName,
+    /// The prompt tokens to be read there.
+    pub tokens: u32,
+    /// Its priority.
+    pub priority: u8,
+}
+
 /// Why a request was turned away. It has not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RefusalReason {
--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -81,9 +81,4 @@
             ticket.finish(outcome);
         }
     }
-
-    /// Ends it with another word on the backend server than its drop would give.
-    pub(crate) fn give_up(mut self, outcome: WorkOutcome) {
-        self.finish(outcome);
-    }
 }
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -2,16 +2,21 @@
 
 use {
     crate::{
-        BackendDialect, BackendWord, CallerCall, SendOrder,
+        BackendDialect, BackendWord, CallerCall, Dispatcher, SendOrder,
         answer::{AnswerBody, AnswerSource, AttemptAnswer, BackendBody},
         dispatcher::SentTicket,
         outcome::{AttemptEnd, NotRunReason, UnknownReason},
     },
     gullglade_dispatch::WorkOutcome,
     gullglade_http::{ClientError, ClientReply, HeadTimeout, HttpClient, KeptWithin},
-    gullglade_units::BackendName,
+    gullglade_units::{BackendName, Clock, timeout},
     http::{Request, StatusCode, header::CONTENT_ENCODING},
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        net::SocketAddr,
+        pin::{Pin, pin},
+        rc::Rc,
+        time::Duration,
+    },
 };
 
 /// A request that may run only once goes over a kept connection only if that was used this lately.
@@ -23,6 +28,8 @@
 pub(crate) struct AttemptParts {
     pub(crate) client: Rc<dyn HttpClient>,
     pub(crate) dialect: Rc<dyn BackendDialect>,
+    pub(crate) dispatcher: Rc<Dispatcher>,
+    pub(crate) clock: Rc<dyn Clock>,
 }
 
 /// One send.
@@ -32,8 +39,8 @@
     pub(crate) address: SocketAddr,
     /// The time after which nobody waits for the answer.
     pub(crate) left: Duration,
-    /// The time after which no head of an answer is waited for.
-    pub(crate) head_limit: Duration,
+    /// How long the head of an answer is waited for while nothing comes from the backend server.
+    pub(crate) patience: Duration,
     pub(crate) priority: u8,
     pub(crate) resume_after: Option<u64>,
     /// Whether it may run only once.
@@ -52,12 +59,37 @@
                 return AttemptEnd::NotRun(NotRunReason::Unreachable, None);
             }
         };
-        match self.client.send(attempt.address, request).await {
+        let sending = pin!(self.client.send(attempt.address, request));
+        let Some(sent) = self.wait(attempt, sending).await else {
+            ticket.finish(WorkOutcome::Overdue { waited: attempt.patience });
+            return AttemptEnd::Unknown(UnknownReason::Overdue);
+        };
+        match sent {
             Ok(reply) => self.judge(attempt, reply, ticket),
             Err(error) => failed(&error, attempt, ticket),
         }
     }
 
+    /// Waits for `sending`, in steps of the attempt's patience: `None` once a step has passed in
+    /// which nothing at all came from the backend server. One that answers others is at work, and
+    /// asking for the same elsewhere would only add to the load that makes it slow.
+    async fn wait<T>(
+        &self,
+        attempt: &Attempt<'_>,
+        mut sending: Pin<&mut (impl Future<Output = T> + ?Sized)>,
+    ) -> Option<T> {
+        loop {
+            let step = timeout(&*self.clock, attempt.patience, sending.as_mut()).await;
+            if step.is_some() {
+                return step;
+            }
+            let is_at_work = self.dispatcher.ask(|s, now| s.is_at_work(attempt.backend, now));
+            if !is_at_work || attempt.patience >= attempt.left {
+                return None;
+            }
+        }
+    }
+
     fn request(&self, attempt: &Attempt<'_>) -> Result<Request<bytes::Bytes>, http::Error> {
         let order = SendOrder {
             backend: attempt.backend,
@@ -68,7 +100,7 @@
         let mut request = Request::builder()
             .method(attempt.call.method.clone())
             .uri(attempt.call.target.as_str())
-            .extension(HeadTimeout(attempt.head_limit))
+            .extension(HeadTimeout(attempt.left))
             .body(attempt.call.body.clone())?;
         *request.headers_mut() = self.dialect.outgoing(&attempt.call.headers, &order);
         if attempt.is_once_only {
@@ -139,7 +171,7 @@
     }
     match error {
         ClientError::HeadTimeout { .. } => {
-            ticket.finish(WorkOutcome::Overdue { waited: attempt.head_limit });
+            ticket.finish(WorkOutcome::Overdue { waited: attempt.left });
             AttemptEnd::Unknown(UnknownReason::Overdue)
         }
         _ => {
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -18,6 +18,8 @@
     context: ProcessContext,
     /// When the next look at the queue is due.
     alarm: Cell<Option<MonotonicTime>>,
+    /// Told after each look at the queue, for hints to other gateways.
+    after_pump: RefCell<Option<Rc<dyn Fn()>>>,
 }
 
 impl Dispatcher {
@@ -28,6 +30,7 @@
             waiting: RefCell::default(),
             context,
             alarm: Cell::new(None),
+            after_pump: RefCell::default(),
         })
     }
 
@@ -73,6 +76,15 @@
             }
         }
         self.set_alarm(now);
+        let after = self.after_pump.borrow().clone();
+        if let Some(after) = after {
+            after();
+        }
+    }
+
+    /// Calls `after` after each look at the queue.
+    pub(crate) fn set_after_pump(&self, after: Rc<dyn Fn()>) {
+        self.after_pump.replace(Some(after));
     }
 
     fn set_alarm(self: &Rc<Self>, now: MonotonicTime) {
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        CallId, CallerCall,
+        CallId, CallerCall, Dispatcher,
         answer::{AnswerBody, AnswerSource, AttemptAnswer},
         outcome::{AttemptEnd, NotRunReason, UnknownReason},
     },
@@ -26,6 +26,19 @@
 /// Makes one attempt at a request in the region of the gateway that is called.
 pub(crate) const FORWARD: &str = "proxy.forward";
 
+/// Tells of sends to the region's backend servers.
+pub(crate) const HINTS: &str = "proxy.hints";
+
+/// A gateway of another region says at once that it has a request. Without that word after this
+/// time the path to the region is taken for broken: four round trips between regions.
+const ACCEPT_LIMIT: Duration = Duration::from_millis(450);
+
+/// A region to which the path is broken gets no work for this long.
+const BROKEN_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// A region that turned work away gets no more for this long.
+const REFUSED_PAUSE: Duration = Duration::from_millis(200);
+
 /// The most gateways of a region that are tried for one request. Each takes a connection that may
 /// hang until its time is up.
 const MOST_GATEWAYS: usize = 2;
@@ -51,7 +64,13 @@
 /// What comes back. The end of the stream is the end of a whole body.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) enum ForwardPiece {
-    Head { status: u16, headers: Vec<(String, Bytes)>, backend: BackendName },
+    /// The request has arrived.
+    Accepted,
+    Head {
+        status: u16,
+        headers: Vec<(String, Bytes)>,
+        backend: BackendName,
+    },
     Chunk(Bytes),
     NotRun(NotRunReason, Option<Duration>),
     Unknown(UnknownReason),
@@ -102,25 +121,45 @@
     pub(crate) transport: Rc<dyn PeerTransport>,
     pub(crate) fleet: Rc<FleetFollower>,
     pub(crate) context: ProcessContext,
+    pub(crate) dispatcher: Rc<Dispatcher>,
 }
 
 impl Forwarder {
     /// Has a gateway of `region` make one attempt.
-    pub(crate) async fn send(&self, region: &RegionName, call: &ForwardCall) -> AttemptEnd {
+    pub(crate) async fn send(
+        &self,
+        region: &RegionName,
+        call: &ForwardCall,
+        may_repeat: bool,
+    ) -> AttemptEnd {
         let body = Bytes::from(encode(call));
         for gateway in self.some_gateways(region) {
             let to = gateway.profile.peer_address;
             let opening = self.transport.open(to, FORWARD, body.clone());
-            match timeout(&*self.context.clock, call.left, opening).await {
-                Some(Ok(stream)) => return self.first_piece(region, stream, call.left).await,
+            let limit = call.left.min(ACCEPT_LIMIT);
+            match timeout(&*self.context.clock, limit, opening).await {
+                Some(Ok(stream)) => {
+                    return self.first_piece(region, stream, call.left, may_repeat).await;
+                }
+                // A session that does not come about in this time has sent nothing.
                 Some(Err(error)) if error.nothing_sent() => {}
-                // Without a session nothing was sent; with one, the time was up in its queue.
-                Some(Err(_)) | None => return AttemptEnd::Unknown(UnknownReason::LostAway),
+                Some(Err(_)) => return self.lost(region),
+                None => {}
             }
         }
+        self.pause(region, BROKEN_PAUSE);
         AttemptEnd::NotRun(NotRunReason::RefusedAway, None)
     }
 
+    fn pause(&self, region: &RegionName, pause: Duration) {
+        self.dispatcher.ask(|scheduler, now| scheduler.pause_region(region, pause, now));
+    }
+
+    fn lost(&self, region: &RegionName) -> AttemptEnd {
+        self.pause(region, BROKEN_PAUSE);
+        AttemptEnd::Unknown(UnknownReason::LostAway)
+    }
+
     /// A few gateways of the region, drawn so that all gateways' work spreads over them.
     fn some_gateways(&self, region: &RegionName) -> Vec<GatewayRow> {
         let now = self.context.clock.now();
@@ -138,14 +177,26 @@
         region: &RegionName,
         mut stream: PeerStream,
         left: Duration,
+        may_repeat: bool,
     ) -> AttemptEnd {
-        let first = timeout(&*self.context.clock, left, stream.next()).await;
+        let clock = &*self.context.clock;
+        let began = clock.now();
+        let mut first = timeout(clock, left.min(ACCEPT_LIMIT), stream.next()).await;
+        if first.is_none() {
+            // Other requests need not find out for themselves.
+            self.pause(region, BROKEN_PAUSE);
+            if may_repeat {
+                return AttemptEnd::Unknown(UnknownReason::LostAway);
+            }
+        }
+        if !matches!(first, Some(Some(Err(_)) | None)) {
+            let rest = left.saturating_sub(clock.now().since(began));
+            first = timeout(clock, rest, next_content(&mut stream, first)).await;
+        }
         let Some(first) = first else { return AttemptEnd::Unknown(UnknownReason::Overdue) };
         match first.map(read_piece) {
             Some(Ok(ForwardPiece::Head { status, headers, backend: _ })) => {
-                let Ok(status) = StatusCode::from_u16(status) else {
-                    return AttemptEnd::Unknown(UnknownReason::LostAway);
-                };
+                let Ok(status) = StatusCode::from_u16(status) else { return self.lost(region) };
                 AttemptEnd::Answer(AttemptAnswer {
                     source: AnswerSource::Region(region.clone()),
                     status,
@@ -153,10 +204,34 @@
                     body: AnswerBody::Forward(ForwardBody { stream }),
                 })
             }
-            Some(Ok(ForwardPiece::NotRun(reason, wait))) => AttemptEnd::NotRun(reason, wait),
+            Some(Ok(ForwardPiece::NotRun(reason, wait))) => {
+                if reason == NotRunReason::RefusedAway {
+                    self.pause(region, REFUSED_PAUSE);
+                }
+                AttemptEnd::NotRun(reason, wait)
+            }
             Some(Ok(ForwardPiece::Unknown(reason))) => AttemptEnd::Unknown(reason),
-            Some(Ok(ForwardPiece::Chunk(_)) | Err(_)) | None => {
-                AttemptEnd::Unknown(UnknownReason::LostAway)
+            Some(Ok(ForwardPiece::Accepted | ForwardPiece::Chunk(_)) | Err(_)) | None => {
+                self.lost(region)
+            }
+        }
+    }
+}
+
+/// The piece after the word that the request has arrived.
+async fn next_content(
+    stream: &mut PeerStream,
+    first: Option<Option<Result<Bytes, PeerError>>>,
+) -> Option<Result<Bytes, PeerError>> {
+    let is_word = |piece: &Bytes| matches!(decode(piece), Ok(ForwardPiece::Accepted));
+    match first {
+        Some(Some(Ok(piece))) if !is_word(&piece) => Some(Ok(piece)),
+        Some(_) => stream.next().await,
+        None => {
+            let late = stream.next().await;
+            match late {
+                Some(Ok(piece)) if is_word(&piece) => stream.next().await,
+                late => late,
             }
         }
     }
--- a/crates/proxy/src/forward_server.rs
+++ b/crates/proxy/src/forward_server.rs
@@ -4,12 +4,15 @@
     crate::{
         CallerCall,
         answer::AttemptAnswer,
-        forward::{FORWARD, ForwardCall, ForwardPiece, PROXY_PREFIX, pack_headers, unpack_headers},
+        forward::{
+            FORWARD, ForwardCall, ForwardPiece, HINTS, PROXY_PREFIX, pack_headers, unpack_headers,
+        },
         journey::Journey,
         outcome::{AttemptEnd, NotRunReason, UnknownReason},
         proxy::Proxy,
     },
     bytes::Bytes,
+    gullglade_dispatch::PlacementHint,
     gullglade_peer::{HandlerTable, PeerFault, PeerHandler, PeerIdentity, PeerReplySink},
     gullglade_units::{LocalFuture, decode, encode},
     http::Method,
@@ -27,6 +30,7 @@
 
     async fn serve(&self, body: &[u8], reply: &mut PeerReplySink) -> Result<(), PeerFault> {
         let forward: ForwardCall = decode(body).map_err(PeerFault::malformed)?;
+        put(reply, &ForwardPiece::Accepted).await?;
         let method = Method::from_bytes(forward.method.as_bytes()).map_err(PeerFault::malformed)?;
         let call = CallerCall {
             id: forward.id,
@@ -80,10 +84,16 @@
         &'a self,
         _from: &'a PeerIdentity,
         method: &'a str,
-        _body: Bytes,
+        body: Bytes,
     ) -> LocalFuture<'a, Result<Bytes, PeerFault>> {
-        let fault = PeerFault::unknown_method(method);
-        Box::pin(async move { Err(fault) })
+        Box::pin(async move {
+            if method != HINTS {
+                return Err(PeerFault::unknown_method(method));
+            }
+            let hints: Vec<PlacementHint> = decode(&body).map_err(PeerFault::malformed)?;
+            self.0.dispatcher().ask(|scheduler, now| scheduler.note_hints(&hints, now));
+            Ok(Bytes::new())
+        })
     }
 
     fn stream<'a>(
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -168,7 +168,7 @@
                     backend: &backend,
                     address,
                     left,
-                    head_limit: self.head_limit(expected_ms, left),
+                    patience: self.patience(expected_ms, left),
                     priority: self.item.route.priority,
                     resume_after: self.last_event,
                     is_once_only: !self.item.route.kind.may_repeat(),
@@ -181,7 +181,9 @@
                 drop(ticket);
                 self.log.away(&region, here_ms, &self.item);
                 let forward = ForwardCall::new(&self.call, &self.item, self.last_event, self.now());
-                let end = self.proxy.forwarder().send(&region, &forward).await;
+                let may_repeat =
+                    self.may_run_again() && self.ran + 1 < self.item.route.max_attempts;
+                let end = self.proxy.forwarder().send(&region, &forward, may_repeat).await;
                 self.note_place(AttemptPlace::Away(region), &end);
                 Ok(end)
             }
@@ -190,7 +192,7 @@
 
     /// How long the head of an answer is waited for. A request that may run only once, or not
     /// once more, is waited for to the end.
-    fn head_limit(&self, expected_ms: f64, left: Duration) -> Duration {
+    fn patience(&self, expected_ms: f64, left: Duration) -> Duration {
         let kind = self.item.route.kind;
         if !kind.may_repeat() || self.ran + 1 >= self.item.route.max_attempts {
             return left;
@@ -214,7 +216,6 @@
             }
             (_, AttemptPlace::Away(region)) => {
                 self.log.failed_away(&region, end);
-                self.proxy.dispatcher().ask(|s, now| s.pause_region(&region, now));
             }
         }
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -18,6 +18,7 @@
 mod events;
 mod forward;
 mod forward_server;
+mod hints;
 mod journey;
 mod outcome;
 mod proxy;
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         BackendDialect, CallerCall, Dispatcher, attempt::AttemptParts, forward::Forwarder,
-        journey::Journey, outcome::FinalWord,
+        hints::HintSender, journey::Journey, outcome::FinalWord,
     },
     gullglade_event::{EventDraft, EventSink, MetricSet},
     gullglade_fleet::{FleetFollower, TrafficInForce},
@@ -49,13 +49,24 @@
 impl Proxy {
     /// A proxy over its parts.
     pub fn new(parts: ProxyParts) -> Self {
-        let attempts =
-            AttemptParts { client: Rc::clone(&parts.client), dialect: Rc::clone(&parts.dialect) };
+        let attempts = AttemptParts {
+            client: Rc::clone(&parts.client),
+            dialect: Rc::clone(&parts.dialect),
+            dispatcher: Rc::clone(&parts.dispatcher),
+            clock: Rc::clone(&parts.context.clock),
+        };
         let forwarder = Forwarder {
             transport: Rc::clone(&parts.transport),
             fleet: Rc::clone(&parts.fleet),
             context: parts.context.clone(),
+            dispatcher: Rc::clone(&parts.dispatcher),
         };
+        let hints = HintSender::new(
+            Rc::clone(&parts.transport),
+            Rc::clone(&parts.fleet),
+            parts.context.clone(),
+        );
+        hints.attach(&parts.dispatcher);
         Self { shared: Rc::new(ProxyShared { parts, attempts, forwarder }) }
     }
 
