--- a/crates/peer/src/fake/endpoint.rs
+++ b/crates/peer/src/fake/endpoint.rs
@@ -88,6 +88,15 @@
         }
     }
 
+    /// What a caller gets whose call left on a dead link: the loss shows only later.
+    fn lost_stream(&self, to: SocketAddr) -> PeerStream {
+        let node = self.node.clone();
+        PeerStream::new(stream::once(async move {
+            node.context.clock.sleep(LOST_AFTER).await;
+            Err(broken(to, "no answer to a ping"))
+        }))
+    }
+
     fn messages(&self, to: SocketAddr, pipe: ReplyPipe) -> PeerStream {
         let node = self.node.clone();
         PeerStream::new(stream::try_unfold(pipe, move |mut pipe| {
@@ -129,6 +138,11 @@
         body: Bytes,
     ) -> LocalFuture<'a, Result<PeerStream, PeerError>> {
         Box::pin(async move {
+            let path =
+                MessagePath { from: self.node.address, to, method, leg: MessageLeg::Request };
+            if matches!(self.network.fate(path), MessageFate::Drop) {
+                return Ok(self.lost_stream(to));
+            }
             let sent = Cell::new(false);
             let pipe = self.begin(to, method, CallKind::Stream, body, &sent).await?;
             Ok(self.messages(to, pipe))
--- a/crates/peer/src/transport.rs
+++ b/crates/peer/src/transport.rs
@@ -26,7 +26,8 @@
     ) -> LocalFuture<'a, Result<Bytes, PeerError>>;
 
     /// Calls `method` of the process at `to`, which answers with a stream of messages. Completes
-    /// when the call is sent; whatever goes wrong later is an item of the stream.
+    /// when the call is sent; whatever goes wrong later is an item of the stream. Dropped before
+    /// it completes, it has sent nothing.
     fn open<'a>(
         &'a self,
         to: SocketAddr,
