--- a/crates/dispatch/src/cache.rs
+++ b/crates/dispatch/src/cache.rs
@@ -14,7 +14,7 @@
 /// running requests. Too large a figure expects parts that were evicted.
 const CACHE_SHARE: f64 = 0.6;
 
-/// The cached parts of one engine, as an estimate from what was sent there by this gateway.
+/// The cached parts of one engine, as an estimate from what the region's gateways sent there.
 #[derive(Debug, Default)]
 pub struct CacheEstimate {
     parts: HashMap<u64, CachedPart>,
@@ -35,9 +35,9 @@
         held.map(|p| p.tokens).sum()
     }
 
-    /// Notes that the engine read the prompt.
-    pub fn note(&mut self, shape: &PromptShape, memory_tokens: u64, now: MonotonicTime) {
-        for part in &shape.parts {
+    /// Notes that the engine read these parts.
+    pub fn note(&mut self, parts: &[PromptPart], memory_tokens: u64, now: MonotonicTime) {
+        for part in parts {
             self.keep(*part, now);
         }
         let bound = (memory_tokens as f64 * CACHE_SHARE) as u64;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,7 +23,7 @@
     cache::CacheEstimate,
     cold::ColdGate,
     health::HealthRecord,
-    load::{BackendLoad, BackendReport},
+    load::{BackendLoad, BackendReport, WorkCost},
     scheduler::{BackendFacts, RegionFacts, Scheduler, SchedulerSettings, Verdict},
     work::{
         PlacementHint, PromptPart, PromptShape, RefusalReason, TicketId, WorkItem, WorkOutcome,
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -31,8 +31,17 @@
 /// engine in use; they keep one odd answer from making a rate of nothing.
 const READ_RATE_BOUNDS: (f64, f64) = (5.0, 500.0);
 
-/// A report is believed for this long.
-const REPORT_AGE: Duration = Duration::from_secs(2);
+/// Of the load that a backend server stated, the part that is not this gateway's halves in this
+/// time. What was full a moment ago works itself free, and nobody tells a gateway that sends
+/// nothing there any more: without this, plain services of six places stood idle for seconds
+/// while requests waited for them.
+const STATED_HALF_LIFE: Duration = Duration::from_millis(200);
+
+/// A first guess at how long a request without a prompt takes, milliseconds.
+const FIRST_WORK_MS: f64 = 20.0;
+
+/// The weight of the newest answer in that time.
+const WORK_WEIGHT: f64 = 0.05;
 
 /// Priorities that are told apart; those beyond count as the last.
 const PRIORITIES: usize = 4;
@@ -52,14 +61,22 @@
     pub slots: u32,
 }
 
+/// What a request takes of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WorkCost {
+    /// Prompt tokens that it has to read, by estimate; `None` for a request without a prompt.
+    pub tokens: Option<u32>,
+    /// The requests that the backend server runs at once.
+    pub slots: u32,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct SentWork {
-    /// Prompt tokens that it has to read, by estimate.
-    tokens: u32,
+    cost: WorkCost,
     sent: MonotonicTime,
     priority: u8,
     has_begun: bool,
-    /// The reading that was ahead of it when it was sent, milliseconds.
+    /// The work that was ahead of it when it was sent, milliseconds.
     ahead_ms: f64,
 }
 
@@ -67,29 +84,30 @@
 #[derive(Debug)]
 pub struct BackendLoad {
     sent: HashMap<TicketId, SentWork>,
-    /// By priority: when all reading that goes before a request of it will be done.
-    read_until: [MonotonicTime; PRIORITIES],
+    /// By priority: when all work that goes before a request of it will be done.
+    busy_until: [MonotonicTime; PRIORITIES],
     /// When something last came from it.
     heard: MonotonicTime,
     /// By priority: how much later than the clock says first bytes come, and when that was seen.
     bases: [(f64, MonotonicTime); PRIORITIES],
     read_rate: f64,
+    work_ms: f64,
     report: Option<(BackendReport, MonotonicTime)>,
-    sent_since: u32,
-    ended_since: u32,
+    /// This gateway's requests that were there when the load was stated.
+    own_at_report: u32,
 }
 
 impl Default for BackendLoad {
     fn default() -> Self {
         Self {
             sent: HashMap::new(),
-            read_until: [MonotonicTime::default(); PRIORITIES],
+            busy_until: [MonotonicTime::default(); PRIORITIES],
             heard: MonotonicTime::default(),
             bases: [(0.0, MonotonicTime::default()); PRIORITIES],
             read_rate: FIRST_READ_RATE,
+            work_ms: FIRST_WORK_MS,
             report: None,
-            sent_since: 0,
-            ended_since: 0,
+            own_at_report: 0,
         }
     }
 }
@@ -102,39 +120,35 @@
 
     /// Requests that are there, of all gateways, by estimate.
     pub fn total(&self, now: MonotonicTime) -> u32 {
-        let own = u32::try_from(self.sent.len()).unwrap_or(u32::MAX);
-        let stated = match self.report {
-            Some((report, at)) if now.since(at) < REPORT_AGE => {
-                let stated = report.running + report.waiting + self.sent_since;
-                stated.saturating_sub(self.ended_since)
-            }
-            _ => 0,
-        };
-        own.max(stated)
+        let own = self.sent.len() as f64;
+        let Some((report, at)) = self.report else { return own as u32 };
+        let stated = f64::from(report.running + report.waiting);
+        let others = (stated - f64::from(self.own_at_report)).max(0.0);
+        let age = now.since(at).as_secs_f64() / STATED_HALF_LIFE.as_secs_f64();
+        (own + others * 0.5_f64.powf(age)).round() as u32
     }
 
-    /// Milliseconds until the first byte, were a request with `tokens` to read sent now.
-    pub fn first_byte_ms(&self, tokens: u32, priority: u8, now: MonotonicTime) -> f64 {
-        self.base(priority, now) + self.ahead_ms(priority, now) + self.read_ms(tokens)
+    /// Milliseconds until the first byte, were a request of this cost sent now.
+    pub fn first_byte_ms(&self, cost: WorkCost, priority: u8, now: MonotonicTime) -> f64 {
+        self.base(priority, now) + self.ahead_ms(priority, now) + self.own_ms(cost)
     }
 
-    /// Milliseconds of reading that goes before a request of this priority.
+    /// Milliseconds of work that goes before a request of this priority.
     pub fn ahead_ms(&self, priority: u8, now: MonotonicTime) -> f64 {
-        millis(self.read_until[rank(priority)].since(now))
+        millis(self.busy_until[rank(priority)].since(now))
     }
 
     /// Notes a send of this gateway.
-    pub fn send(&mut self, ticket: TicketId, tokens: u32, priority: u8, now: MonotonicTime) {
+    pub fn send(&mut self, ticket: TicketId, cost: WorkCost, priority: u8, now: MonotonicTime) {
         let ahead_ms = self.ahead_ms(priority, now);
         self.sent
-            .insert(ticket, SentWork { tokens, sent: now, priority, has_begun: false, ahead_ms });
-        self.sent_since += 1;
-        self.add_reading(self.read_ms(tokens), priority, now);
+            .insert(ticket, SentWork { cost, sent: now, priority, has_begun: false, ahead_ms });
+        self.add_work(self.cost_ms(cost), priority, now);
     }
 
     /// Notes a send of another gateway.
-    pub fn note_other(&mut self, tokens: u32, priority: u8, now: MonotonicTime) {
-        self.add_reading(self.read_ms(tokens), priority, now);
+    pub fn note_other(&mut self, cost: WorkCost, priority: u8, now: MonotonicTime) {
+        self.add_work(self.cost_ms(cost), priority, now);
     }
 
     /// Whether something came from it lately.
@@ -142,14 +156,28 @@
         now.since(self.heard) < PROGRESS_AGE
     }
 
-    /// Reading of one priority delays every one that is not more urgent.
-    fn add_reading(&mut self, read_ms: f64, priority: u8, now: MonotonicTime) {
-        let reading = Duration::from_secs_f64(read_ms / 1_000.0);
-        for until in &mut self.read_until[rank(priority)..] {
-            *until = (*until).max(now) + reading;
+    /// Work of one priority delays every one that is not more urgent.
+    fn add_work(&mut self, cost_ms: f64, priority: u8, now: MonotonicTime) {
+        let work = Duration::from_secs_f64(cost_ms / 1_000.0);
+        for until in &mut self.busy_until[rank(priority)..] {
+            *until = (*until).max(now) + work;
         }
     }
 
+    /// The milliseconds by which a request delays those behind it. Prompts are read one after the
+    /// other; requests without one run side by side, as many as there are places.
+    fn cost_ms(&self, cost: WorkCost) -> f64 {
+        match cost.tokens {
+            Some(tokens) => self.read_ms(tokens),
+            None => self.work_ms / f64::from(cost.slots.max(1)),
+        }
+    }
+
+    /// The milliseconds until the first byte of a request with nothing ahead of it.
+    fn own_ms(&self, cost: WorkCost) -> f64 {
+        cost.tokens.map_or(self.work_ms, |tokens| self.read_ms(tokens))
+    }
+
     /// Notes a first byte, and learns from when it came.
     pub fn begin(&mut self, ticket: TicketId, now: MonotonicTime) {
         self.heard = now;
@@ -160,30 +188,25 @@
         let work = *work;
         let base = self.base(work.priority, now);
         let took = millis(now.since(work.sent));
-        let known = work.ahead_ms + self.read_ms(work.tokens);
+        let known = work.ahead_ms + self.own_ms(work.cost);
         let beyond = (took - known).clamp(0.0, MOST_BASE_MS);
         self.bases[rank(work.priority)] = (base + BASE_WEIGHT * (beyond - base), now);
-        self.learn_rate(&work, took, base);
+        match work.cost.tokens {
+            Some(tokens) => self.learn_rate(tokens, &work, took, base),
+            None => self.work_ms += WORK_WEIGHT * ((took - work.ahead_ms).max(1.0) - self.work_ms),
+        }
     }
 
     /// Notes the end of a send.
     pub fn end(&mut self, ticket: TicketId) {
-        if self.sent.remove(&ticket).is_some() {
-            self.ended_since += 1;
-        }
+        self.sent.remove(&ticket);
     }
 
     /// Notes the load that the backend server stated.
     pub fn note_report(&mut self, report: BackendReport, now: MonotonicTime) {
         self.heard = now;
         self.report = Some((report, now));
-        self.sent_since = 0;
-        self.ended_since = 0;
-    }
-
-    /// The load stated last, while it is believed.
-    pub fn report(&self, now: MonotonicTime) -> Option<BackendReport> {
-        self.report.filter(|(_, at)| now.since(*at) < REPORT_AGE).map(|(report, _)| report)
+        self.own_at_report = u32::try_from(self.sent.len()).unwrap_or(u32::MAX);
     }
 
     /// Kept apart by priority: less urgent work that waits long behind more urgent says nothing of
@@ -199,12 +222,12 @@
     }
 
     /// A long prompt with nothing ahead tells how fast prompts are read.
-    fn learn_rate(&mut self, work: &SentWork, took: f64, base: f64) {
+    fn learn_rate(&mut self, tokens: u32, work: &SentWork, took: f64, base: f64) {
         const TELLING_TOKENS: u32 = 3_000;
-        if work.tokens < TELLING_TOKENS || work.ahead_ms > 0.0 || base > 20.0 {
+        if tokens < TELLING_TOKENS || work.ahead_ms > 0.0 || base > 20.0 {
             return;
         }
-        let rate = f64::from(work.tokens) / took.max(1.0);
+        let rate = f64::from(tokens) / took.max(1.0);
         let (least, most) = READ_RATE_BOUNDS;
         self.read_rate = (self.read_rate + 0.1 * (rate - self.read_rate)).clamp(least, most);
     }
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -15,7 +15,7 @@
 use {
     crate::{
         BackendLoad, BackendReport, CacheEstimate, ColdGate, HealthRecord, PlacementHint,
-        RefusalReason, RepeatBudget, TicketId, WorkItem, WorkOutcome,
+        PromptShape, RefusalReason, RepeatBudget, TicketId, WorkCost, WorkItem, WorkOutcome,
     },
     gullglade_traffic::ServicePool,
     gullglade_units::{BackendName, FailureDomain, MonotonicTime, RegionName, ServiceName, VmName},
@@ -31,6 +31,10 @@
 /// keep an engine busy between two looks at the queue, short against every objective.
 const BACKLOG_LIMIT_MS: f64 = 500.0;
 
+/// A plain backend server with more work than this ahead takes no more from here. Its requests
+/// take tens of milliseconds, so it does not run dry before the next look at the queue.
+const PLAIN_BACKLOG_MS: f64 = 100.0;
+
 /// What a request between regions and back costs: two one-way delays of about 55 ms.
 const AWAY_DELAY_MS: f64 = 115.0;
 
@@ -275,7 +279,7 @@
     pub fn offers(&self, now: MonotonicTime) -> Vec<RegionFacts> {
         let mut offers: BTreeMap<&ServiceName, RegionFacts> = BTreeMap::new();
         for backend in self.backends.values().filter(|b| self.may_serve(b)) {
-            let expected = backend.load.first_byte_ms(0, 0, now);
+            let expected = backend.load.first_byte_ms(idle_cost(backend), 0, now);
             let offer = offers.entry(&backend.facts.service).or_insert_with(|| RegionFacts {
                 region: self.settings.region.clone(),
                 service: backend.facts.service.clone(),
@@ -394,8 +398,12 @@
     /// Notes sends of another gateway of the region.
     pub fn note_hints(&mut self, hints: &[PlacementHint], now: MonotonicTime) {
         for hint in hints {
-            if let Some(backend) = self.backends.get_mut(&hint.backend) {
-                backend.load.note_other(hint.tokens, hint.priority, now);
+            let Some(backend) = self.backends.get_mut(&hint.backend) else { continue };
+            let cost = WorkCost { tokens: hint.tokens, slots: backend.facts.slots };
+            backend.load.note_other(cost, hint.priority, now);
+            let engine = self.services.get(&backend.facts.service).and_then(|s| s.engine);
+            if let Some(engine) = engine {
+                backend.cache.note(&hint.parts, engine.memory_tokens, now);
             }
         }
     }
@@ -411,18 +419,24 @@
         let engine = self.services.get(&waiting.item.service).and_then(|s| s.engine);
         let is_cold = self.is_cold(name, now);
         let Some(backend) = self.backends.get_mut(name) else { return };
-        let tokens = unread_tokens(backend, &waiting.item);
+        let cost = work_cost(backend, &waiting.item);
         let priority = waiting.item.route.priority;
-        backend.load.send(waiting.ticket, tokens, priority, now);
-        if tokens > 0 {
-            self.hints.push(PlacementHint { backend: name.clone(), tokens, priority });
-        }
+        backend.load.send(waiting.ticket, cost, priority, now);
+        let parts = waiting.item.prompt.as_ref().map(PromptShape::shared_parts);
+        let parts = parts.unwrap_or_default().to_vec();
+        let backend_name = name.clone();
+        self.hints.push(PlacementHint {
+            backend: backend_name,
+            tokens: cost.tokens,
+            priority,
+            parts,
+        });
         backend.health.note_send(now);
         if is_cold {
             backend.cold.note(now);
         }
         if let (Some(prompt), Some(engine)) = (&waiting.item.prompt, engine) {
-            backend.cache.note(prompt, engine.memory_tokens, now);
+            backend.cache.note(&prompt.parts, engine.memory_tokens, now);
         }
         self.sent.insert(waiting.ticket, name.clone());
     }
@@ -520,8 +534,8 @@
                 continue;
             }
             let backend = &self.backends[name];
-            let tokens = unread_tokens(backend, item);
-            let expected_ms = backend.load.first_byte_ms(tokens, item.route.priority, now);
+            let cost = work_cost(backend, item);
+            let expected_ms = backend.load.first_byte_ms(cost, item.route.priority, now);
             least_ms = least_ms.min(expected_ms);
             if !self.has_room(backend, item, now) {
                 continue;
@@ -554,7 +568,7 @@
             return false;
         }
         let backlog_ms = backend.load.ahead_ms(item.route.priority, now);
-        service.engine.is_none() || backlog_ms < BACKLOG_LIMIT_MS
+        backlog_ms < if service.engine.is_some() { BACKLOG_LIMIT_MS } else { PLAIN_BACKLOG_MS }
     }
 
     fn is_cold(&self, name: &BackendName, now: MonotonicTime) -> bool {
@@ -618,8 +632,15 @@
     }
 }
 
-/// The prompt tokens that a backend server would have to read.
-fn unread_tokens(backend: &Backend, item: &WorkItem) -> u32 {
-    let Some(prompt) = &item.prompt else { return 0 };
-    prompt.prompt_tokens.saturating_sub(backend.cache.held_tokens(prompt))
+/// What the request would take of a backend server.
+fn work_cost(backend: &Backend, item: &WorkItem) -> WorkCost {
+    let unread = |prompt: &PromptShape| {
+        prompt.prompt_tokens.saturating_sub(backend.cache.held_tokens(prompt))
+    };
+    WorkCost { tokens: item.prompt.as_ref().map(unread), slots: backend.facts.slots }
+}
+
+/// A request that takes next to nothing, for what is told to other regions.
+fn idle_cost(backend: &Backend) -> WorkCost {
+    WorkCost { tokens: Some(0), slots: backend.facts.slots }
 }
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -34,10 +34,9 @@
 }
 
 impl PromptShape {
-    /// The tokens of parts that other requests may share: all but the last one.
-    pub fn shared_tokens(&self) -> u32 {
-        let shared = self.parts.len().saturating_sub(1);
-        self.parts[..shared].iter().map(|p| p.tokens).sum()
+    /// The parts that other requests may share: all but the last one.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 }
 
@@ -68,10 +67,12 @@
 pub struct PlacementHint {
     /// Where it was sent.
     pub backend: BackendName,
-    /// The prompt tokens to be read there.
-    pub tokens: u32,
+    /// The prompt tokens to be read there; `None` for a request without a prompt.
+    pub tokens: Option<u32>,
     /// Its priority.
     pub priority: u8,
+    /// The parts of its prompt that other requests may share, which the engine will hold.
+    pub parts: Vec<PromptPart>,
 }
 
 /// Why a request was turned away. It has not run.
--- a/crates/proxy/src/hints.rs
+++ b/crates/proxy/src/hints.rs
@@ -8,7 +8,7 @@
     crate::{Dispatcher, forward::HINTS},
     bytes::Bytes,
     gullglade_dispatch::PlacementHint,
-    gullglade_fleet::FleetFollower,
+    gullglade_fleet::{FleetFollower, GatewayRow},
     gullglade_peer::PeerTransport,
     gullglade_units::{ProcessContext, encode},
     std::{
@@ -22,11 +22,19 @@
 /// usual prompt takes.
 const GATHER: Duration = Duration::from_millis(8);
 
+/// In a region of more gateways than [`FEW_PEERS`] each message costs more in all, so more hints
+/// go into one.
+const LONG_GATHER: Duration = Duration::from_millis(20);
+
+/// Up to so many other gateways hints are sent on at once.
+const FEW_PEERS: usize = 8;
+
 /// A hint that has not arrived by then is worth nothing any more.
 const HINT_LIMIT: Duration = Duration::from_millis(300);
 
-/// The most gateways that are told. In larger regions each hint would cost more than it brings.
-const MOST_PEERS: usize = 8;
+/// The most gateways that are told. At 22 requests a second a gateway tells 24 others at a cost of
+/// about 0.03 of a core; in larger regions it tells a random part of them each time.
+const MOST_PEERS: usize = 24;
 
 /// Sends hints, gathered.
 pub(crate) struct HintSender {
@@ -65,21 +73,28 @@
             return;
         }
         let sender = Rc::clone(self);
+        let gather = if self.others().len() > FEW_PEERS { LONG_GATHER } else { GATHER };
         self.context.spawner.spawn(Box::pin(async move {
-            sender.context.clock.sleep(GATHER).await;
+            sender.context.clock.sleep(gather).await;
             sender.is_due.set(false);
             sender.send();
         }));
     }
 
-    fn send(self: &Rc<Self>) {
-        let hints = self.pending.take();
+    /// The other gateways of the region.
+    fn others(&self) -> Vec<GatewayRow> {
         let own = self.fleet.profile();
         let now = self.context.clock.now();
-        let peers = self.fleet.read(|view| view.ready_gateways(&own.region, now));
-        let others: Vec<_> = peers.into_iter().filter(|g| g.profile.vm != own.vm).collect();
-        if others.is_empty() || others.len() > MOST_PEERS {
-            return;
+        let mut rows = self.fleet.read(|view| view.ready_gateways(&own.region, now));
+        rows.retain(|row| row.profile.vm != own.vm);
+        rows
+    }
+
+    fn send(self: &Rc<Self>) {
+        let hints = self.pending.take();
+        let mut others = self.others();
+        while others.len() > MOST_PEERS {
+            others.swap_remove(self.context.random.below(others.len() as u64) as usize);
         }
         let body = Bytes::from(encode(&hints));
         for peer in others {
