--- /dev/null
+++ b/crates/http/tests/http/kept.rs
@@ -0,0 +1,135 @@
+//! Kept connections: for how long they are used, and for which requests.
+
+use {
+    crate::common::{any_port, run},
+    bytes::Bytes,
+    gullglade_http::{ClientConfig, ClientError, HttpClient, KeptWithin, PooledClient},
+    gullglade_units::ProcessContext,
+    http::Request,
+    monoio::{
+        io::{AsyncReadRent, AsyncWriteRentExt},
+        net::{TcpListener, TcpStream},
+    },
+    std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration},
+};
+
+fn get() -> Request<Bytes> {
+    Request::get("/").body(Bytes::new()).unwrap()
+}
+
+/// A server that gives every request this reply, and counts its connections.
+fn answering(reply: &'static str) -> (SocketAddr, Rc<Cell<usize>>) {
+    let listener = TcpListener::bind(any_port()).unwrap();
+    let address = listener.local_addr().unwrap();
+    let connections = Rc::new(Cell::new(0));
+    let counted = Rc::clone(&connections);
+    monoio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            counted.set(counted.get() + 1);
+            monoio::spawn(answer_all(stream, reply));
+        }
+    });
+    (address, connections)
+}
+
+async fn answer_all(mut stream: TcpStream, reply: &'static str) {
+    loop {
+        let (outcome, _) = stream.read(vec![0; 4 << 10]).await;
+        if !matches!(outcome, Ok(length) if length > 0) {
+            return;
+        }
+        if stream.write_all(reply.as_bytes().to_vec()).await.0.is_err() {
+            return;
+        }
+        if !reply.contains("content-length") {
+            return;
+        }
+    }
+}
+
+// Symptom: a request that may run only once has an unknown outcome.
+// Sequence: the server states how long it keeps an idle connection, and closes it then; a request
+// is on its way.
+// Cause: a pool that keeps connections by its own time alone.
+#[test]
+fn a_connection_is_kept_for_no_longer_than_the_server_states() {
+    struct Case {
+        reply: &'static str,
+        margin_ms: u64,
+        connections: usize,
+    }
+    let cases = [
+        Case {
+            reply: "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nkeep-alive: timeout=5, max=9\r\n\r\nok",
+            margin_ms: 500,
+            connections: 1,
+        },
+        Case {
+            reply: "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nkeep-alive: timeout=1\r\n\r\nok",
+            margin_ms: 1_000,
+            connections: 2,
+        },
+        Case {
+            reply: "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+            margin_ms: 1_000,
+            connections: 1,
+        },
+    ];
+    run(async {
+        for case in cases {
+            let (address, connections) = answering(case.reply);
+            let margin = Duration::from_millis(case.margin_ms);
+            let config = ClientConfig::new().honour_keep_alive(margin);
+            let client = PooledClient::new(config, ProcessContext::system());
+            for _ in 0..2 {
+                let reply = client.send(address, get()).await.unwrap();
+                assert_eq!(reply.body.collect(10).await.unwrap(), "ok");
+            }
+            assert_eq!(connections.get(), case.connections, "{}", case.reply);
+        }
+    });
+}
+
+#[test]
+fn a_request_may_ask_for_a_connection_that_was_used_lately() {
+    run(async {
+        let (address, connections) = answering("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+        let client = PooledClient::new(ClientConfig::new(), ProcessContext::system());
+        for (pause, within, expected) in [(0, 1_000, 1), (0, 1_000, 1), (60, 30, 2)] {
+            monoio::time::sleep(Duration::from_millis(pause)).await;
+            let mut request = get();
+            request.extensions_mut().insert(KeptWithin(Duration::from_millis(within)));
+            client.send(address, request).await.unwrap().body.collect(10).await.unwrap();
+            assert_eq!(connections.get(), expected);
+        }
+        assert_eq!(client.idle_connections(address), 2, "the older one serves other requests");
+    });
+}
+
+#[test]
+fn a_reply_that_ends_with_its_connection_is_taken_only_where_that_was_asked_for() {
+    run(async {
+        let (address, _) = answering("HTTP/1.1 200 OK\r\n\r\nall of it");
+        let strict = PooledClient::new(ClientConfig::new(), ProcessContext::system());
+        let error = strict.send(address, get()).await.unwrap_err();
+        assert!(matches!(error, ClientError::Unframed { .. }), "{error}");
+        let config = ClientConfig::new().take_unframed();
+        let lenient = PooledClient::new(config, ProcessContext::system());
+        let reply = lenient.send(address, get()).await.unwrap();
+        assert_eq!(reply.body.collect(20).await.unwrap(), "all of it");
+    });
+}
+
+#[test]
+fn a_bounded_silence_changes_nothing_about_a_connection_that_works() {
+    run(async {
+        let (address, _) = answering("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+        let config = ClientConfig::new().silence_timeout(Duration::from_secs(1));
+        let client = PooledClient::new(config, ProcessContext::system());
+        let reply = client.send(address, get()).await.unwrap();
+        assert_eq!(reply.body.collect(10).await.unwrap(), "ok");
+        let closed = TcpListener::bind(any_port()).unwrap().local_addr().unwrap();
+        let error = client.send(closed, get()).await.unwrap_err();
+        assert!(error.nothing_sent(), "{error}");
+    });
+}
--- a/crates/http/tests/http/main.rs
+++ b/crates/http/tests/http/main.rs
@@ -5,6 +5,7 @@
 mod driver;
 mod errors;
 mod exchange;
+mod kept;
 mod random_bytes;
 mod refusal;
 mod stop;
--- a/crates/http/tests/http/stop.rs
+++ b/crates/http/tests/http/stop.rs
@@ -104,3 +104,26 @@
         });
     }
 }
+
+// Symptom: callers get errors while a gateway is replaced, although others could take them.
+// Sequence: the gateway is told to stop; callers still come until they learn of other gateways.
+// Cause: a stop that refuses connections at once.
+#[test]
+fn a_retiring_server_serves_on_and_asks_callers_to_leave() {
+    run(async {
+        let server = serve(ServerConfig::new(), ProcessContext::system(), |_| async {
+            Response::new(ReplyBody::full("ok"))
+        });
+        let mut old = RawPeer::connect(server.address).await;
+        server.handle.retire();
+        let mut new = RawPeer::connect(server.address).await;
+        for peer in [&mut old, &mut new] {
+            peer.send(GET).await;
+            let reply = peer.read_to_end().await;
+            assert!(reply.contains("connection: close"), "{reply}");
+            assert!(reply.ends_with("ok"), "{reply}");
+        }
+        server.handle.stop();
+        server.handle.finished().await;
+    });
+}
