--- a/crates/control/src/consensus/growth.rs
+++ b/crates/control/src/consensus/growth.rs
@@ -102,7 +102,7 @@
 
     /// Lets go a learner that is gone, or a silent voter out of an even number.
     fn farewell_step(&self, state: &NodeState, current: &Membership) -> Option<Membership> {
-        let is_even = current.voters().count() % 2 == 0;
+        let is_even = current.voters().count().is_multiple_of(2);
         let is_gone = |m: &&Member| match m.role {
             MemberRole::Learner => self.is_silent(state, m.id, LEARNER_SILENCE),
             MemberRole::Voter => is_even && self.is_silent(state, m.id, EVEN_SILENCE),
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -24,7 +24,7 @@
     cold::ColdGate,
     health::HealthRecord,
     load::{BackendLoad, BackendReport, WorkCost},
-    scheduler::{BackendFacts, RegionFacts, Scheduler, SchedulerSettings, Verdict},
+    scheduler::{BackendFacts, RefusalFacts, RegionFacts, Scheduler, SchedulerSettings, Verdict},
     work::{
         PlacementHint, PromptPart, PromptShape, RefusalReason, TicketId, WorkItem, WorkOutcome,
     },
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -144,9 +144,30 @@
         reason: RefusalReason,
         /// When to come back.
         retry_after: Duration,
+        /// What was known.
+        facts: RefusalFacts,
     },
 }
 
+/// What a refusal was decided from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RefusalFacts {
+    /// Backend servers of the service that are known in the own region.
+    pub known: usize,
+    /// Of these, those that take new work and are not evacuated.
+    pub serving: usize,
+    /// Of these, those that failed lately.
+    pub suspect: usize,
+    /// Of those that serve, those that are cold.
+    pub cold: usize,
+    /// Other regions that offer the service and may serve the request.
+    pub regions: usize,
+    /// Of these, those to which the path is broken or that turned work away.
+    pub paused: usize,
+    /// Requests that wait at this gateway.
+    pub waiting: usize,
+}
+
 struct Backend {
     facts: BackendFacts,
     load: BackendLoad,
@@ -444,7 +465,7 @@
     fn decide(&mut self, waiting: &Waiting, now: MonotonicTime) -> Option<Verdict> {
         let item = &waiting.item;
         if now + ANSWER_SLACK >= item.ends {
-            return Some(self.refuse(RefusalReason::TooLate, waiting, Duration::ZERO));
+            return Some(self.refuse(RefusalReason::TooLate, waiting, Duration::ZERO, now));
         }
         let local = match item.route.allows(&self.settings.region) {
             true => self.look_here(item, now),
@@ -468,7 +489,7 @@
                 let expected = now + Duration::from_secs_f64(expected_ms / 1_000.0);
                 if expected >= item.ends {
                     let wait = Duration::from_secs_f64(expected_ms / 1_000.0);
-                    return Some(self.refuse(RefusalReason::TooLate, waiting, wait));
+                    return Some(self.refuse(RefusalReason::TooLate, waiting, wait, now));
                 }
                 self.look_again(again.min(item.ends));
                 None
@@ -480,16 +501,52 @@
                     self.look_again(again);
                     return None;
                 }
-                Some(self.refuse(RefusalReason::AllSuspect, waiting, wait))
+                Some(self.refuse(RefusalReason::AllSuspect, waiting, wait, now))
             }
-            Local::Nobody => Some(self.refuse(RefusalReason::NoBackend, waiting, LEAST_RETRY)),
+            Local::Nobody => Some(self.refuse(RefusalReason::NoBackend, waiting, LEAST_RETRY, now)),
         }
     }
 
-    fn refuse(&self, reason: RefusalReason, waiting: &Waiting, wait: Duration) -> Verdict {
+    fn refuse(
+        &self,
+        reason: RefusalReason,
+        waiting: &Waiting,
+        wait: Duration,
+        now: MonotonicTime,
+    ) -> Verdict {
         // Spread by the ticket: neighbours in the queue come back one after the other.
         let spread = Duration::from_millis(waiting.ticket.0.wrapping_mul(131) % RETRY_SPREAD_MS);
-        Verdict::Refuse { reason, retry_after: wait.max(LEAST_RETRY) + spread }
+        let facts = self.refusal_facts(&waiting.item, now);
+        Verdict::Refuse { reason, retry_after: wait.max(LEAST_RETRY) + spread, facts }
+    }
+
+    fn refusal_facts(&self, item: &WorkItem, now: MonotonicTime) -> RefusalFacts {
+        let of_service = || self.backends.values().filter(|b| b.facts.service == item.service);
+        let serving = || of_service().filter(|b| self.may_serve(b));
+        let offers = || self.allowed_offers(item);
+        RefusalFacts {
+            known: of_service().count(),
+            serving: serving().count(),
+            suspect: serving().filter(|b| b.health.is_suspect(now)).count(),
+            cold: serving().filter(|b| self.is_cold(&b.facts.name, now)).count(),
+            regions: offers().count(),
+            paused: offers().filter(|r| self.is_paused(&r.region, now)).count(),
+            waiting: self.waiting.len(),
+        }
+    }
+
+    /// What other regions offer that may serve the request.
+    fn allowed_offers<'a>(&'a self, item: &'a WorkItem) -> impl Iterator<Item = &'a RegionFacts> {
+        self.regions.iter().filter(|r| {
+            r.service == item.service
+                && r.backends > 0
+                && r.region != self.settings.region
+                && item.route.allows(&r.region)
+        })
+    }
+
+    fn is_paused(&self, region: &RegionName, now: MonotonicTime) -> bool {
+        self.region_pauses.get(region).is_some_and(|until| now < *until)
     }
 
     fn look_again(&mut self, at: MonotonicTime) {
@@ -615,14 +672,7 @@
                 return None;
             }
         }
-        let is_paused = |r: &RegionName| self.region_pauses.get(r).is_some_and(|at| now < *at);
-        let offers = self.regions.iter().filter(|r| {
-            r.service == item.service
-                && r.backends > 0
-                && r.region != self.settings.region
-                && item.route.allows(&r.region)
-                && !is_paused(&r.region)
-        });
+        let offers = self.allowed_offers(item).filter(|r| !self.is_paused(&r.region, now));
         let there_ms = |r: &RegionFacts| r.first_byte_ms.unwrap_or(0.0) + AWAY_DELAY_MS;
         let best = offers.min_by(|a, b| there_ms(a).total_cmp(&there_ms(b)))?;
         match here_ms {
--- a/crates/fleet/src/follower.rs
+++ b/crates/fleet/src/follower.rs
@@ -16,7 +16,7 @@
     gullglade_units::{MonotonicTime, ProcessContext, decode, encode},
     std::{
         cell::{Cell, RefCell},
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, btree_map::Entry},
         net::SocketAddr,
         pin::pin,
         rc::Rc,
@@ -169,8 +169,8 @@
         let mut followed = self.followed.borrow_mut();
         followed.retain(|address, _| wanted.contains(address));
         for address in wanted {
-            if !followed.contains_key(&address) {
-                followed.insert(address, ControlLink::default());
+            if let Entry::Vacant(place) = followed.entry(address) {
+                place.insert(ControlLink::default());
                 self.parts.context.spawner.spawn(Box::pin(Rc::clone(self).follow(address)));
             }
         }
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -141,12 +141,12 @@
             true => WorkOutcome::Failed,
             false => WorkOutcome::Answered,
         };
-        AttemptEnd::Answer(AttemptAnswer {
+        AttemptEnd::Answer(Box::new(AttemptAnswer {
             source: AnswerSource::Backend(attempt.backend.clone()),
             status: head.status,
             headers: head.headers,
             body: AnswerBody::Backend(BackendBody::new(body, ticket, whole)),
-        })
+        }))
     }
 
     /// Whether the answer is for this request. A backend server may send a late answer to another
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -2,12 +2,16 @@
 
 use {
     futures::channel::oneshot,
-    gullglade_dispatch::{BackendReport, Scheduler, TicketId, Verdict, WorkItem, WorkOutcome},
+    gullglade_dispatch::{
+        BackendReport, RefusalFacts, RefusalReason, Scheduler, TicketId, Verdict, WorkItem,
+        WorkOutcome,
+    },
     gullglade_units::{BackendName, MonotonicTime, ProcessContext},
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
         rc::Rc,
+        time::Duration,
     },
 };
 
@@ -58,8 +62,9 @@
         self.pump();
         // The sender is dropped only with its verdict, or with this dispatcher's last owner.
         let verdict = verdict.await.unwrap_or(Verdict::Refuse {
-            reason: gullglade_dispatch::RefusalReason::NoBackend,
-            retry_after: std::time::Duration::from_secs(1),
+            reason: RefusalReason::NoBackend,
+            retry_after: Duration::from_secs(1),
+            facts: RefusalFacts::default(),
         });
         (sent, verdict)
     }
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -5,7 +5,7 @@
         CallId, CallerCall, Proxy,
         outcome::{AttemptEnd, FinalWord, UnknownReason},
     },
-    gullglade_dispatch::{RefusalReason, WorkItem},
+    gullglade_dispatch::{RefusalFacts, RefusalReason, WorkItem},
     gullglade_event::{EventDraft, EventSink, Level, MetricSet, RequestOutcome},
     gullglade_units::{BackendName, Clock, ModelName, MonotonicTime, RegionName},
     http::StatusCode,
@@ -21,6 +21,8 @@
     service: gullglade_units::ServiceName,
     arrived: MonotonicTime,
     objective: Duration,
+    /// The configuration that routed it.
+    version: Option<u64>,
     first_byte: Option<Duration>,
     backend: Option<BackendName>,
     sends: u32,
@@ -37,6 +39,7 @@
             service: item.service.clone(),
             arrived: item.arrived,
             objective: item.route.objective,
+            version: proxy.traffic().map(|t| t.config.version()),
             first_byte: None,
             backend: None,
             sends: 0,
@@ -58,14 +61,15 @@
 
     pub(crate) fn placed(&mut self, backend: &BackendName, expected_ms: f64) {
         self.sends += 1;
-        let event = self.event("request.placed").level(Level::Debug).field("backend", backend);
+        let event = self.event("request.placed").field("backend", backend);
+        let event = event.optional("version", self.version).field("send", self.sends);
         self.events.emit(event.field("expected_ms", expected_ms.round()));
     }
 
     pub(crate) fn away(&mut self, region: &RegionName, here_ms: Option<f64>, item: &WorkItem) {
         self.sends += 1;
         self.metrics.sent_away(&item.service, region);
-        let event = self.event("request.away").level(Level::Debug).field("region", region);
+        let event = self.event("request.away").field("region", region);
         self.events.emit(event.optional("here_ms", here_ms.map(f64::round)));
     }
 
@@ -73,9 +77,19 @@
         self.backend = Some(backend.clone());
     }
 
-    pub(crate) fn refused(&self, reason: RefusalReason, wait: Duration, item: &WorkItem) {
+    pub(crate) fn refused(
+        &self,
+        reason: RefusalReason,
+        wait: Duration,
+        facts: RefusalFacts,
+        item: &WorkItem,
+    ) {
         let event = self.event("request.refused").field("reason", reason);
         let event = event.field("priority", item.route.priority);
+        let event = event.field("known", facts.known).field("serving", facts.serving);
+        let event = event.field("suspect", facts.suspect).field("cold", facts.cold);
+        let event = event.field("regions", facts.regions).field("paused", facts.paused);
+        let event = event.field("waiting", facts.waiting).optional("version", self.version);
         self.events.emit(event.millis("retry_after_ms", wait));
     }
 
@@ -113,8 +127,13 @@
     pub(crate) fn answered(&mut self, status: StatusCode, item: &WorkItem) {
         let first = self.first_byte.unwrap_or_else(|| self.age());
         let is_late = first > self.objective;
-        let level = if is_late || self.sends > 1 { Level::Info } else { Level::Debug };
-        let event = self.event("request.answered").level(level);
+        // Kinds of their own: ordinary answers are many, and their lines are left out first.
+        let kind = match (is_late, self.sends) {
+            (true, _) => "request.answered_late",
+            (false, 2..) => "request.answered_after_repeat",
+            (false, _) => "request.answered",
+        };
+        let event = self.event(kind);
         let event = event.field("status", status.as_u16()).millis("first_ms", first);
         let event = event.field("late", is_late).field("sends", self.sends);
         self.events.emit(event.optional("backend", self.backend.as_ref()));
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -197,12 +197,12 @@
         match first.map(read_piece) {
             Some(Ok(ForwardPiece::Head { status, headers, backend: _ })) => {
                 let Ok(status) = StatusCode::from_u16(status) else { return self.lost(region) };
-                AttemptEnd::Answer(AttemptAnswer {
+                AttemptEnd::Answer(Box::new(AttemptAnswer {
                     source: AnswerSource::Region(region.clone()),
                     status,
                     headers: unpack_headers(headers),
                     body: AnswerBody::Forward(ForwardBody { stream }),
-                })
+                }))
             }
             Some(Ok(ForwardPiece::NotRun(reason, wait))) => {
                 if reason == NotRunReason::RefusedAway {
--- a/crates/proxy/src/forward_server.rs
+++ b/crates/proxy/src/forward_server.rs
@@ -53,7 +53,7 @@
                 put(reply, &ForwardPiece::NotRun(reason, wait)).await
             }
             AttemptEnd::Unknown(reason) => put(reply, &ForwardPiece::Unknown(reason)).await,
-            AttemptEnd::Answer(answer) => relay(answer, reply).await,
+            AttemptEnd::Answer(answer) => relay(*answer, reply).await,
         }
     }
 }
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -124,7 +124,7 @@
                         self.ran += 1;
                         return Err(self.unknown(UnknownReason::Garbled));
                     }
-                    return Ok(answer);
+                    return Ok(*answer);
                 }
                 AttemptEnd::NotRun(reason, wait) => self.after_refusal(reason, wait)?,
                 AttemptEnd::Unknown(reason) => self.after_unknown(reason)?,
@@ -153,11 +153,11 @@
     async fn attempt(&mut self) -> Result<AttemptEnd, FinalWord> {
         let (ticket, verdict) = self.proxy.dispatcher().place(self.item.clone()).await;
         match verdict {
-            Verdict::Refuse { reason, retry_after } => {
+            Verdict::Refuse { reason, retry_after, facts } => {
                 if self.ran > 0 {
                     return Err(self.unknown(UnknownReason::Overdue));
                 }
-                self.log.refused(reason, retry_after, &self.item);
+                self.log.refused(reason, retry_after, facts, &self.item);
                 Err(FinalWord::Refused(reason, retry_after))
             }
             Verdict::Send { backend, address, expected_ms } => {
--- a/crates/proxy/src/outcome.rs
+++ b/crates/proxy/src/outcome.rs
@@ -70,7 +70,7 @@
     /// It may have run.
     Unknown(UnknownReason),
     /// An answer has begun.
-    Answer(AttemptAnswer),
+    Answer(Box<AttemptAnswer>),
 }
 
 /// What a caller is told where no answer is relayed.
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -339,7 +339,7 @@
 fn event_ids(bytes: &[u8]) -> (Option<u64>, Option<u64>) {
     let mut ids = bytes.split(|b| *b == b'\n').filter_map(event_id);
     let first = ids.next();
-    (first, ids.last().or(first))
+    (first, ids.next_back().or(first))
 }
 
 fn event_id(line: &[u8]) -> Option<u64> {
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -93,11 +93,6 @@
         self
     }
 
-    pub(crate) fn after(mut self, millis: u64) -> Self {
-        self.after = Duration::from_millis(millis);
-        self
-    }
-
     pub(crate) fn events(pieces: &[&'static str]) -> Self {
         Self::signed(200, pieces).header("content-type", "text/event-stream")
     }
@@ -127,6 +122,13 @@
     count: Rc<Cell<usize>>,
 }
 
+impl DropCount {
+    /// It is over; its drop counts nothing.
+    fn finish(mut self) {
+        self.is_over = true;
+    }
+}
+
 impl Drop for DropCount {
     fn drop(&mut self) {
         if !self.is_over {
@@ -148,12 +150,12 @@
         let (head, body) = request.into_parts();
         let target = head.uri.to_string();
         self.arrivals.borrow_mut().push(Arrival { address, headers: head.headers, target, body });
-        let mut guard = DropCount { is_over: false, count: Rc::clone(&self.cancelled) };
+        let guard = DropCount { is_over: false, count: Rc::clone(&self.cancelled) };
         let clock = Rc::clone(&self.context.clock);
         let script = match deed {
             Deed::Hang => std::future::pending().await,
             Deed::Close => {
-                guard.is_over = true;
+                guard.finish();
                 return Err(ClientError::Sent { address, reason: "closed".to_owned() });
             }
             Deed::Unreachable => unreachable!("handled above"),
@@ -173,12 +175,12 @@
             pieces.push(Err(BodyError::Incomplete { reason: "reset".to_owned() }));
         }
         let state = (pieces.into_iter(), guard, clock);
-        let body = stream::unfold(state, |(mut pieces, mut guard, clock)| async move {
+        let body = stream::unfold(state, |(mut pieces, guard, clock)| async move {
             clock.sleep(Duration::from_millis(1)).await;
             match pieces.next() {
                 Some(piece) => Some((piece, (pieces, guard, clock))),
                 None => {
-                    guard.is_over = true;
+                    guard.finish();
                     None
                 }
             }
