--- /dev/null
+++ b/crates/fleet/examples/sync_bytes.rs
@@ -0,0 +1,77 @@
+//! The bytes that gateways and control processes exchange to follow the fleet.
+//!
+//! Prints encoded sizes of the messages, without the framing of sessions.
+
+use {
+    gullglade_fleet::{
+        BackendRecord, BackendStanding, GatewayPhase, GatewayProfile, GatewayPulse, RegionOffer,
+        ServiceOffer, ServingState, SyncReply, SyncRequest,
+    },
+    gullglade_units::{
+        BackendName, FailureDomain, NameError, RegionName, ServiceName, VmName, encode,
+    },
+    std::{net::SocketAddr, time::Duration},
+};
+
+fn main() -> Result<(), NameError> {
+    let region = RegionName::try_from("region-07")?;
+    let domain = FailureDomain::try_from("region-07-c")?;
+    let service = ServiceName::try_from("model-pool-12")?;
+    let address = SocketAddr::from(([10, 7, 3, 21], 8_144));
+    let offer = ServiceOffer { service: service.clone(), backends: 145, first_byte_ms: 120 };
+    let profile = GatewayProfile {
+        vm: VmName::try_from("edge-region-07-c-12")?,
+        run: u64::MAX,
+        region: region.clone(),
+        domain: domain.clone(),
+        caller_address: address,
+        peer_address: address,
+    };
+    let request = |services| SyncRequest {
+        pulse: GatewayPulse { profile: profile.clone(), phase: GatewayPhase::Ready },
+        offers: vec![offer.clone(); services],
+        run: u64::MAX,
+        cursor: 100_000,
+        traffic_index: 100_000,
+        version: Some(100_000),
+    };
+    let record = BackendRecord {
+        name: BackendName::try_from("i-7f3a91c2")?,
+        service,
+        address,
+        region: region.clone(),
+        domain,
+        slots: 32,
+        state: ServingState::Serving,
+        cold_for: Duration::ZERO,
+        sequence: 100_000,
+    };
+    let standing = BackendStanding { record, is_silent: false };
+    let reply = |backends, regions| SyncReply {
+        run: u64::MAX,
+        cursor: 100_000,
+        backends: vec![standing.clone(); backends],
+        departed: Vec::new(),
+        gateways: Vec::new(),
+        regions: vec![RegionOffer { region: region.clone(), offer: offer.clone() }; regions],
+        traffic: None,
+        confirmed_ago: Some(Duration::from_millis(80)),
+        controls: vec![address; 5],
+    };
+    let bytes = |message: Vec<u8>| message.len();
+    println!("request, no offer: {}", bytes(encode(&request(0))));
+    println!(
+        "request, each offer more: {}",
+        bytes(encode(&request(1))) - bytes(encode(&request(0)))
+    );
+    println!("reply without news: {}", bytes(encode(&reply(0, 0))));
+    println!(
+        "reply, each offer of a region more: {}",
+        bytes(encode(&reply(0, 1))) - bytes(encode(&reply(0, 0)))
+    );
+    println!(
+        "reply, each backend server more: {}",
+        bytes(encode(&reply(1, 0))) - bytes(encode(&reply(0, 0)))
+    );
+    Ok(())
+}
--- a/tests/event_page.rs
+++ b/tests/event_page.rs
@@ -9,9 +9,9 @@
 const PAGE: &str = include_str!("../docs/operators/timeline.md");
 
 /// The first words of kinds.
-const FAMILIES: [&str; 12] = [
+const FAMILIES: [&str; 15] = [
     "answer", "backend", "change", "claim", "config", "control", "forward", "gateway", "node",
-    "order", "peer", "request",
+    "operator", "order", "peer", "request", "stream", "traffic",
 ];
 
 /// Methods between processes; they look like kinds.
@@ -56,6 +56,7 @@
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
     let mut files = Vec::new();
     sources(&root.join("src"), &mut files);
+    sources(&root.join("platform/src"), &mut files);
     for entry in fs::read_dir(root.join("crates")).unwrap() {
         sources(&entry.unwrap().path().join("src"), &mut files);
     }
