--- a/crates/node/src/proxy_node.rs
+++ b/crates/node/src/proxy_node.rs
@@ -242,8 +242,8 @@
     /// Leaves the directory at once, serves those who still come, lets what is in progress finish,
     /// and stops. False where some had not finished in time and was cut off.
     pub async fn shut_down(&self) -> bool {
-        let (open, waiting) = self.dispatcher.ask(|scheduler, _| scheduler.counts());
-        let event = EventDraft::new("node.stopping").field("running", open);
+        let (waiting, running) = self.dispatcher.ask(|scheduler, _| scheduler.counts());
+        let event = EventDraft::new("node.stopping").field("running", running);
         self.events.emit(event.field("waiting", waiting));
         let stops = self.caller_stops.borrow().clone();
         let began = self.context.clock.now();
