--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -253,29 +253,35 @@
         self.gateways.values().filter(|e| e.changed > cursor).map(GatewayEntry::standing).collect()
     }
 
-    /// The callers' addresses of the gateways that callers in `region` should use: those of the
-    /// region that are ready; where it has none, those of other regions that `is_home` allows;
-    /// where there are none either, those of all.
+    /// The callers' addresses of the gateways that callers in `region` should use.
+    ///
+    /// Those of the region that are ready; where it has none, those of other regions that
+    /// `is_home` allows; then those of either that are stopping, as they still serve for a while.
+    /// A region that is no home comes last, and only where every region is one: a caller sends its
+    /// body to whom it is told to connect to.
     pub fn entry_addresses(
         &self,
         region: &RegionName,
         is_home: impl Fn(&RegionName) -> bool,
     ) -> Vec<SocketAddr> {
-        let ready = |e: &&GatewayEntry| e.is_ready();
-        let is_near = |e: &&GatewayEntry| e.pulse.profile.region == *region;
-        let address = |e: &GatewayEntry| e.pulse.profile.caller_address;
-        let near: Vec<_> =
-            self.gateways.values().filter(ready).filter(is_near).map(address).collect();
-        if !near.is_empty() {
-            return near;
-        }
-        let is_allowed = |e: &&GatewayEntry| is_home(&e.pulse.profile.region);
-        let allowed: Vec<_> =
-            self.gateways.values().filter(ready).filter(is_allowed).map(address).collect();
-        if !allowed.is_empty() {
-            return allowed;
+        let is_near = |e: &GatewayEntry| e.pulse.profile.region == *region;
+        let is_allowed = |e: &GatewayEntry| is_home(&e.pulse.profile.region);
+        let is_stopping =
+            |e: &GatewayEntry| e.pulse.phase == GatewayPhase::Stopping && !e.is_silent;
+        let choices: [&dyn Fn(&GatewayEntry) -> bool; 4] = [
+            &|e| e.is_ready() && is_near(e),
+            &|e| e.is_ready() && is_allowed(e),
+            &|e| is_stopping(e) && is_near(e),
+            &|e| is_stopping(e) && is_allowed(e),
+        ];
+        for choice in choices {
+            let chosen = self.gateways.values().filter(|e| choice(e));
+            let found: Vec<_> = chosen.map(|e| e.pulse.profile.caller_address).collect();
+            if !found.is_empty() {
+                return found;
+            }
         }
-        self.gateways.values().filter(ready).map(address).collect()
+        Vec::new()
     }
 
     /// How many backend servers and gateways are heard.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -195,6 +195,17 @@
         self.gateways(now).filter(|g| is_ready(g) && g.profile.region == *region).collect()
     }
 
+    /// The gateways of `region` that take work from other gateways: those that take callers, or
+    /// where there are none, those that are stopping, as they still serve for a while.
+    pub fn serving_gateways(&self, region: &RegionName, now: MonotonicTime) -> Vec<GatewayRow> {
+        let ready = self.ready_gateways(region, now);
+        if !ready.is_empty() {
+            return ready;
+        }
+        let is_stopping = |g: &GatewayRow| g.phase == GatewayPhase::Stopping && !g.is_silent;
+        self.gateways(now).filter(|g| is_stopping(g) && g.profile.region == *region).collect()
+    }
+
     /// Takes in what `control` says. `whole`: it is all that this control process knows, and what
     /// it said before no longer counts.
     pub fn merge(
--- a/crates/node/src/proxy_node.rs
+++ b/crates/node/src/proxy_node.rs
@@ -29,10 +29,14 @@
 /// Sessions to other regions are looked after once in so many refreshes.
 const WARM_ROUNDS: u32 = 4;
 
-/// Of the time for a graceful stop, the part in which new requests are still taken. Callers learn
-/// of other gateways within a few seconds; until then they must find this one serving.
+/// Of the time for a graceful stop, the part in which all new requests are still taken. Callers
+/// learn of other gateways within a few seconds; until then they must find this one serving.
 const SERVING_SHARE: f64 = 0.35;
 
+/// Then, up to this part, only those that end by themselves before the cut: where all gateways of
+/// a region are replaced one after the other, there may be no other for some seconds.
+const SHORT_SHARE: f64 = 0.65;
+
 /// Of the time for a graceful stop, the part after which what is not finished is cut off.
 const FINISHING_SHARE: f64 = 0.96;
 
@@ -239,6 +243,13 @@
         Ok(())
     }
 
+    /// Whether no gateway of the region takes callers.
+    fn is_last_of_region(&self) -> bool {
+        let now = self.context.clock.now();
+        let region = &self.settings.identity.region;
+        self.fleet.read(|view| view.ready_gateways(region, now)).is_empty()
+    }
+
     /// Leaves the directory at once, serves those who still come, lets what is in progress finish,
     /// and stops. False where some had not finished in time and was cut off.
     pub async fn shut_down(&self) -> bool {
@@ -250,6 +261,11 @@
         self.fleet.set_phase(GatewayPhase::Stopping);
         stops.iter().for_each(StopHandle::retire);
         self.context.clock.sleep(self.settings.grace.mul_f64(SERVING_SHARE)).await;
+        self.proxy.cut_at(began + self.settings.grace.mul_f64(FINISHING_SHARE));
+        if self.is_last_of_region() {
+            let more = SHORT_SHARE - SERVING_SHARE;
+            self.context.clock.sleep(self.settings.grace.mul_f64(more)).await;
+        }
         stops.iter().for_each(StopHandle::stop);
         let passed = self.context.clock.now().since(began);
         let left = self.settings.grace.mul_f64(FINISHING_SHARE).saturating_sub(passed);
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -154,7 +154,7 @@
             FinalWord::NotRun(..) => ("request.not_run", RequestOutcome::Refused),
             FinalWord::Unknown(_) => ("request.unknown", RequestOutcome::Failed),
             FinalWord::TimedOut => ("request.timed_out", RequestOutcome::Failed),
-            FinalWord::NoConfiguration | FinalWord::NoRoute => {
+            FinalWord::NoConfiguration | FinalWord::NoRoute | FinalWord::Leaving => {
                 ("request.no_route", RequestOutcome::Refused)
             }
         };
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -196,7 +196,7 @@
     /// are ready, and others for each gateway, so that all of them get their share.
     fn usual_gateways(&self, region: &RegionName) -> Vec<GatewayRow> {
         let now = self.context.clock.now();
-        let mut rows = self.fleet.read(|view| view.ready_gateways(region, now));
+        let mut rows = self.fleet.read(|view| view.serving_gateways(region, now));
         let own = &self.fleet.profile().vm;
         rows.sort_by_cached_key(|row| {
             let mut hasher = DefaultHasher::new();
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -59,6 +59,9 @@
         let traffic = proxy.traffic().ok_or(FinalWord::NoConfiguration)?;
         let route = traffic.config.routes().find(&call.host, call.path()).cloned();
         let route = route.ok_or(FinalWord::NoRoute)?;
+        if !proxy.has_time_for(longest(&route, &call, Duration::ZERO)) {
+            return Err(FinalWord::Leaving);
+        }
         let service = route.target(proxy.context().random.unit()).clone();
         Ok(Self::new(proxy, call, route, service, Duration::ZERO, true))
     }
@@ -74,7 +77,9 @@
         let traffic = proxy.traffic()?;
         let route = traffic.config.routes().find(&call.host, call.path()).cloned()?;
         traffic.config.service(&service)?;
-        route.allows(proxy.region()).then(|| Self::new(proxy, call, route, service, waited, false))
+        let is_taken =
+            route.allows(proxy.region()) && proxy.has_time_for(longest(&route, &call, waited));
+        is_taken.then(|| Self::new(proxy, call, route, service, waited, false))
     }
 
     fn new(
@@ -88,8 +93,7 @@
         let now = proxy.context().clock.now();
         // A clock of this process that is younger than the request must not run below its start.
         let arrived = MonotonicTime(now.0.saturating_sub(waited));
-        let timeout = route.timeout.saturating_sub(waited);
-        let left = call.patience.map_or(timeout, |patience| patience.min(timeout));
+        let left = longest(&route, &call, waited);
         let item = WorkItem {
             service,
             route,
@@ -267,3 +271,9 @@
         if self.left().is_zero() { FinalWord::TimedOut } else { FinalWord::Unknown(reason) }
     }
 }
+
+/// The longest that a request may still take.
+fn longest(route: &TrafficRoute, call: &CallerCall, waited: Duration) -> Duration {
+    let timeout = route.timeout.saturating_sub(waited);
+    call.patience.map_or(timeout, |patience| patience.min(timeout))
+}
--- a/crates/proxy/src/outcome.rs
+++ b/crates/proxy/src/outcome.rs
@@ -80,6 +80,8 @@
     NoConfiguration,
     /// No route covers the request.
     NoRoute,
+    /// This gateway ends before it could be answered.
+    Leaving,
     /// It was turned away, and has not run.
     Refused(RefusalReason, Duration),
     /// Backend servers turned it away, or none could be reached; it has not run.
@@ -93,6 +95,9 @@
 /// How soon to come back to a gateway that has no configuration yet.
 const START_RETRY: Duration = Duration::from_millis(500);
 
+/// How soon to come back, to another gateway: one is ready within this time of its restart.
+const LEAVING_RETRY: Duration = Duration::from_millis(300);
+
 impl FinalWord {
     /// The reply that tells it.
     pub(crate) fn into_response(self, dialect: &dyn BackendDialect) -> Response<ReplyBody> {
@@ -113,6 +118,10 @@
                                or come back";
                 (unavailable("no_configuration", message.to_owned()), Some(START_RETRY))
             }
+            Self::Leaving => {
+                let message = "this gateway is stopping and took none of it; use another one";
+                (unavailable("stopping", message.to_owned()), Some(LEAVING_RETRY))
+            }
             Self::NoRoute => {
                 let message = "no route covers this host and path; see the configuration in force";
                 (ApiError::new(StatusCode::NOT_FOUND, "no_route", message), None)
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -9,9 +9,9 @@
     gullglade_fleet::{FleetFollower, TrafficInForce},
     gullglade_http::{HttpClient, ReplyBody},
     gullglade_peer::PeerTransport,
-    gullglade_units::{ProcessContext, RegionName},
+    gullglade_units::{MonotonicTime, ProcessContext, RegionName},
     http::Response,
-    std::rc::Rc,
+    std::{cell::Cell, rc::Rc, time::Duration},
 };
 
 /// What a proxy is put together from.
@@ -38,6 +38,8 @@
     parts: ProxyParts,
     attempts: AttemptParts,
     forwarder: Forwarder,
+    /// When what is not finished will be cut off, for a gateway that is about to end.
+    cut_at: Cell<Option<MonotonicTime>>,
 }
 
 /// Takes callers' requests.
@@ -67,7 +69,9 @@
             parts.context.clone(),
         );
         hints.attach(&parts.dispatcher);
-        Self { shared: Rc::new(ProxyShared { parts, attempts, forwarder }) }
+        Self {
+            shared: Rc::new(ProxyShared { parts, attempts, forwarder, cut_at: Cell::new(None) }),
+        }
     }
 
     /// Serves a caller's request. Dropped, it cancels the work behind it; so does dropping the
@@ -79,6 +83,7 @@
             Err(word) => {
                 let kind = match word {
                     FinalWord::NoRoute => "request.no_route",
+                    FinalWord::Leaving => "request.leaving",
                     _ => "request.no_configuration",
                 };
                 let version = self.traffic().map(|t| t.config.version());
@@ -89,6 +94,18 @@
         }
     }
 
+    /// From now on takes only requests that end by themselves before `time`, at which this process
+    /// will cut off what is left.
+    pub fn cut_at(&self, time: MonotonicTime) {
+        self.shared.cut_at.set(Some(time));
+    }
+
+    /// Whether a request that may take `left` can still end by itself.
+    pub(crate) fn has_time_for(&self, left: Duration) -> bool {
+        let now = self.context().clock.now();
+        self.shared.cut_at.get().is_none_or(|cut| left <= cut.since(now))
+    }
+
     /// Keeps sessions to gateways of other regions. To be called every few seconds.
     pub fn keep_warm(&self) {
         self.shared.forwarder.keep_warm();
