Split the scheduler into what it is told, what it decides and where it places; learn the delay to regions

The time to another region and the limit on its word of arrival were constants that fit links of 55 ms; deployments differ, so both follow what is measured.

--- /dev/null
+++ b/crates/dispatch/src/facts.rs
@@ -0,0 +1,59 @@
+//! What a scheduler is told of the deployment around it.
+
+use {
+    gullglade_units::{BackendName, FailureDomain, MonotonicTime, RegionName, ServiceName, VmName},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Settings of a [`Scheduler`](crate::Scheduler).
+#[derive(Clone, Debug)]
+pub struct SchedulerSettings {
+    /// This gateway's VM.
+    pub own: VmName,
+    /// This gateway's region.
+    pub region: RegionName,
+    /// Repeats per request that all gateways together may send to a service.
+    pub repeat_ratio: f64,
+    /// Repeats beyond that in each window.
+    pub repeat_slack: f64,
+    /// The window in which repeats are counted.
+    pub repeat_window: Duration,
+    /// How many times the cold rate a cold backend server bears at most.
+    pub cold_over: f64,
+    /// Requests beyond that in each second.
+    pub cold_slack: f64,
+}
+
+/// A backend server of the own region.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BackendFacts {
+    /// The name of its run.
+    pub name: BackendName,
+    /// Its service.
+    pub service: ServiceName,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// The requests it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub is_serving: bool,
+    /// Whether its announcements are overdue.
+    pub is_silent: bool,
+    /// When it stops being cold.
+    pub cold_until: MonotonicTime,
+}
+
+/// What another region says of a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RegionFacts {
+    /// The region.
+    pub region: RegionName,
+    /// The service.
+    pub service: ServiceName,
+    /// Its backend servers that serve.
+    pub backends: u32,
+    /// Milliseconds until a first byte there; `None` where it was not told.
+    pub first_byte_ms: Option<f64>,
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,18 +13,22 @@
 mod budget;
 mod cache;
 mod cold;
+mod facts;
 mod health;
 mod load;
 mod scheduler;
+mod verdict;
 mod work;
 
 pub use {
     budget::RepeatBudget,
     cache::CacheEstimate,
     cold::ColdGate,
+    facts::{BackendFacts, RegionFacts, SchedulerSettings},
     health::HealthRecord,
     load::{BackendLoad, BackendReport, WorkCost},
-    scheduler::{BackendFacts, RefusalFacts, RegionFacts, Scheduler, SchedulerSettings, Verdict},
+    scheduler::Scheduler,
+    verdict::{RefusalFacts, Verdict},
     work::{
         PlacementHint, PromptPart, PromptShape, RefusalReason, TicketId, WorkItem, WorkOutcome,
     },
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -12,49 +12,29 @@
 //! A request waits only for room that is expected in time. One that is known to come too late is
 //! turned away at once, with the time after which there will be room.
 
+mod placing;
+
 use {
     crate::{
-        BackendLoad, BackendReport, CacheEstimate, ColdGate, HealthRecord, PlacementHint,
-        PromptShape, RefusalReason, RepeatBudget, TicketId, WorkCost, WorkItem, WorkOutcome,
+        BackendFacts, BackendLoad, BackendReport, CacheEstimate, ColdGate, HealthRecord,
+        PlacementHint, PromptShape, RefusalFacts, RefusalReason, RegionFacts, RepeatBudget,
+        SchedulerSettings, TicketId, Verdict, WorkCost, WorkItem, WorkOutcome,
     },
     gullglade_traffic::ServicePool,
     gullglade_units::{BackendName, FailureDomain, MonotonicTime, RegionName, ServiceName, VmName},
+    placing::Local,
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
-        net::SocketAddr,
         rc::Rc,
         time::Duration,
     },
 };
 
-/// A model engine with more unread work than this ahead takes no more from here. Long enough to
-/// keep an engine busy between two looks at the queue, short against every objective.
-const BACKLOG_LIMIT_MS: f64 = 500.0;
-
-/// A plain backend server with more work than this ahead takes no more from here. Its requests
-/// take tens of milliseconds, so it does not run dry before the next look at the queue.
-const PLAIN_BACKLOG_MS: f64 = 100.0;
-
-/// What a request between regions and back costs: two one-way delays of about 55 ms.
-const AWAY_DELAY_MS: f64 = 115.0;
-
-/// The own region must be worse by this much before work leaves it. Estimates are off by about
-/// this much, and leaving costs bytes and a cold cache.
-const AWAY_MARGIN_MS: f64 = 80.0;
+/// A first guess at the time to another region and back, milliseconds, until it is measured.
+const FIRST_AWAY_MS: f64 = 100.0;
 
-/// Work is sent away where the first byte here would come later than this part of the objective.
-const AWAY_OBJECTIVE_SHARE: f64 = 0.8;
-
-/// What a failed request costs in milliseconds, times a backend server's failure rate: it ranks
-/// one that fails often behind one that is slower by that much.
-const FAILURE_COST_MS: f64 = 400.0;
-
-/// What a full backend server costs against an empty one, milliseconds: generation slows down with
-/// the requests that run together.
-const CROWD_COST_MS: f64 = 40.0;
-
-/// A cold backend server that is not this gateway's to send to is looked at again after this.
-const COLD_LOOK: Duration = Duration::from_millis(500);
+/// The weight of the newest measurement of that time.
+const AWAY_WEIGHT: f64 = 0.2;
 
 /// The least time after which a caller may come back: shorter ones only add load.
 const LEAST_RETRY: Duration = Duration::from_millis(250);
@@ -73,109 +53,6 @@
 /// A request that is turned away keeps this much of its time for the way back.
 const ANSWER_SLACK: Duration = Duration::from_millis(20);
 
-/// Settings of a [`Scheduler`].
-#[derive(Clone, Debug)]
-pub struct SchedulerSettings {
-    /// This gateway's VM.
-    pub own: VmName,
-    /// This gateway's region.
-    pub region: RegionName,
-    /// Repeats per request that all gateways together may send to a service.
-    pub repeat_ratio: f64,
-    /// Repeats beyond that in each window.
-    pub repeat_slack: f64,
-    /// The window in which repeats are counted.
-    pub repeat_window: Duration,
-    /// How many times the cold rate a cold backend server bears at most.
-    pub cold_over: f64,
-    /// Requests beyond that in each second.
-    pub cold_slack: f64,
-}
-
-/// A backend server of the own region.
-#[derive(Clone, Debug, PartialEq)]
-pub struct BackendFacts {
-    /// The name of its run.
-    pub name: BackendName,
-    /// Its service.
-    pub service: ServiceName,
-    /// Where it takes requests.
-    pub address: SocketAddr,
-    /// Its failure domain.
-    pub domain: FailureDomain,
-    /// The requests it runs at once.
-    pub slots: u32,
-    /// Whether it takes new work.
-    pub is_serving: bool,
-    /// Whether its announcements are overdue.
-    pub is_silent: bool,
-    /// When it stops being cold.
-    pub cold_until: MonotonicTime,
-}
-
-/// What another region says of a service.
-#[derive(Clone, Debug, PartialEq)]
-pub struct RegionFacts {
-    /// The region.
-    pub region: RegionName,
-    /// The service.
-    pub service: ServiceName,
-    /// Its backend servers that serve.
-    pub backends: u32,
-    /// Milliseconds until a first byte there; `None` where it was not told.
-    pub first_byte_ms: Option<f64>,
-}
-
-/// What is to be done with a request.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Verdict {
-    /// Send it.
-    Send {
-        /// To this backend server.
-        backend: BackendName,
-        /// Which takes requests here.
-        address: SocketAddr,
-        /// The first byte is expected after this many milliseconds.
-        expected_ms: f64,
-    },
-    /// Let a gateway of another region serve it.
-    SendAway {
-        /// The region.
-        region: RegionName,
-        /// The first byte was expected after this many milliseconds here; `None` where no backend
-        /// server here may take it.
-        here_ms: Option<f64>,
-    },
-    /// Turn it away: it has not run.
-    Refuse {
-        /// Why.
-        reason: RefusalReason,
-        /// When to come back.
-        retry_after: Duration,
-        /// What was known.
-        facts: RefusalFacts,
-    },
-}
-
-/// What a refusal was decided from.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct RefusalFacts {
-    /// Backend servers of the service that are known in the own region.
-    pub known: usize,
-    /// Of these, those that take new work and are not evacuated.
-    pub serving: usize,
-    /// Of these, those that failed lately.
-    pub suspect: usize,
-    /// Of those that serve, those that are cold.
-    pub cold: usize,
-    /// Other regions that offer the service and may serve the request.
-    pub regions: usize,
-    /// Of these, those to which the path is broken or that turned work away.
-    pub paused: usize,
-    /// Requests that wait at this gateway.
-    pub waiting: usize,
-}
-
 struct Backend {
     facts: BackendFacts,
     load: BackendLoad,
@@ -189,23 +66,6 @@
     item: WorkItem,
 }
 
-/// What a look at the own region found.
-enum Local {
-    Place {
-        backend: BackendName,
-        expected_ms: f64,
-    },
-    /// Room is expected: the first byte after this many milliseconds, and a look again then.
-    Later {
-        expected_ms: f64,
-        again: MonotonicTime,
-    },
-    Suspects {
-        again: MonotonicTime,
-    },
-    Nobody,
-}
-
 /// The requests of one gateway that wait or run.
 pub struct Scheduler {
     settings: SchedulerSettings,
@@ -213,6 +73,8 @@
     backends: BTreeMap<BackendName, Backend>,
     regions: Vec<RegionFacts>,
     region_pauses: BTreeMap<RegionName, MonotonicTime>,
+    /// The time to other regions and back, milliseconds, as measured.
+    region_delays: BTreeMap<RegionName, f64>,
     evacuated: Rc<BTreeSet<FailureDomain>>,
     /// Failure domains that were evacuated, and when that ended.
     returned: BTreeMap<FailureDomain, MonotonicTime>,
@@ -240,6 +102,7 @@
             backends: BTreeMap::new(),
             regions: Vec::new(),
             region_pauses: BTreeMap::new(),
+            region_delays: BTreeMap::new(),
             evacuated: Rc::default(),
             returned: BTreeMap::new(),
             gateway_total: 1,
@@ -440,6 +303,18 @@
         self.region_pauses.insert(region.clone(), now + pause);
     }
 
+    /// Notes how long a request took to another region and its word of arrival back.
+    pub fn note_region_delay(&mut self, region: &RegionName, took: Duration) {
+        let took_ms = took.as_secs_f64() * 1_000.0;
+        let delay = self.region_delays.entry(region.clone()).or_insert(took_ms);
+        *delay += AWAY_WEIGHT * (took_ms - *delay);
+    }
+
+    /// The time to another region and back, milliseconds.
+    pub fn region_delay_ms(&self, region: &RegionName) -> f64 {
+        self.region_delays.get(region).copied().unwrap_or(FIRST_AWAY_MS)
+    }
+
     /// Whether a backend server has shown lately that it works.
     pub fn is_at_work(&self, name: &BackendName, now: MonotonicTime) -> bool {
         self.backends.get(name).is_some_and(|b| b.load.is_at_work(now))
@@ -570,20 +445,6 @@
         }
     }
 
-    /// What other regions offer that may serve the request.
-    fn allowed_offers<'a>(&'a self, item: &'a WorkItem) -> impl Iterator<Item = &'a RegionFacts> {
-        self.regions.iter().filter(|r| {
-            r.service == item.service
-                && r.backends > 0
-                && r.region != self.settings.region
-                && item.route.allows(&r.region)
-        })
-    }
-
-    fn is_paused(&self, region: &RegionName, now: MonotonicTime) -> bool {
-        self.region_pauses.get(region).is_some_and(|until| now < *until)
-    }
-
     fn look_again(&mut self, at: MonotonicTime) {
         self.wake = Some(self.wake.map_or(at, |wake| wake.min(at)));
     }
@@ -593,128 +454,6 @@
         let facts = &backend.facts;
         facts.is_serving && !self.evacuated.contains(&facts.domain)
     }
-
-    fn look_here(&self, item: &WorkItem, now: MonotonicTime) -> Local {
-        let names: Vec<BackendName> = self
-            .backends
-            .values()
-            .filter(|b| b.facts.service == item.service && self.may_serve(b))
-            .filter(|b| !item.tried.contains(&b.facts.name))
-            .map(|b| b.facts.name.clone())
-            .collect();
-        if names.is_empty() {
-            return Local::Nobody;
-        }
-        let is_quiet = |s: &Self, n: &BackendName| s.backends[n].facts.is_silent;
-        let heard: Vec<_> = names.iter().filter(|n| !is_quiet(self, n)).cloned().collect();
-        let pool = if heard.is_empty() { names } else { heard };
-        let sound: Vec<_> =
-            pool.iter().filter(|n| !self.backends[*n].health.is_suspect(now)).cloned().collect();
-        if sound.is_empty() {
-            return Local::Suspects { again: now + Duration::from_millis(100) };
-        }
-        self.choose(item, &sound, now)
-    }
-
-    fn choose(&self, item: &WorkItem, names: &[BackendName], now: MonotonicTime) -> Local {
-        let mut best: Option<(f64, f64, &BackendName)> = None;
-        let mut least_ms = f64::MAX;
-        let mut again = now + Duration::from_millis(50);
-        for name in names {
-            if let Some(room) = self.cold_wait(name, now) {
-                again = again.min(room);
-                continue;
-            }
-            let backend = &self.backends[name];
-            let cost = work_cost(backend, item);
-            let expected_ms = backend.load.first_byte_ms(cost, item.route.priority, now);
-            least_ms = least_ms.min(expected_ms);
-            if !self.has_room(backend, item, now) {
-                continue;
-            }
-            let crowd = f64::from(backend.load.total(now)) / f64::from(backend.facts.slots.max(1));
-            let cost = expected_ms
-                + CROWD_COST_MS * crowd
-                + FAILURE_COST_MS * backend.health.failure_rate();
-            if best.is_none_or(|(least, _, _)| cost < least) {
-                best = Some((cost, expected_ms, name));
-            }
-        }
-        match best {
-            Some((_, expected_ms, name)) => Local::Place { backend: name.clone(), expected_ms },
-            None => {
-                let least_ms = if least_ms == f64::MAX { 300.0 } else { least_ms };
-                Local::Later { expected_ms: least_ms + 50.0, again }
-            }
-        }
-    }
-
-    /// Whether a backend server can take the request now.
-    fn has_room(&self, backend: &Backend, item: &WorkItem, now: MonotonicTime) -> bool {
-        let Some(service) = self.services.get(&item.service) else { return false };
-        let connections = service.connection_limit as usize / self.gateways.len().max(1);
-        if backend.load.own() >= connections.max(1) {
-            return false;
-        }
-        if backend.load.total(now) >= backend.facts.slots.max(1) {
-            return false;
-        }
-        let backlog_ms = backend.load.ahead_ms(item.route.priority, now);
-        backlog_ms < if service.engine.is_some() { BACKLOG_LIMIT_MS } else { PLAIN_BACKLOG_MS }
-    }
-
-    fn is_cold(&self, name: &BackendName, now: MonotonicTime) -> bool {
-        let Some(backend) = self.backends.get(name) else { return false };
-        let Some(service) = self.services.get(&backend.facts.service) else { return false };
-        if service.cold.requests_per_second <= 0.0 {
-            return false;
-        }
-        // Backend servers of a failure domain that was evacuated may have become cold meanwhile,
-        // and say so only with their next announcement.
-        let returned = self.returned.get(&backend.facts.domain);
-        let may_be_cold = returned.is_some_and(|at| now.since(*at) < service.cold.duration);
-        now < backend.facts.cold_until || may_be_cold
-    }
-
-    /// When a cold backend server may next be sent to, where it may not now.
-    fn cold_wait(&self, name: &BackendName, now: MonotonicTime) -> Option<MonotonicTime> {
-        if !self.is_cold(name, now) {
-            return None;
-        }
-        let backend = self.backends.get(name)?;
-        let service = self.services.get(&backend.facts.service)?;
-        let SchedulerSettings { cold_over, cold_slack, own, .. } = &self.settings;
-        let rate = service.cold.requests_per_second * cold_over + cold_slack;
-        let part = ColdGate::part(rate, name, own, &self.gateways);
-        let next = backend.cold.next_send(part).unwrap_or(now + COLD_LOOK);
-        (next > now).then_some(next)
-    }
-
-    /// The region that would serve the request better than this one, if there is one.
-    fn better_region(
-        &self,
-        item: &WorkItem,
-        here_ms: Option<f64>,
-        now: MonotonicTime,
-    ) -> Option<RegionName> {
-        if !item.may_leave {
-            return None;
-        }
-        if let Some(here_ms) = here_ms {
-            let waited = now.since(item.arrived).as_secs_f64() * 1_000.0;
-            let objective = item.route.objective.as_secs_f64() * 1_000.0;
-            if waited + here_ms < AWAY_OBJECTIVE_SHARE * objective {
-                return None;
-            }
-        }
-        let offers = self.allowed_offers(item).filter(|r| !self.is_paused(&r.region, now));
-        let there_ms = |r: &RegionFacts| r.first_byte_ms.unwrap_or(0.0) + AWAY_DELAY_MS;
-        let best = offers.min_by(|a, b| there_ms(a).total_cmp(&there_ms(b)))?;
-        match here_ms {
-            Some(here_ms) if there_ms(best) + AWAY_MARGIN_MS >= here_ms => None,
-            _ => Some(best.region.clone()),
-        }
-    }
 }
 
 /// What the request would take of a backend server.
--- /dev/null
+++ b/crates/dispatch/src/scheduler/placing.rs
@@ -0,0 +1,204 @@
+//! Where a request would go: the choice among the own region's backend servers, and the question
+//! whether another region would serve it better.
+
+use {
+    super::{Backend, Scheduler, work_cost},
+    crate::{ColdGate, RegionFacts, SchedulerSettings, WorkItem},
+    gullglade_units::{BackendName, MonotonicTime, RegionName},
+    std::time::Duration,
+};
+
+/// A model engine with more unread work than this ahead takes no more from here. Long enough to
+/// keep an engine busy between two looks at the queue, short against every objective.
+const BACKLOG_LIMIT_MS: f64 = 500.0;
+
+/// A plain backend server with more work than this ahead takes no more from here. Its requests
+/// take tens of milliseconds, so it does not run dry before the next look at the queue.
+const PLAIN_BACKLOG_MS: f64 = 100.0;
+
+/// The own region must be worse by this much before work leaves it. Estimates are off by about
+/// this much, and leaving costs bytes and a cold cache.
+const AWAY_MARGIN_MS: f64 = 80.0;
+
+/// Work is sent away where the first byte here would come later than this part of the objective.
+const AWAY_OBJECTIVE_SHARE: f64 = 0.8;
+
+/// What a failed request costs in milliseconds, times a backend server's failure rate: it ranks
+/// one that fails often behind one that is slower by that much.
+const FAILURE_COST_MS: f64 = 400.0;
+
+/// What a full backend server costs against an empty one, milliseconds: generation slows down with
+/// the requests that run together.
+const CROWD_COST_MS: f64 = 40.0;
+
+/// A cold backend server that is not this gateway's to send to is looked at again after this.
+const COLD_LOOK: Duration = Duration::from_millis(500);
+
+/// A request that found no room is looked at again after this, if nothing happens before.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Suspects are looked at again after this.
+const SUSPECT_LOOK: Duration = Duration::from_millis(100);
+
+/// What is expected where all backend servers are cold and none may be sent to, milliseconds.
+const COLD_WAIT_MS: f64 = 300.0;
+
+/// What a look at the own region found.
+pub(crate) enum Local {
+    Place {
+        backend: BackendName,
+        expected_ms: f64,
+    },
+    /// Room is expected: the first byte after this many milliseconds, and a look again then.
+    Later {
+        expected_ms: f64,
+        again: MonotonicTime,
+    },
+    Suspects {
+        again: MonotonicTime,
+    },
+    Nobody,
+}
+
+impl Scheduler {
+    /// What other regions offer that may serve the request.
+    pub(super) fn allowed_offers<'a>(
+        &'a self,
+        item: &'a WorkItem,
+    ) -> impl Iterator<Item = &'a RegionFacts> {
+        self.regions.iter().filter(|r| {
+            r.service == item.service
+                && r.backends > 0
+                && r.region != self.settings.region
+                && item.route.allows(&r.region)
+        })
+    }
+
+    pub(super) fn is_paused(&self, region: &RegionName, now: MonotonicTime) -> bool {
+        self.region_pauses.get(region).is_some_and(|until| now < *until)
+    }
+
+    pub(super) fn look_here(&self, item: &WorkItem, now: MonotonicTime) -> Local {
+        let names: Vec<BackendName> = self
+            .backends
+            .values()
+            .filter(|b| b.facts.service == item.service && self.may_serve(b))
+            .filter(|b| !item.tried.contains(&b.facts.name))
+            .map(|b| b.facts.name.clone())
+            .collect();
+        if names.is_empty() {
+            return Local::Nobody;
+        }
+        let is_quiet = |s: &Self, n: &BackendName| s.backends[n].facts.is_silent;
+        let heard: Vec<_> = names.iter().filter(|n| !is_quiet(self, n)).cloned().collect();
+        let pool = if heard.is_empty() { names } else { heard };
+        let sound: Vec<_> =
+            pool.iter().filter(|n| !self.backends[*n].health.is_suspect(now)).cloned().collect();
+        if sound.is_empty() {
+            return Local::Suspects { again: now + SUSPECT_LOOK };
+        }
+        self.choose(item, &sound, now)
+    }
+
+    fn choose(&self, item: &WorkItem, names: &[BackendName], now: MonotonicTime) -> Local {
+        let mut best: Option<(f64, f64, &BackendName)> = None;
+        let mut least_ms = f64::MAX;
+        let mut again = now + LOOK_INTERVAL;
+        for name in names {
+            if let Some(room) = self.cold_wait(name, now) {
+                again = again.min(room);
+                continue;
+            }
+            let backend = &self.backends[name];
+            let cost = work_cost(backend, item);
+            let expected_ms = backend.load.first_byte_ms(cost, item.route.priority, now);
+            least_ms = least_ms.min(expected_ms);
+            if !self.has_room(backend, item, now) {
+                continue;
+            }
+            let crowd = f64::from(backend.load.total(now)) / f64::from(backend.facts.slots.max(1));
+            let cost = expected_ms
+                + CROWD_COST_MS * crowd
+                + FAILURE_COST_MS * backend.health.failure_rate();
+            if best.is_none_or(|(least, _, _)| cost < least) {
+                best = Some((cost, expected_ms, name));
+            }
+        }
+        match best {
+            Some((_, expected_ms, name)) => Local::Place { backend: name.clone(), expected_ms },
+            None => {
+                let least_ms = if least_ms == f64::MAX { COLD_WAIT_MS } else { least_ms };
+                let look_ms = LOOK_INTERVAL.as_secs_f64() * 1_000.0;
+                Local::Later { expected_ms: least_ms + look_ms, again }
+            }
+        }
+    }
+
+    /// Whether a backend server can take the request now.
+    fn has_room(&self, backend: &Backend, item: &WorkItem, now: MonotonicTime) -> bool {
+        let Some(service) = self.services.get(&item.service) else { return false };
+        let connections = service.connection_limit as usize / self.gateways.len().max(1);
+        if backend.load.own() >= connections.max(1) {
+            return false;
+        }
+        if backend.load.total(now) >= backend.facts.slots.max(1) {
+            return false;
+        }
+        let backlog_ms = backend.load.ahead_ms(item.route.priority, now);
+        backlog_ms < if service.engine.is_some() { BACKLOG_LIMIT_MS } else { PLAIN_BACKLOG_MS }
+    }
+
+    pub(super) fn is_cold(&self, name: &BackendName, now: MonotonicTime) -> bool {
+        let Some(backend) = self.backends.get(name) else { return false };
+        let Some(service) = self.services.get(&backend.facts.service) else { return false };
+        if service.cold.requests_per_second <= 0.0 {
+            return false;
+        }
+        // Backend servers of a failure domain that was evacuated may have become cold meanwhile,
+        // and say so only with their next announcement.
+        let returned = self.returned.get(&backend.facts.domain);
+        let may_be_cold = returned.is_some_and(|at| now.since(*at) < service.cold.duration);
+        now < backend.facts.cold_until || may_be_cold
+    }
+
+    /// When a cold backend server may next be sent to, where it may not now.
+    fn cold_wait(&self, name: &BackendName, now: MonotonicTime) -> Option<MonotonicTime> {
+        if !self.is_cold(name, now) {
+            return None;
+        }
+        let backend = self.backends.get(name)?;
+        let service = self.services.get(&backend.facts.service)?;
+        let SchedulerSettings { cold_over, cold_slack, own, .. } = &self.settings;
+        let rate = service.cold.requests_per_second * cold_over + cold_slack;
+        let part = ColdGate::part(rate, name, own, &self.gateways);
+        let next = backend.cold.next_send(part).unwrap_or(now + COLD_LOOK);
+        (next > now).then_some(next)
+    }
+
+    /// The region that would serve the request better than this one, if there is one.
+    pub(super) fn better_region(
+        &self,
+        item: &WorkItem,
+        here_ms: Option<f64>,
+        now: MonotonicTime,
+    ) -> Option<RegionName> {
+        if !item.may_leave {
+            return None;
+        }
+        if let Some(here_ms) = here_ms {
+            let waited = now.since(item.arrived).as_secs_f64() * 1_000.0;
+            let objective = item.route.objective.as_secs_f64() * 1_000.0;
+            if waited + here_ms < AWAY_OBJECTIVE_SHARE * objective {
+                return None;
+            }
+        }
+        let offers = self.allowed_offers(item).filter(|r| !self.is_paused(&r.region, now));
+        let there_ms =
+            |r: &RegionFacts| r.first_byte_ms.unwrap_or(0.0) + self.region_delay_ms(&r.region);
+        let best = offers.min_by(|a, b| there_ms(a).total_cmp(&there_ms(b)))?;
+        match here_ms {
+            Some(here_ms) if there_ms(best) + AWAY_MARGIN_MS >= here_ms => None,
+            _ => Some(best.region.clone()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/verdict.rs
@@ -0,0 +1,57 @@
+//! What a scheduler decides.
+
+use {
+    crate::RefusalReason,
+    gullglade_units::{BackendName, RegionName},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// What is to be done with a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// Send it.
+    Send {
+        /// To this backend server.
+        backend: BackendName,
+        /// Which takes requests here.
+        address: SocketAddr,
+        /// The first byte is expected after this many milliseconds.
+        expected_ms: f64,
+    },
+    /// Let a gateway of another region serve it.
+    SendAway {
+        /// The region.
+        region: RegionName,
+        /// The first byte was expected after this many milliseconds here; `None` where no backend
+        /// server here may take it.
+        here_ms: Option<f64>,
+    },
+    /// Turn it away: it has not run.
+    Refuse {
+        /// Why.
+        reason: RefusalReason,
+        /// When to come back.
+        retry_after: Duration,
+        /// What was known.
+        facts: RefusalFacts,
+    },
+}
+
+/// What a refusal was decided from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RefusalFacts {
+    /// Backend servers of the service that are known in the own region.
+    pub known: usize,
+    /// Of these, those that take new work and are not evacuated.
+    pub serving: usize,
+    /// Of these, those that failed lately.
+    pub suspect: usize,
+    /// Of those that serve, those that are cold.
+    pub cold: usize,
+    /// Other regions that offer the service and may serve the request.
+    pub regions: usize,
+    /// Of these, those to which the path is broken or that turned work away.
+    pub paused: usize,
+    /// Requests that wait at this gateway.
+    pub waiting: usize,
+}
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -84,10 +84,6 @@
     AllSuspect,
     /// It would not be answered before its caller stops waiting.
     TooLate,
-    /// It waited for as long as is worth it.
-    WaitedTooLong,
-    /// It was sent before and the budget for repeats is used up.
-    NoBudget,
 }
 
 impl fmt::Display for RefusalReason {
@@ -96,8 +92,6 @@
             Self::NoBackend => "no_backend",
             Self::AllSuspect => "all_suspect",
             Self::TooLate => "too_late",
-            Self::WaitedTooLong => "waited_too_long",
-            Self::NoBudget => "no_budget",
         })
     }
 }
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -34,9 +34,12 @@
 /// Tells of sends to the region's backend servers.
 pub(crate) const HINTS: &str = "proxy.hints";
 
-/// A gateway of another region says at once that it has a request. Without that word after this
-/// time the path to the region is taken for broken: four round trips between regions.
-const ACCEPT_LIMIT: Duration = Duration::from_millis(450);
+/// A gateway of another region says at once that it has a request. Without that word after so many
+/// times its usual time, the path to the region is taken for broken.
+const ACCEPT_FACTOR: u32 = 4;
+
+/// The least time for that word: a lost packet is sent again after 0.2 s.
+const LEAST_ACCEPT: Duration = Duration::from_millis(450);
 
 /// A region to which the path is broken gets no work for this long.
 const BROKEN_PAUSE: Duration = Duration::from_millis(1_500);
@@ -148,7 +151,7 @@
         for gateway in self.some_gateways(region) {
             let to = gateway.profile.peer_address;
             let opening = self.transport.open(to, FORWARD, body.clone());
-            let limit = call.left.min(ACCEPT_LIMIT);
+            let limit = call.left.min(self.accept_limit(region));
             match timeout(&*self.context.clock, limit, opening).await {
                 Some(Ok(stream)) => {
                     return self.first_piece(region, stream, call.left, may_repeat).await;
@@ -163,6 +166,12 @@
         AttemptEnd::NotRun(NotRunReason::RefusedAway, None)
     }
 
+    /// How long the word of arrival may take.
+    fn accept_limit(&self, region: &RegionName) -> Duration {
+        let usual_ms = self.dispatcher.ask(|scheduler, _| scheduler.region_delay_ms(region));
+        LEAST_ACCEPT.max(Duration::from_secs_f64(usual_ms / 1_000.0) * ACCEPT_FACTOR)
+    }
+
     fn pause(&self, region: &RegionName, pause: Duration) {
         self.dispatcher.ask(|scheduler, now| scheduler.pause_region(region, pause, now));
     }
@@ -227,8 +236,11 @@
     ) -> AttemptEnd {
         let clock = &*self.context.clock;
         let began = clock.now();
-        let mut first = timeout(clock, left.min(ACCEPT_LIMIT), stream.next()).await;
-        if first.is_none() {
+        let mut first = timeout(clock, left.min(self.accept_limit(region)), stream.next()).await;
+        if first.is_some() {
+            let took = clock.now().since(began);
+            self.dispatcher.ask(|scheduler, _| scheduler.note_region_delay(region, took));
+        } else {
             // Other requests need not find out for themselves.
             self.pause(region, BROKEN_PAUSE);
             if may_repeat {
