--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -5,7 +5,7 @@
         NodeSettings, StartError,
         error::{MetricsStart, PeerStart},
     },
-    gullglade_event::{EventLog, EventSink, MetricSet},
+    gullglade_event::{EventLog, EventSink, MetricSet, ThrottledSink},
     gullglade_peer::{HandlerTable, LinkPolicy, PeerConfig, PeerIdentity, PeerPool, PeerServer},
     gullglade_units::{HybridClock, ProcessContext},
     snafu::ResultExt,
@@ -25,11 +25,16 @@
 }
 
 /// What the parts that all others are built on are told.
-pub(crate) struct CoreSettings {
-    pub(crate) identity: PeerIdentity,
-    pub(crate) peer: PeerConfig,
-    pub(crate) peer_address: SocketAddr,
-    pub(crate) event_limit: usize,
+#[derive(Clone)]
+pub struct CoreSettings {
+    /// Who the process is to its peers.
+    pub identity: PeerIdentity,
+    /// Sessions with its peers.
+    pub peer: PeerConfig,
+    /// Where it takes peer sessions.
+    pub peer_address: SocketAddr,
+    /// Events kept in memory.
+    pub event_limit: usize,
 }
 
 impl NodeCore {
@@ -89,4 +94,10 @@
             context: context.clone(),
         })
     }
+
+    /// The time line, with a rate for each kind of event.
+    pub(crate) fn throttled_events(&self) -> Rc<dyn EventSink> {
+        let log = Rc::clone(&self.events) as Rc<dyn EventSink>;
+        Rc::new(ThrottledSink::new(log, Rc::clone(&self.context.clock)))
+    }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 pub use claim_routes::{ClaimRoutes, ReplicaRow};
 pub use config_routes::{ConfigRoutes, ReplaceOrder};
 pub use configuration::{ConfigPart, ConfigSettings};
+pub use core::CoreSettings;
 pub use error::StartError;
 pub use node::{GatewayNode, NodeAddresses};
 pub use operator::{OperatorPort, OperatorRoute};
--- a/crates/node/src/proxy_node.rs
+++ b/crates/node/src/proxy_node.rs
@@ -7,7 +7,7 @@
         error::HttpStart,
     },
     gullglade_dispatch::{BackendFacts, RegionFacts, Scheduler, SchedulerSettings},
-    gullglade_event::{EventDraft, EventSink, MetricSet, ThrottledSink},
+    gullglade_event::{EventDraft, EventSink, MetricSet},
     gullglade_fleet::{
         BackendRow, FleetFollower, FollowerParts, GatewayPhase, GatewayProfile, ServiceOffer,
         ServingState,
@@ -15,7 +15,7 @@
     gullglade_http::{
         ClientConfig, HttpServer, PooledClient, RequestHandler, ServerConfig, StopHandle,
     },
-    gullglade_peer::{PeerConfig, PeerIdentity, PeerPool, PeerStopHandle},
+    gullglade_peer::{PeerPool, PeerStopHandle},
     gullglade_proxy::{BackendDialect, Dispatcher, ForwardServer, Proxy, ProxyParts},
     gullglade_traffic::TrafficFormat,
     gullglade_units::{MonotonicTime, ProcessContext, VmName, timeout},
@@ -43,12 +43,8 @@
 /// What a gateway process is told.
 #[derive(Clone)]
 pub struct ProxyNodeSettings {
-    /// Who it is to its peers.
-    pub identity: PeerIdentity,
-    /// Sessions with its peers.
-    pub peer: PeerConfig,
-    /// Where it takes peer sessions.
-    pub peer_address: SocketAddr,
+    /// What every process is told.
+    pub core: CoreSettings,
     /// Where it takes callers.
     pub caller_address: SocketAddr,
     /// Peer addresses of some control processes.
@@ -57,8 +53,6 @@
     pub scheduler: SchedulerSettings,
     /// Sends to backend servers.
     pub client: ClientConfig,
-    /// Events kept in memory.
-    pub event_limit: usize,
     /// The time for a graceful stop.
     pub grace: Duration,
 }
@@ -86,18 +80,8 @@
         format: Rc<dyn TrafficFormat>,
         dialect: Rc<dyn BackendDialect>,
     ) -> Result<Rc<Self>, StartError> {
-        let core = NodeCore::open(
-            CoreSettings {
-                identity: settings.identity.clone(),
-                peer: settings.peer.clone(),
-                peer_address: settings.peer_address,
-                event_limit: settings.event_limit,
-            },
-            &context,
-            None,
-        )?;
-        let log = Rc::clone(&core.events) as Rc<dyn EventSink>;
-        let events: Rc<dyn EventSink> = Rc::new(ThrottledSink::new(log, Rc::clone(&context.clock)));
+        let core = NodeCore::open(settings.core.clone(), &context, None)?;
+        let events = core.throttled_events();
         let fleet = FleetFollower::new(
             profile(&settings, &context),
             settings.seeds.iter().copied(),
@@ -145,9 +129,10 @@
     }
 
     fn tell_start(&self) {
-        let event = EventDraft::new("node.started").field("region", &self.settings.identity.region);
+        let event =
+            EventDraft::new("node.started").field("region", &self.settings.core.identity.region);
         let event = event.field("caller", self.settings.caller_address);
-        self.events.emit(event.field("peer", self.settings.peer_address));
+        self.events.emit(event.field("peer", self.settings.core.peer_address));
     }
 
     /// Keeps the scheduler's facts and this gateway's phase in line with the fleet.
@@ -246,7 +231,7 @@
     /// Whether no gateway of the region takes callers.
     fn is_last_of_region(&self) -> bool {
         let now = self.context.clock.now();
-        let region = &self.settings.identity.region;
+        let region = &self.settings.core.identity.region;
         self.fleet.read(|view| view.ready_gateways(region, now)).is_empty()
     }
 
@@ -283,14 +268,14 @@
 }
 
 fn profile(settings: &ProxyNodeSettings, context: &ProcessContext) -> GatewayProfile {
-    let identity = &settings.identity;
+    let identity = &settings.core.identity;
     GatewayProfile {
         vm: identity.vm.clone(),
         run: context.random.next_u64(),
         region: identity.region.clone(),
         domain: identity.domain.clone(),
         caller_address: settings.caller_address,
-        peer_address: settings.peer_address,
+        peer_address: settings.core.peer_address,
     }
 }
 
@@ -314,7 +299,7 @@
         settings: &ProxyNodeSettings,
         now: MonotonicTime,
     ) -> Self {
-        let region = &settings.identity.region;
+        let region = &settings.core.identity.region;
         let is_own = |row: &BackendRow| row.record.region == *region;
         let is_ready = |phase| phase == GatewayPhase::Ready;
         let all = view.gateways(now).filter(|g| is_ready(g.phase) && !g.is_silent);
--- a/crates/node/src/seeded_control.rs
+++ b/crates/node/src/seeded_control.rs
@@ -7,10 +7,9 @@
         error::HttpStart,
     },
     gullglade_control::{ControlConfig, ControlError, ControlNode, DataFolder},
-    gullglade_event::{EventDraft, EventSink, MetricSet, ThrottledSink},
+    gullglade_event::{EventDraft, EventSink, MetricSet},
     gullglade_fleet::{FleetServer, FleetSettings},
     gullglade_http::{HttpServer, RequestHandler, ServerConfig},
-    gullglade_peer::{PeerConfig, PeerIdentity},
     gullglade_units::ProcessContext,
     snafu::ResultExt,
     std::{net::SocketAddr, rc::Rc},
@@ -18,18 +17,12 @@
 
 /// What a control process is told.
 pub struct SeededControlSettings {
-    /// Who it is to its peers.
-    pub identity: PeerIdentity,
-    /// Sessions with its peers.
-    pub peer: PeerConfig,
-    /// Where it takes peer sessions.
-    pub peer_address: SocketAddr,
+    /// What every process is told.
+    pub core: CoreSettings,
     /// The log.
     pub control: ControlConfig,
     /// The fleet.
     pub fleet: FleetSettings,
-    /// Events kept in memory.
-    pub event_limit: usize,
 }
 
 /// A running control process.
@@ -48,18 +41,9 @@
         context: ProcessContext,
         folder: Rc<dyn DataFolder>,
     ) -> Result<Rc<Self>, StartError> {
-        let core = NodeCore::open(
-            CoreSettings {
-                identity: settings.identity,
-                peer: settings.peer,
-                peer_address: settings.peer_address,
-                event_limit: settings.event_limit,
-            },
-            &context,
-            None,
-        )?;
-        let log = Rc::clone(&core.events) as Rc<dyn EventSink>;
-        let events: Rc<dyn EventSink> = Rc::new(ThrottledSink::new(log, Rc::clone(&context.clock)));
+        let peer_address = settings.core.peer_address;
+        let core = NodeCore::open(settings.core, &context, None)?;
+        let events = core.throttled_events();
         let transport = Rc::clone(&core.pool) as _;
         let control = ControlNode::start(
             settings.control,
@@ -76,7 +60,7 @@
         fleet.start(&core.handlers);
         let node = Rc::new(Self { control, fleet, events, metrics: core.metrics, context });
         node.context.spawner.spawn(Box::pin(core.server.run()));
-        node.events.emit(EventDraft::new("node.started").field("peer", settings.peer_address));
+        node.events.emit(EventDraft::new("node.started").field("peer", peer_address));
         Ok(node)
     }
 
