Let a stopping gateway finish what it does for gateways of other regions

The stop waited for the connections of its own callers alone, logged finished=true and closed its peer sessions. Ruled out: the entry gateway's own stop (it ended 8 s later); the engine (its run was cut from outside); the grace (5.2 s of 8 s were used). Change: forwarded requests are counted while they are in progress, and the stop waits for them too, up to the same limit. The test fails with the count taken out ("waited only 200ms").

--- a/crates/node/src/proxy_node.rs
+++ b/crates/node/src/proxy_node.rs
@@ -258,6 +258,7 @@
             for stop in &stops {
                 stop.finished().await;
             }
+            self.proxy.forwards_finished().await;
         };
         let finished = timeout(&*self.context.clock, left, quiet).await.is_some();
         self.events.emit(EventDraft::new("node.stopped").field("finished", finished));
--- a/crates/proxy/src/forward_server.rs
+++ b/crates/proxy/src/forward_server.rs
@@ -29,6 +29,7 @@
     }
 
     async fn serve(&self, body: &[u8], reply: &mut PeerReplySink) -> Result<(), PeerFault> {
+        let _in_progress = self.0.begin_forward();
         let forward: ForwardCall = decode(body).map_err(PeerFault::malformed)?;
         put(reply, &ForwardPiece::Accepted).await?;
         let method = Method::from_bytes(forward.method.as_bytes()).map_err(PeerFault::malformed)?;
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -40,6 +40,21 @@
     forwarder: Forwarder,
     /// When what is not finished will be cut off, for a gateway that is about to end.
     cut_at: Cell<Option<MonotonicTime>>,
+    /// Requests of other regions' gateways that are in progress here.
+    forwards: Cell<usize>,
+}
+
+/// How often [`Proxy::forwards_finished`] looks. The session's task writes the last piece of an
+/// answer meanwhile.
+const FORWARDS_LOOK: Duration = Duration::from_millis(50);
+
+/// One request of another region's gateway, in progress here.
+pub(crate) struct ForwardGuard(Rc<ProxyShared>);
+
+impl Drop for ForwardGuard {
+    fn drop(&mut self) {
+        self.0.forwards.set(self.0.forwards.get() - 1);
+    }
 }
 
 /// Takes callers' requests.
@@ -69,9 +84,10 @@
             parts.context.clone(),
         );
         hints.attach(&parts.dispatcher);
-        Self {
-            shared: Rc::new(ProxyShared { parts, attempts, forwarder, cut_at: Cell::new(None) }),
-        }
+        let cut_at = Cell::new(None);
+        let forwards = Cell::new(0);
+        let shared = ProxyShared { parts, attempts, forwarder, cut_at, forwards };
+        Self { shared: Rc::new(shared) }
     }
 
     /// Serves a caller's request. Dropped, it cancels the work behind it; so does dropping the
@@ -106,6 +122,24 @@
         self.shared.cut_at.get().is_none_or(|cut| left <= cut.since(now))
     }
 
+    /// Completes when nothing that gateways of other regions sent here is in progress.
+    ///
+    /// Their callers are not connected to this process, so the end of its own callers' connections
+    /// says nothing of them: a stop that did not wait would cut their answers in the middle.
+    pub async fn forwards_finished(&self) {
+        let mut quiet_looks = 0;
+        while quiet_looks < 2 {
+            self.context().clock.sleep(FORWARDS_LOOK).await;
+            quiet_looks = if self.shared.forwards.get() == 0 { quiet_looks + 1 } else { 0 };
+        }
+    }
+
+    /// Counts a request of another region's gateway until the guard is dropped.
+    pub(crate) fn begin_forward(&self) -> ForwardGuard {
+        self.shared.forwards.set(self.shared.forwards.get() + 1);
+        ForwardGuard(Rc::clone(&self.shared))
+    }
+
     /// Keeps sessions to gateways of other regions. To be called every few seconds.
     pub fn keep_warm(&self) {
         self.shared.forwarder.keep_warm();
--- a/crates/proxy/tests/journey.rs
+++ b/crates/proxy/tests/journey.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use {
+    futures::future::join,
     gullglade_traffic::RequestKind,
     std::time::Duration,
     support::{BedSettings, Deed, Script, TestBed},
@@ -378,6 +379,34 @@
     }
 }
 
+#[test]
+fn a_stop_waits_for_answers_to_other_regions() {
+    // Symptom: streams end in the middle, with gateways of another region, while gateways here are
+    // replaced one after the other. Sequence: a gateway here stops; its own callers are done
+    // before what it does for the other region. Cause: the stop waited for its own callers'
+    // connections alone, and then closed its sessions to peers.
+    const ANSWER: Duration = Duration::from_millis(900);
+    let bed = TestBed::new(&BedSettings { backends: (0, 2), ..BedSettings::of(STREAM) });
+    let script = Script { after: ANSWER, ..Script::events(&["id: 1\ndata: a\n\n"]) };
+    bed.script(1, &[Deed::Answer(script)]);
+    let began = bed.world.now();
+    let stop = async {
+        bed.other_proxy().forwards_finished().await;
+        let idle = bed.world.now().since(began);
+        assert!(idle < Duration::from_millis(200), "nothing to wait for, but {idle:?}");
+        bed.other_proxy().forwards_finished().await;
+        bed.world.now().since(began)
+    };
+    let caller = async {
+        let pause = Duration::from_millis(110);
+        bed.world.process().context().clock.sleep(pause).await;
+        support::take(bed.proxy(), bed.call()).await
+    };
+    let (stopped, served) = bed.world.run_until(join(stop, caller));
+    assert_eq!((served.status, served.is_broken), (200, false), "{served:?}");
+    assert!(stopped >= ANSWER, "the stop waited only {stopped:?}");
+}
+
 #[test]
 fn a_forward_into_a_broken_link_is_given_up_soon() {
     // Symptom: a request waits to its end although its region is cut off from the one that would
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -481,27 +481,34 @@
 
     /// Serves a call at the first region: status, whole body, and whether the body broke off.
     pub(crate) fn serve(&self, call: CallerCall) -> Served {
-        let proxy = self.proxy().clone();
-        self.world.run_until(async move {
-            let response = proxy.serve(call).await;
-            let (head, body) = response.into_parts();
-            let mut bytes = Vec::new();
-            let mut is_broken = false;
-            match body {
-                ReplyBody::Full(whole) => bytes.extend_from_slice(&whole),
-                ReplyBody::Stream(mut stream) => {
-                    while let Some(piece) = stream.next().await {
-                        match piece {
-                            Ok(piece) => bytes.extend_from_slice(&piece),
-                            Err(_) => is_broken = true,
-                        }
-                    }
+        self.world.run_until(take(self.proxy(), call))
+    }
+
+    /// The proxy of the second region.
+    pub(crate) fn other_proxy(&self) -> &Proxy {
+        &self.gateways[1].proxy
+    }
+}
+
+/// What a caller gets of `proxy`.
+pub(crate) async fn take(proxy: &Proxy, call: CallerCall) -> Served {
+    let response = proxy.serve(call).await;
+    let (head, body) = response.into_parts();
+    let mut bytes = Vec::new();
+    let mut is_broken = false;
+    match body {
+        ReplyBody::Full(whole) => bytes.extend_from_slice(&whole),
+        ReplyBody::Stream(mut stream) => {
+            while let Some(piece) = stream.next().await {
+                match piece {
+                    Ok(piece) => bytes.extend_from_slice(&piece),
+                    Err(_) => is_broken = true,
                 }
             }
-            let body = String::from_utf8_lossy(&bytes).into_owned();
-            Served { status: head.status.as_u16(), headers: head.headers, body, is_broken }
-        })
+        }
     }
+    let body = String::from_utf8_lossy(&bytes).into_owned();
+    Served { status: head.status.as_u16(), headers: head.headers, body, is_broken }
 }
 
 /// What a caller got.
