Place without copying the backend servers' names three times a decision

Cause: each look at the own region copied the names of all candidates into up to three lists and looked each one up again by its name, up to four times; a request was also put into its place in a queue that each poll sorts anew by a finer key, so that place was never used. Change: the choice goes over the backend servers themselves; the filter by service and readiness, written three times, is one method; a request is appended. No decision changes: the sort's key ends with the ticket, so the order of arrival in the list does not show.

--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -197,9 +197,7 @@
         }
         self.next_ticket += 1;
         let ticket = TicketId(self.next_ticket);
-        let rank = |w: &WorkItem| (w.route.priority, w.arrived);
-        let place = self.waiting.partition_point(|w| rank(&w.item) <= rank(&item));
-        self.waiting.insert(place, Waiting { ticket, item });
+        self.waiting.push(Waiting { ticket, item });
         ticket
     }
 
@@ -240,9 +238,7 @@
     /// The milliseconds by which a request delays those behind it in this queue. Every gateway of
     /// the region has such a queue, and all of them share the backend servers.
     fn queue_ms(&self, item: &WorkItem) -> f64 {
-        let serving = || {
-            self.backends.values().filter(|b| b.facts.service == item.service && self.may_serve(b))
-        };
+        let serving = || self.serving(&item.service);
         let Some(cost_ms) = serving().map(|b| b.load.cost_ms(work_cost(b, item))).reduce(f64::min)
         else {
             return 0.0;
@@ -347,16 +343,15 @@
     fn carry_out(&mut self, waiting: &Waiting, verdict: &Verdict, now: MonotonicTime) {
         let Verdict::Send { backend: name, .. } = verdict else { return };
         let engine = self.services.get(&waiting.item.service).and_then(|s| s.engine);
-        let is_cold = self.is_cold(name, now);
+        let is_cold = self.backends.get(name).is_some_and(|b| self.is_cold(b, now));
         let Some(backend) = self.backends.get_mut(name) else { return };
         let cost = work_cost(backend, &waiting.item);
         let priority = waiting.item.route.priority;
         backend.load.send(waiting.ticket, cost, priority, now);
         let parts = waiting.item.prompt.as_ref().map(PromptShape::shared_parts);
         let parts = parts.unwrap_or_default().to_vec();
-        let backend_name = name.clone();
         self.hints.push(PlacementHint {
-            backend: backend_name,
+            backend: name.clone(),
             tokens: cost.tokens,
             priority,
             parts,
@@ -432,13 +427,13 @@
 
     fn refusal_facts(&self, item: &WorkItem, now: MonotonicTime) -> RefusalFacts {
         let of_service = || self.backends.values().filter(|b| b.facts.service == item.service);
-        let serving = || of_service().filter(|b| self.may_serve(b));
+        let serving = || self.serving(&item.service);
         let offers = || self.allowed_offers(item);
         RefusalFacts {
             known: of_service().count(),
             serving: serving().count(),
             suspect: serving().filter(|b| b.health.is_suspect(now)).count(),
-            cold: serving().filter(|b| self.is_cold(&b.facts.name, now)).count(),
+            cold: serving().filter(|b| self.is_cold(b, now)).count(),
             regions: offers().count(),
             paused: offers().filter(|r| self.is_paused(&r.region, now)).count(),
             waiting: self.waiting.len(),
@@ -449,6 +444,11 @@
         self.wake = Some(self.wake.map_or(at, |wake| wake.min(at)));
     }
 
+    /// The backend servers of a service that may be given work.
+    fn serving<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Backend> {
+        self.backends.values().filter(|b| b.facts.service == *service && self.may_serve(b))
+    }
+
     /// Whether a backend server may be given work at all.
     fn may_serve(&self, backend: &Backend) -> bool {
         let facts = &backend.facts;
--- a/crates/dispatch/src/scheduler/placing.rs
+++ b/crates/dispatch/src/scheduler/placing.rs
@@ -79,37 +79,37 @@
     }
 
     pub(super) fn look_here(&self, item: &WorkItem, now: MonotonicTime) -> Local {
-        let names: Vec<BackendName> = self
-            .backends
-            .values()
-            .filter(|b| b.facts.service == item.service && self.may_serve(b))
-            .filter(|b| !item.tried.contains(&b.facts.name))
-            .map(|b| b.facts.name.clone())
-            .collect();
-        if names.is_empty() {
+        let untried = |b: &&Backend| !item.tried.contains(&b.facts.name);
+        let pool: Vec<&Backend> = self.serving(&item.service).filter(untried).collect();
+        if pool.is_empty() {
             return Local::Nobody;
         }
-        let is_quiet = |s: &Self, n: &BackendName| s.backends[n].facts.is_silent;
-        let heard: Vec<_> = names.iter().filter(|n| !is_quiet(self, n)).cloned().collect();
-        let pool = if heard.is_empty() { names } else { heard };
-        let sound: Vec<_> =
-            pool.iter().filter(|n| !self.backends[*n].health.is_suspect(now)).cloned().collect();
-        if sound.is_empty() {
+        // The silent ones serve only where nobody else is left.
+        let is_any_heard = pool.iter().any(|b| !b.facts.is_silent);
+        let mut sound = pool
+            .into_iter()
+            .filter(|b| !(is_any_heard && b.facts.is_silent) && !b.health.is_suspect(now))
+            .peekable();
+        if sound.peek().is_none() {
             return Local::Suspects { again: now + SUSPECT_LOOK };
         }
-        self.choose(item, &sound, now)
+        self.choose(item, sound, now)
     }
 
-    fn choose(&self, item: &WorkItem, names: &[BackendName], now: MonotonicTime) -> Local {
+    fn choose<'a>(
+        &self,
+        item: &WorkItem,
+        sound: impl Iterator<Item = &'a Backend>,
+        now: MonotonicTime,
+    ) -> Local {
         let mut best: Option<(f64, f64, &BackendName)> = None;
         let mut least_ms = f64::MAX;
         let mut again = now + LOOK_INTERVAL;
-        for name in names {
-            if let Some(room) = self.cold_wait(name, now) {
+        for backend in sound {
+            if let Some(room) = self.cold_wait(backend, now) {
                 again = again.min(room);
                 continue;
             }
-            let backend = &self.backends[name];
             let cost = work_cost(backend, item);
             let expected_ms = backend.load.first_byte_ms(cost, item.route.priority, now);
             least_ms = least_ms.min(expected_ms);
@@ -121,7 +121,7 @@
                 + CROWD_COST_MS * crowd
                 + FAILURE_COST_MS * backend.health.failure_rate();
             if best.is_none_or(|(least, _, _)| cost < least) {
-                best = Some((cost, expected_ms, name));
+                best = Some((cost, expected_ms, &backend.facts.name));
             }
         }
         match best {
@@ -148,8 +148,7 @@
         backlog_ms < if service.engine.is_some() { BACKLOG_LIMIT_MS } else { PLAIN_BACKLOG_MS }
     }
 
-    pub(super) fn is_cold(&self, name: &BackendName, now: MonotonicTime) -> bool {
-        let Some(backend) = self.backends.get(name) else { return false };
+    pub(super) fn is_cold(&self, backend: &Backend, now: MonotonicTime) -> bool {
         let Some(service) = self.services.get(&backend.facts.service) else { return false };
         if service.cold.requests_per_second <= 0.0 {
             return false;
@@ -162,15 +161,14 @@
     }
 
     /// When a cold backend server may next be sent to, where it may not now.
-    fn cold_wait(&self, name: &BackendName, now: MonotonicTime) -> Option<MonotonicTime> {
-        if !self.is_cold(name, now) {
+    fn cold_wait(&self, backend: &Backend, now: MonotonicTime) -> Option<MonotonicTime> {
+        if !self.is_cold(backend, now) {
             return None;
         }
-        let backend = self.backends.get(name)?;
         let service = self.services.get(&backend.facts.service)?;
         let SchedulerSettings { cold_over, cold_slack, own, .. } = &self.settings;
         let rate = service.cold.requests_per_second * cold_over + cold_slack;
-        let part = ColdGate::part(rate, name, own, &self.gateways);
+        let part = ColdGate::part(rate, &backend.facts.name, own, &self.gateways);
         let next = backend.cold.next_send(part).unwrap_or(now + COLD_LOOK);
         (next > now).then_some(next)
     }
