--- a/crates/dispatch/src/scheduler/placing.rs
+++ b/crates/dispatch/src/scheduler/placing.rs
@@ -88,7 +88,8 @@
         let is_any_heard = pool.iter().any(|b| !b.facts.is_silent);
         let mut sound = pool
             .into_iter()
-            .filter(|b| !(is_any_heard && b.facts.is_silent) && !b.health.is_suspect(now))
+            .filter(|b| !b.facts.is_silent || !is_any_heard)
+            .filter(|b| !b.health.is_suspect(now))
             .peekable();
         if sound.peek().is_none() {
             return Local::Suspects { again: now + SUSPECT_LOOK };
