Claim a request's key and give the claim up in one place

Change: `answer_claimed` holds them and takes the attempt as a closure; `claim`, `give_up_claim` and `ClaimStep` are private to it now. No behaviour changes.

--- a/crates/gateway/src/claimed.rs
+++ b/crates/gateway/src/claimed.rs
@@ -11,6 +11,7 @@
         ClaimError, ClaimGrant, ClaimOutcome, ClaimRequest, ReleaseProof, RequestFingerprint,
         RunPermit, StoredAnswer,
     },
+    gullglade_event::RequestOutcome,
     gullglade_http::{ApiError, ReplyBody, RunState},
     gullglade_units::OrderKey,
     http::{HeaderName, HeaderValue, Response, StatusCode, header::CONTENT_TYPE},
@@ -36,7 +37,7 @@
 }
 
 /// What a claim means for the request.
-pub(crate) enum ClaimStep {
+enum ClaimStep {
     /// Place it.
     Go(ClaimStage),
     /// Answer this.
@@ -44,8 +45,29 @@
 }
 
 impl Gateway {
+    /// Answers a request within the claim on its key: with the stored answer where there is one,
+    /// else by `answer`; a failure of that gives the claim up.
+    pub(crate) async fn answer_claimed(
+        &self,
+        plan: &CallPlan,
+        answer: impl AsyncFnOnce(&mut AttemptHistory) -> Result<Response<ReplyBody>, ApiError>,
+    ) -> Result<Response<ReplyBody>, ApiError> {
+        let mut history = AttemptHistory::default();
+        match self.claim(plan).await? {
+            ClaimStep::Go(stage) => history.claim = stage,
+            ClaimStep::Reply(response) => {
+                plan.span.set(RequestOutcome::Answered);
+                return Ok(*response);
+            }
+        }
+        match answer(&mut history).await {
+            Ok(response) => Ok(response),
+            Err(error) => Err(self.give_up_claim(&mut history, error).await),
+        }
+    }
+
     /// Claims the request's key, where it has one.
-    pub(crate) async fn claim(&self, plan: &CallPlan) -> Result<ClaimStep, ApiError> {
+    async fn claim(&self, plan: &CallPlan) -> Result<ClaimStep, ApiError> {
         let RepeatGuard::Claimed(key) = &plan.guard else {
             return Ok(ClaimStep::Go(ClaimStage::None));
         };
@@ -81,11 +103,7 @@
 
     /// What a caller may be told after `error`, once the claim is given up. `not-run` stands only
     /// where the replicas agree that no send under the key has run.
-    pub(crate) async fn give_up_claim(
-        &self,
-        history: &mut AttemptHistory,
-        error: ApiError,
-    ) -> ApiError {
+    async fn give_up_claim(&self, history: &mut AttemptHistory, error: ApiError) -> ApiError {
         let proof = match std::mem::take(&mut history.claim) {
             ClaimStage::None => return error,
             ClaimStage::Granted(grant) => grant.release_not_run().await,
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -6,7 +6,6 @@
         attempt::{AnswerPlace, AttemptAnswer},
         call::CallPlan,
         chat::AnswerChunk,
-        claimed::ClaimStep,
         gateway::Gateway,
         place::AttemptHistory,
         relay::EventRelay,
@@ -28,27 +27,12 @@
         request: Request<RequestBody>,
     ) -> Result<Response<ReplyBody>, ApiError> {
         let plan = self.plan_completion(request).await?;
-        let outcome = self.complete_plan(&plan).await;
+        let answer = async |history: &mut AttemptHistory| self.first_answer(&plan, history).await;
+        let outcome = self.answer_claimed(&plan, answer).await;
         plan.span.set_refused(&outcome);
         outcome
     }
 
-    async fn complete_plan(&self, plan: &CallPlan) -> Result<Response<ReplyBody>, ApiError> {
-        let mut history = AttemptHistory::default();
-        match self.claim(plan).await? {
-            ClaimStep::Go(stage) => history.claim = stage,
-            ClaimStep::Reply(response) => {
-                plan.span.set(RequestOutcome::Answered);
-                return Ok(*response);
-            }
-        }
-        let outcome = self.first_answer(plan, &mut history).await;
-        match outcome {
-            Ok(response) => Ok(response),
-            Err(error) => Err(self.give_up_claim(&mut history, error).await),
-        }
-    }
-
     /// Attempts until an answer has begun well enough to be sent: an error of the status line can
     /// be told only before the first byte.
     async fn first_answer(
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -5,7 +5,6 @@
         answer::{AnswerRecord, reply},
         attempt::AttemptAnswer,
         call::CallPlan,
-        claimed::ClaimStep,
         gateway::Gateway,
         place::AttemptHistory,
         work::WorkGuard,
@@ -38,26 +37,12 @@
         request: Request<RequestBody>,
     ) -> Result<Response<ReplyBody>, ApiError> {
         let plan = self.plan_plain(request).await?;
-        let outcome = self.plain_plan(&plan).await;
+        let answer = async |history: &mut AttemptHistory| self.plain_answer(&plan, history).await;
+        let outcome = self.answer_claimed(&plan, answer).await;
         plan.span.set_refused(&outcome);
         outcome
     }
 
-    async fn plain_plan(&self, plan: &CallPlan) -> Result<Response<ReplyBody>, ApiError> {
-        let mut history = AttemptHistory::default();
-        match self.claim(plan).await? {
-            ClaimStep::Go(stage) => history.claim = stage,
-            ClaimStep::Reply(response) => {
-                plan.span.set(RequestOutcome::Answered);
-                return Ok(*response);
-            }
-        }
-        match self.plain_answer(plan, &mut history).await {
-            Ok(response) => Ok(response),
-            Err(error) => Err(self.give_up_claim(&mut history, error).await),
-        }
-    }
-
     async fn plain_answer(
         &self,
         plan: &CallPlan,
