Write the choice between here and away once for the baseline policies

Cause: three policies to compare with repeated the same match, different only in when work leaves. Change: one function takes that as a closure; no decision changes.

--- a/crates/route/src/baseline.rs
+++ b/crates/route/src/baseline.rs
@@ -26,6 +26,23 @@
     loads.min_by(|a, b| a.1.total_cmp(&b.1))
 }
 
+/// The engine chosen here, or the offer chosen elsewhere: where there is no engine here, or
+/// `leaves` finds the load here (first) and there (second) to be worth it.
+fn local_or_away(
+    local: Option<(usize, f64)>,
+    away: Option<(usize, f64)>,
+    leaves: impl FnOnce(f64, f64) -> bool,
+) -> RouteDecision {
+    match (local, away) {
+        (Some((_, here)), Some((offer, there))) if leaves(here, there) => {
+            RouteDecision::Away { offer }
+        }
+        (Some((backend, _)), _) => RouteDecision::Local { backend },
+        (None, Some((offer, _))) => RouteDecision::Away { offer },
+        (None, None) => nowhere(),
+    }
+}
+
 /// Each engine of every region in its turn, an offer standing for its region's engines.
 #[derive(Debug, Default)]
 pub struct RoundRobin {
@@ -85,14 +102,7 @@
     ) -> RouteDecision {
         let loads = candidates.iter().map(load).enumerate();
         let local = loads.min_by(|a, b| a.1.total_cmp(&b.1));
-        match (local, emptiest(offers)) {
-            (Some((_, here)), Some((offer, there))) if there < here => {
-                RouteDecision::Away { offer }
-            }
-            (Some((backend, _)), _) => RouteDecision::Local { backend },
-            (None, Some((offer, _))) => RouteDecision::Away { offer },
-            (None, None) => nowhere(),
-        }
+        local_or_away(local, emptiest(offers), |here, there| there < here)
     }
 }
 
@@ -127,14 +137,8 @@
         offers: &[RegionOffer<'_>],
         random: &dyn RandomSource,
     ) -> RouteDecision {
-        match (better_of_two(candidates, random), emptiest(offers)) {
-            (Some((_, here)), Some((offer, there))) if here >= 1.0 && there < 1.0 => {
-                RouteDecision::Away { offer }
-            }
-            (Some((backend, _)), _) => RouteDecision::Local { backend },
-            (None, Some((offer, _))) => RouteDecision::Away { offer },
-            (None, None) => nowhere(),
-        }
+        let local = better_of_two(candidates, random);
+        local_or_away(local, emptiest(offers), |here, there| here >= 1.0 && there < 1.0)
     }
 }
 
@@ -150,10 +154,6 @@
         offers: &[RegionOffer<'_>],
         random: &dyn RandomSource,
     ) -> RouteDecision {
-        match (better_of_two(candidates, random), emptiest(offers)) {
-            (Some((backend, _)), _) => RouteDecision::Local { backend },
-            (None, Some((offer, _))) => RouteDecision::Away { offer },
-            (None, None) => nowhere(),
-        }
+        local_or_away(better_of_two(candidates, random), emptiest(offers), |_, _| false)
     }
 }
