Tell the region's gateways of placements by datagrams instead of calls

Cause: with 22 gateways in a region each placement was told as calls of a session to 21 others. Change: peers get a seam for single datagrams with a code of the shared secret (notices), without answer, timer or task; the list of gateways that are told is read twice a second, not twice a send.

--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -20,6 +20,12 @@
         /// What failed.
         source: gullglade_peer::BindError,
     },
+    /// Notices between gateways.
+    #[snafu(display("{source}"))]
+    Notice {
+        /// What failed.
+        source: gullglade_peer::NoticeBindError,
+    },
     /// The control role.
     #[snafu(display("control: {source}"))]
     Control {
--- a/crates/node/src/proxy_node.rs
+++ b/crates/node/src/proxy_node.rs
@@ -4,7 +4,7 @@
     crate::{
         StartError,
         core::{CoreSettings, NodeCore},
-        error::HttpStart,
+        error::{HttpStart, NoticeStart},
     },
     gullglade_dispatch::{BackendFacts, RegionFacts, Scheduler, SchedulerSettings},
     gullglade_event::{EventDraft, EventSink, MetricSet},
@@ -15,7 +15,7 @@
     gullglade_http::{
         ClientConfig, HttpServer, PooledClient, RequestHandler, ServerConfig, StopHandle,
     },
-    gullglade_peer::{PeerPool, PeerStopHandle},
+    gullglade_peer::{NoticePort, PeerPool, PeerStopHandle},
     gullglade_proxy::{BackendDialect, Dispatcher, ForwardServer, Proxy, ProxyParts},
     gullglade_traffic::TrafficFormat,
     gullglade_units::{MonotonicTime, ProcessContext, VmName, timeout},
@@ -82,6 +82,9 @@
     ) -> Result<Rc<Self>, StartError> {
         let core = NodeCore::open(settings.core.clone(), &context, None)?;
         let events = core.throttled_events();
+        let notices =
+            NoticePort::bind(settings.core.peer_address, &settings.core.peer, context.clone())
+                .context(NoticeStart)?;
         let fleet = FleetFollower::new(
             profile(&settings, &context),
             settings.seeds.iter().copied(),
@@ -101,11 +104,14 @@
             dispatcher: Rc::clone(&dispatcher),
             client: Rc::new(client),
             transport: Rc::clone(&core.pool) as _,
+            notices: Rc::clone(&notices) as _,
             dialect,
             events: Rc::clone(&events),
             metrics: Rc::clone(&core.metrics),
         });
         ForwardServer::register(&proxy, &core.handlers);
+        let taker = proxy.clone();
+        let taking = notices.run(Rc::new(move |body| taker.take_notice(body)));
         let node = Rc::new(Self {
             proxy,
             fleet,
@@ -119,6 +125,7 @@
             context,
         });
         node.spawn(core.server.run());
+        node.spawn(taking);
         node.follow();
         node.tell_start();
         Ok(node)
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -5,6 +5,8 @@
 //! of messages comes back. The part before the method's first dot selects the [`PeerHandler`] that
 //! serves it ([`HandlerTable`]). Callers see only [`PeerTransport`], which tests replace.
 //!
+//! What may be lost goes as a notice instead ([`NoticeSender`]): one datagram without an answer.
+//!
 //! What the rest of the system relies on:
 //!
 //! - [`PeerError::nothing_sent`] is true only where no byte of the call can have reached the peer;
@@ -26,6 +28,7 @@
 mod identity;
 mod keepalive;
 mod link;
+mod notice;
 mod pool;
 mod server;
 mod signal;
@@ -39,6 +42,7 @@
 pub use handler::{HandlerTable, PeerHandler, PeerReplySink, ReplySender};
 pub use identity::{IdentityError, PeerIdentity, PeerSecret};
 pub use link::{LinkPolicy, LinkShaper};
+pub use notice::{NOTICE_LIMIT, NoticeBindError, NoticeHandler, NoticePort, NoticeSender};
 pub use pool::PeerPool;
 pub use server::{BindError, PeerServer, PeerStopHandle};
 pub use transport::{PeerStream, PeerTransport};
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -7,7 +7,7 @@
         outcome::{AttemptEnd, NotRunReason, UnknownReason},
     },
     bytes::Bytes,
-    gullglade_dispatch::{PlacementHint, PromptShape, WorkItem},
+    gullglade_dispatch::{PromptShape, WorkItem},
     gullglade_fleet::{FleetFollower, GatewayRow},
     gullglade_http::BodyError,
     gullglade_peer::{PeerError, PeerStream, PeerTransport},
@@ -31,8 +31,8 @@
 /// Makes one attempt at a request in the region of the gateway that is called.
 pub(crate) const FORWARD: &str = "proxy.forward";
 
-/// Tells of sends to the region's backend servers.
-pub(crate) const HINTS: &str = "proxy.hints";
+/// Does nothing, and keeps a session in use.
+pub(crate) const WARM: &str = "proxy.warm";
 
 /// A gateway of another region says at once that it has a request. Without that word after so many
 /// times its usual time, the path to the region is taken for broken.
@@ -191,12 +191,11 @@
         });
         for gateway in regions.iter().flat_map(|region| self.usual_gateways(region)) {
             let transport = Rc::clone(&self.transport);
-            let nothing = Bytes::from(encode(&Vec::<PlacementHint>::new()));
             self.context.spawner.spawn(Box::pin(async move {
                 let to = gateway.profile.peer_address;
                 // The transport tells of sessions that are lost and regained.
                 let _: Result<Bytes, PeerError> =
-                    transport.call(to, HINTS, nothing, WARM_LIMIT).await;
+                    transport.call(to, WARM, Bytes::new(), WARM_LIMIT).await;
             }));
         }
     }
--- a/crates/proxy/src/forward_server.rs
+++ b/crates/proxy/src/forward_server.rs
@@ -5,14 +5,13 @@
         CallerCall,
         answer::AttemptAnswer,
         forward::{
-            FORWARD, ForwardCall, ForwardPiece, HINTS, PROXY_PREFIX, pack_headers, unpack_headers,
+            FORWARD, ForwardCall, ForwardPiece, PROXY_PREFIX, WARM, pack_headers, unpack_headers,
         },
         journey::Journey,
         outcome::{AttemptEnd, NotRunReason, UnknownReason},
         proxy::Proxy,
     },
     bytes::Bytes,
-    gullglade_dispatch::PlacementHint,
     gullglade_peer::{HandlerTable, PeerFault, PeerHandler, PeerIdentity, PeerReplySink},
     gullglade_units::{LocalFuture, decode, encode},
     http::Method,
@@ -85,15 +84,13 @@
         &'a self,
         _from: &'a PeerIdentity,
         method: &'a str,
-        body: Bytes,
+        _body: Bytes,
     ) -> LocalFuture<'a, Result<Bytes, PeerFault>> {
         Box::pin(async move {
-            if method != HINTS {
-                return Err(PeerFault::unknown_method(method));
+            match method {
+                WARM => Ok(Bytes::new()),
+                _ => Err(PeerFault::unknown_method(method)),
             }
-            let hints: Vec<PlacementHint> = decode(&body).map_err(PeerFault::malformed)?;
-            self.0.dispatcher().ask(|scheduler, now| scheduler.note_hints(&hints, now));
-            Ok(Bytes::new())
         })
     }
 
--- a/crates/proxy/src/hints.rs
+++ b/crates/proxy/src/hints.rs
@@ -5,14 +5,14 @@
 //! fifths of the engines' capacity, against 6% where one gateway knew of all.
 
 use {
-    crate::{Dispatcher, forward::HINTS},
-    bytes::Bytes,
+    crate::Dispatcher,
     gullglade_dispatch::PlacementHint,
-    gullglade_fleet::{FleetFollower, GatewayRow},
-    gullglade_peer::PeerTransport,
-    gullglade_units::{ProcessContext, encode},
+    gullglade_fleet::FleetFollower,
+    gullglade_peer::{NOTICE_LIMIT, NoticeSender},
+    gullglade_units::{MonotonicTime, ProcessContext, encode},
     std::{
         cell::{Cell, RefCell},
+        net::SocketAddr,
         rc::Rc,
         time::Duration,
     },
@@ -22,37 +22,39 @@
 /// usual prompt takes.
 const GATHER: Duration = Duration::from_millis(8);
 
-/// In a region of more gateways than [`FEW_PEERS`] each message costs more in all, so more hints
+/// In a region of more gateways than [`FEW_PEERS`] each notice costs more in all, so more hints
 /// go into one.
 const LONG_GATHER: Duration = Duration::from_millis(20);
 
 /// Up to so many other gateways hints are sent on at once.
 const FEW_PEERS: usize = 8;
 
-/// A hint that has not arrived by then is worth nothing any more.
-const HINT_LIMIT: Duration = Duration::from_millis(300);
+/// The most gateways that are told. In larger regions a random part of them is told each time.
+const MOST_PEERS: usize = 40;
 
-/// The most gateways that are told. At 22 requests a second a gateway tells 24 others at a cost of
-/// about 0.03 of a core; in larger regions it tells a random part of them each time.
-const MOST_PEERS: usize = 24;
+/// How long the list of the other gateways is used before it is read again. One that has gone
+/// meanwhile is told in vain, and one that is new learns a little later.
+const PEERS_AGE: Duration = Duration::from_millis(500);
 
 /// Sends hints, gathered.
 pub(crate) struct HintSender {
-    pub(crate) transport: Rc<dyn PeerTransport>,
-    pub(crate) fleet: Rc<FleetFollower>,
-    pub(crate) context: ProcessContext,
+    notices: Rc<dyn NoticeSender>,
+    fleet: Rc<FleetFollower>,
+    context: ProcessContext,
     pending: RefCell<Vec<PlacementHint>>,
     is_due: Cell<bool>,
+    /// The other gateways of the region, and when they were read.
+    peers: RefCell<(Option<MonotonicTime>, Vec<SocketAddr>)>,
 }
 
 impl HintSender {
     pub(crate) fn new(
-        transport: Rc<dyn PeerTransport>,
+        notices: Rc<dyn NoticeSender>,
         fleet: Rc<FleetFollower>,
         context: ProcessContext,
     ) -> Rc<Self> {
-        let (pending, is_due) = (RefCell::default(), Cell::new(false));
-        Rc::new(Self { transport, fleet, context, pending, is_due })
+        let (pending, is_due, peers) = (RefCell::default(), Cell::new(false), RefCell::default());
+        Rc::new(Self { notices, fleet, context, pending, is_due, peers })
     }
 
     /// Sends what `dispatcher` places from now on.
@@ -72,8 +74,10 @@
         if self.is_due.replace(true) {
             return;
         }
+        self.refresh_peers();
         let sender = Rc::clone(self);
-        let gather = if self.others().len() > FEW_PEERS { LONG_GATHER } else { GATHER };
+        let is_large = self.peers.borrow().1.len() > FEW_PEERS;
+        let gather = if is_large { LONG_GATHER } else { GATHER };
         self.context.spawner.spawn(Box::pin(async move {
             sender.context.clock.sleep(gather).await;
             sender.is_due.set(false);
@@ -81,29 +85,42 @@
         }));
     }
 
-    /// The other gateways of the region.
-    fn others(&self) -> Vec<GatewayRow> {
-        let own = self.fleet.profile();
+    fn refresh_peers(&self) {
         let now = self.context.clock.now();
-        let mut rows = self.fleet.read(|view| view.ready_gateways(&own.region, now));
-        rows.retain(|row| row.profile.vm != own.vm);
-        rows
+        let mut peers = self.peers.borrow_mut();
+        if peers.0.is_some_and(|read| now.since(read) < PEERS_AGE) {
+            return;
+        }
+        let own = self.fleet.profile();
+        let rows = self.fleet.read(|view| view.ready_gateways(&own.region, now));
+        let others = rows.iter().filter(|row| row.profile.vm != own.vm);
+        *peers = (Some(now), others.map(|row| row.profile.peer_address).collect());
     }
 
-    fn send(self: &Rc<Self>) {
+    fn send(&self) {
         let hints = self.pending.take();
-        let mut others = self.others();
-        while others.len() > MOST_PEERS {
-            others.swap_remove(self.context.random.below(others.len() as u64) as usize);
+        let mut peers = self.peers.borrow().1.clone();
+        while peers.len() > MOST_PEERS {
+            peers.swap_remove(self.context.random.below(peers.len() as u64) as usize);
+        }
+        for body in bodies(&hints) {
+            self.notices.notify(&peers, &body);
         }
-        let body = Bytes::from(encode(&hints));
-        for peer in others {
-            let (sender, body) = (Rc::clone(self), body.clone());
-            self.context.spawner.spawn(Box::pin(async move {
-                let to = peer.profile.peer_address;
-                // A lost hint costs a worse placement and nothing else.
-                let _: Result<Bytes, _> = sender.transport.call(to, HINTS, body, HINT_LIMIT).await;
-            }));
+    }
+}
+
+/// The bodies of notices that tell all of `hints`.
+fn bodies(hints: &[PlacementHint]) -> Vec<Vec<u8>> {
+    let whole = encode(&hints);
+    if whole.len() <= NOTICE_LIMIT {
+        return vec![whole];
+    }
+    match hints {
+        // Its prompt has more parts than fit. The reading that it causes is what matters more.
+        [hint] => vec![encode(&[PlacementHint { parts: Vec::new(), ..hint.clone() }].as_slice())],
+        _ => {
+            let (first, second) = hints.split_at(hints.len() / 2);
+            [bodies(first), bodies(second)].concat()
         }
     }
 }
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -5,11 +5,12 @@
         BackendDialect, CallerCall, Dispatcher, attempt::AttemptParts, forward::Forwarder,
         hints::HintSender, journey::Journey, outcome::FinalWord,
     },
-    gullglade_event::{EventDraft, EventSink, MetricSet},
+    gullglade_dispatch::PlacementHint,
+    gullglade_event::{EventDraft, EventSink, Level, MetricSet},
     gullglade_fleet::{FleetFollower, TrafficInForce},
     gullglade_http::{HttpClient, ReplyBody},
-    gullglade_peer::PeerTransport,
-    gullglade_units::{MonotonicTime, ProcessContext, RegionName},
+    gullglade_peer::{NoticeSender, PeerTransport},
+    gullglade_units::{MonotonicTime, ProcessContext, RegionName, decode},
     http::Response,
     std::{cell::Cell, rc::Rc, time::Duration},
 };
@@ -26,6 +27,8 @@
     pub client: Rc<dyn HttpClient>,
     /// Calls other gateways.
     pub transport: Rc<dyn PeerTransport>,
+    /// Tells the region's gateways of placements.
+    pub notices: Rc<dyn NoticeSender>,
     /// How backend servers are spoken to.
     pub dialect: Rc<dyn BackendDialect>,
     /// The time line.
@@ -79,7 +82,7 @@
             dispatcher: Rc::clone(&parts.dispatcher),
         };
         let hints = HintSender::new(
-            Rc::clone(&parts.transport),
+            Rc::clone(&parts.notices),
             Rc::clone(&parts.fleet),
             parts.context.clone(),
         );
@@ -140,6 +143,19 @@
         ForwardGuard(Rc::clone(&self.shared))
     }
 
+    /// Takes a notice of another gateway of the region: where it sent requests.
+    pub fn take_notice(&self, body: &[u8]) {
+        match decode::<Vec<PlacementHint>>(body) {
+            Ok(hints) => {
+                self.dispatcher().ask(|scheduler, now| scheduler.note_hints(&hints, now));
+            }
+            Err(error) => {
+                let event = EventDraft::new("gateway.notice_unreadable").level(Level::Warn);
+                self.events().emit(event.error("reason", &error));
+            }
+        }
+    }
+
     /// Keeps sessions to gateways of other regions. To be called every few seconds.
     pub fn keep_warm(&self) {
         self.shared.forwarder.keep_warm();
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Two regions with a gateway each, one control process, and backend servers that answer by
 //! script.
 
+#![allow(dead_code)] // Each test program uses a part of it.
+
 use {
     bytes::Bytes,
     futures::{StreamExt, stream},
@@ -12,7 +14,7 @@
     },
     gullglade_http::{BodyError, ClientBody, ClientError, ClientReply, HttpClient, ReplyBody},
     gullglade_peer::{
-        HandlerTable, PeerIdentity,
+        HandlerTable, NoticeSender, PeerIdentity,
         fake::{FakeLink, FakeNetwork, FakeNode, FakeTransport},
     },
     gullglade_proxy::{
@@ -318,17 +320,39 @@
     pub(crate) homes: &'static [&'static str],
     /// Backend servers in the first and in the second region.
     pub(crate) backends: (u8, u8),
+    /// Whether the first region has a second gateway.
+    pub(crate) has_neighbour: bool,
 }
 
 impl BedSettings {
     pub(crate) fn of(kind: RequestKind) -> Self {
-        Self { kind, timeout: Duration::from_secs(5), homes: &[], backends: (2, 0) }
+        Self {
+            kind,
+            timeout: Duration::from_secs(5),
+            homes: &[],
+            backends: (2, 0),
+            has_neighbour: false,
+        }
+    }
+}
+
+/// A notice: who was told, and what.
+pub(crate) type SentNotice = (Vec<SocketAddr>, Vec<u8>);
+
+/// Keeps the notices that a gateway sends.
+#[derive(Default)]
+pub(crate) struct RecordedNotices(RefCell<Vec<SentNotice>>);
+
+impl NoticeSender for RecordedNotices {
+    fn notify(&self, to: &[SocketAddr], body: &[u8]) {
+        self.0.borrow_mut().push((to.to_vec(), body.to_vec()));
     }
 }
 
 struct BedGateway {
     proxy: Proxy,
     backends: Rc<ScriptedBackends>,
+    notices: Rc<RecordedNotices>,
     _process: FakeProcess,
 }
 
@@ -382,6 +406,9 @@
         let (west, east) = settings.backends;
         bed.add_gateway(&network, settings, 2, "west", west, east);
         bed.add_gateway(&network, settings, 3, "east", east, west);
+        if settings.has_neighbour {
+            bed.add_gateway(&network, settings, 4, "west", west, east);
+        }
         bed.world.run_for(Duration::from_secs(2));
         bed
     }
@@ -433,18 +460,30 @@
             arrivals: RefCell::default(),
             cancelled: Rc::default(),
         });
+        let notices: Rc<RecordedNotices> = Rc::default();
         let proxy = Proxy::new(ProxyParts {
             context,
             fleet,
             dispatcher,
             client: Rc::clone(&backends) as _,
             transport,
+            notices: Rc::clone(&notices) as _,
             dialect: Rc::new(PlainDialect),
             events,
             metrics: Rc::new(MetricSet::new().expect("metrics")),
         });
         ForwardServer::register(&proxy, &handlers);
-        self.gateways.push(BedGateway { proxy, backends, _process: process });
+        self.gateways.push(BedGateway { proxy, backends, notices, _process: process });
+    }
+
+    /// The notices that a gateway has sent, by the order in which it was added.
+    pub(crate) fn notices(&self, gateway: usize) -> Vec<SentNotice> {
+        self.gateways[gateway].notices.0.borrow().clone()
+    }
+
+    /// Hands a notice to a gateway.
+    pub(crate) fn tell(&self, gateway: usize, body: &[u8]) {
+        self.gateways[gateway].proxy.take_notice(body);
     }
 
     /// The backend servers of the first (0) or second (1) region.
@@ -486,7 +525,12 @@
 
     /// The proxy of the second region.
     pub(crate) fn other_proxy(&self) -> &Proxy {
-        &self.gateways[1].proxy
+        self.gateway(1)
+    }
+
+    /// The proxy of a gateway, by the order in which it was added.
+    pub(crate) fn gateway(&self, index: usize) -> &Proxy {
+        &self.gateways[index].proxy
     }
 }
 
