Give plain backend servers twice the requests that they run at once

Cause: with 22 gateways before a plain backend server of six places each gateway knows late of places that have become free; half of the order desk's requests waited for over 300 ms at the gateways (p50 318 ms, 9,191 requests over half of their objective before the first server) though the work takes 30 ms. Ruled out: processor time (100 of 140 s after the change before, same medians). Change: a plain backend server counts as full at twice its places; its own queue bears it, and the limit of 100 ms of work ahead stays.

--- a/crates/dispatch/src/scheduler/placing.rs
+++ b/crates/dispatch/src/scheduler/placing.rs
@@ -16,6 +16,12 @@
 /// take tens of milliseconds, so it does not run dry before the next look at the queue.
 const PLAIN_BACKLOG_MS: f64 = 100.0;
 
+/// A plain backend server gets up to this many times the requests that it runs at once. Where many
+/// gateways share one of few places, each knows late of places that have become free, and they
+/// stood idle while requests waited: at nine tenths of the load, 22 gateways before two backend
+/// servers of six places, the 95th percentile was 115 ms with 1 and 69 ms with 2.
+const PLAIN_FULLNESS: u32 = 2;
+
 /// The own region must be worse by this much before work leaves it. Estimates are off by about
 /// this much, and leaving costs bytes and a cold cache.
 const AWAY_MARGIN_MS: f64 = 80.0;
@@ -142,11 +148,14 @@
         if backend.load.own() >= connections.max(1) {
             return false;
         }
-        if backend.load.total(now) >= backend.facts.slots.max(1) {
+        let (fullness, backlog_limit_ms) = match service.engine {
+            Some(_) => (1, BACKLOG_LIMIT_MS),
+            None => (PLAIN_FULLNESS, PLAIN_BACKLOG_MS),
+        };
+        if backend.load.total(now) >= backend.facts.slots.max(1) * fullness {
             return false;
         }
-        let backlog_ms = backend.load.ahead_ms(item.route.priority, now);
-        backlog_ms < if service.engine.is_some() { BACKLOG_LIMIT_MS } else { PLAIN_BACKLOG_MS }
+        backend.load.ahead_ms(item.route.priority, now) < backlog_limit_ms
     }
 
     pub(super) fn is_cold(&self, backend: &Backend, now: MonotonicTime) -> bool {
