Tell what regions offer by priority, and with each forward; let a refusal pause one service

Cause: what a region offered was the least first byte of its most urgent work, a second old, and counted suspect, silent and cold backend servers. At the peak of a region long prompts went where there was no room for them, and came back refused half a second later. Change: first bytes are told by priority; the word that a forward has arrived brings the current ones; backend servers that would get no work are not offered; a refusal pauses its own service. What is known of other regions has a module of its own. Tests fail on the code before.

--- a/crates/dispatch/src/facts.rs
+++ b/crates/dispatch/src/facts.rs
@@ -44,16 +44,3 @@
     /// When it stops being cold.
     pub cold_until: MonotonicTime,
 }
-
-/// What another region says of a service.
-#[derive(Clone, Debug, PartialEq)]
-pub struct RegionFacts {
-    /// The region.
-    pub region: RegionName,
-    /// The service.
-    pub service: ServiceName,
-    /// Its backend servers that serve.
-    pub backends: u32,
-    /// Milliseconds until a first byte there; `None` where it was not told.
-    pub first_byte_ms: Option<f64>,
-}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 mod facts;
 mod health;
 mod load;
+mod regions;
 mod scheduler;
 mod verdict;
 mod work;
@@ -24,9 +25,10 @@
     budget::RepeatBudget,
     cache::CacheEstimate,
     cold::ColdGate,
-    facts::{BackendFacts, RegionFacts, SchedulerSettings},
+    facts::{BackendFacts, SchedulerSettings},
     health::HealthRecord,
     load::{BackendLoad, BackendReport, WorkCost},
+    regions::{FirstByteTimes, RegionFacts},
     scheduler::Scheduler,
     verdict::{RefusalFacts, Verdict},
     work::{
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -44,7 +44,7 @@
 const WORK_WEIGHT: f64 = 0.05;
 
 /// Priorities that are told apart; those beyond count as the last.
-const PRIORITIES: usize = 4;
+pub(crate) const PRIORITIES: usize = 4;
 
 /// A backend server from which something came this lately is at work, and what it has not yet
 /// answered waits its turn there.
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -16,9 +16,10 @@
 
 use {
     crate::{
-        BackendFacts, BackendLoad, BackendReport, CacheEstimate, ColdGate, HealthRecord,
-        PlacementHint, PromptShape, RefusalFacts, RefusalReason, RegionFacts, RepeatBudget,
-        SchedulerSettings, TicketId, Verdict, WorkCost, WorkItem, WorkOutcome,
+        BackendFacts, BackendLoad, BackendReport, CacheEstimate, ColdGate, FirstByteTimes,
+        HealthRecord, PlacementHint, PromptShape, RefusalFacts, RefusalReason, RegionFacts,
+        RepeatBudget, SchedulerSettings, TicketId, Verdict, WorkCost, WorkItem, WorkOutcome,
+        regions::RegionBook,
     },
     gullglade_traffic::ServicePool,
     gullglade_units::{BackendName, FailureDomain, MonotonicTime, RegionName, ServiceName, VmName},
@@ -30,12 +31,6 @@
     },
 };
 
-/// A first guess at the time to another region and back, milliseconds, until it is measured.
-const FIRST_AWAY_MS: f64 = 100.0;
-
-/// The weight of the newest measurement of that time.
-const AWAY_WEIGHT: f64 = 0.2;
-
 /// The least time after which a caller may come back: shorter ones only add load.
 const LEAST_RETRY: Duration = Duration::from_millis(250);
 
@@ -71,10 +66,7 @@
     settings: SchedulerSettings,
     services: BTreeMap<ServiceName, Rc<ServicePool>>,
     backends: BTreeMap<BackendName, Backend>,
-    regions: Vec<RegionFacts>,
-    region_pauses: BTreeMap<RegionName, MonotonicTime>,
-    /// The time to other regions and back, milliseconds, as measured.
-    region_delays: BTreeMap<RegionName, f64>,
+    regions: RegionBook,
     evacuated: Rc<BTreeSet<FailureDomain>>,
     /// Failure domains that were evacuated, and when that ended.
     returned: BTreeMap<FailureDomain, MonotonicTime>,
@@ -100,9 +92,7 @@
             settings,
             services: BTreeMap::new(),
             backends: BTreeMap::new(),
-            regions: Vec::new(),
-            region_pauses: BTreeMap::new(),
-            region_delays: BTreeMap::new(),
+            regions: RegionBook::default(),
             evacuated: Rc::default(),
             returned: BTreeMap::new(),
             gateway_total: 1,
@@ -163,26 +153,35 @@
 
     /// Takes what other regions say of their services.
     pub fn set_regions(&mut self, regions: Vec<RegionFacts>) {
-        self.regions = regions;
+        self.regions.set(regions);
     }
 
-    /// What this gateway would tell other regions: for each service the backend servers of the own
-    /// region that serve, and the least milliseconds until a first byte.
+    /// What this gateway would tell other regions of its own: for each service the backend servers
+    /// that would be given work, and the least time until a first byte.
     pub fn offers(&self, now: MonotonicTime) -> Vec<RegionFacts> {
-        let mut offers: BTreeMap<&ServiceName, RegionFacts> = BTreeMap::new();
-        for backend in self.backends.values().filter(|b| self.may_serve(b)) {
-            let expected = backend.load.first_byte_ms(idle_cost(backend), 0, now);
-            let offer = offers.entry(&backend.facts.service).or_insert_with(|| RegionFacts {
-                region: self.settings.region.clone(),
-                service: backend.facts.service.clone(),
-                backends: 0,
-                first_byte_ms: None,
-            });
-            offer.backends += 1;
-            let least = offer.first_byte_ms.map_or(expected, |least| least.min(expected));
-            offer.first_byte_ms = Some(least);
-        }
-        offers.into_values().collect()
+        let services: BTreeSet<&ServiceName> =
+            self.backends.values().map(|b| &b.facts.service).collect();
+        services.into_iter().filter_map(|service| self.offer(service, now)).collect()
+    }
+
+    /// The same of one service; `None` where nobody could be given work of it.
+    pub fn offer(&self, service: &ServiceName, now: MonotonicTime) -> Option<RegionFacts> {
+        let sound =
+            |b: &&Backend| !b.facts.is_silent && !b.health.is_suspect(now) && !self.is_cold(b, now);
+        let times: Vec<FirstByteTimes> = self
+            .serving(service)
+            .filter(sound)
+            .map(|backend| {
+                let cost = idle_cost(backend);
+                FirstByteTimes::by_priority(|p| backend.load.first_byte_ms(cost, p, now))
+            })
+            .collect();
+        Some(RegionFacts {
+            region: self.settings.region.clone(),
+            service: service.clone(),
+            backends: u32::try_from(times.len()).unwrap_or(u32::MAX),
+            first_byte: times.into_iter().reduce(FirstByteTimes::least)?,
+        })
     }
 
     /// How many requests wait, and how many run.
@@ -294,21 +293,41 @@
         self.budget(service).take(gateways, now)
     }
 
-    /// Notes that a region should get no work for `pause`.
+    /// Notes that the path to a region is broken: it gets no work for `pause`.
     pub fn pause_region(&mut self, region: &RegionName, pause: Duration, now: MonotonicTime) {
-        self.region_pauses.insert(region.clone(), now + pause);
+        self.regions.note_broken(region.clone(), now + pause);
+    }
+
+    /// Notes that a region turned work of a service away: it gets no more of it for `pause`.
+    pub fn pause_service(
+        &mut self,
+        region: &RegionName,
+        service: &ServiceName,
+        pause: Duration,
+        now: MonotonicTime,
+    ) {
+        self.regions.note_refused((region.clone(), service.clone()), now + pause);
+    }
+
+    /// Notes what a region offers of a service, as it said with a forward.
+    pub fn note_region_word(
+        &mut self,
+        region: &RegionName,
+        service: &ServiceName,
+        word: FirstByteTimes,
+        now: MonotonicTime,
+    ) {
+        self.regions.note_word((region.clone(), service.clone()), word, now);
     }
 
     /// Notes how long a request took to another region and its word of arrival back.
     pub fn note_region_delay(&mut self, region: &RegionName, took: Duration) {
-        let took_ms = took.as_secs_f64() * 1_000.0;
-        let delay = self.region_delays.entry(region.clone()).or_insert(took_ms);
-        *delay += AWAY_WEIGHT * (took_ms - *delay);
+        self.regions.note_delay(region, took);
     }
 
     /// The time to another region and back, milliseconds.
     pub fn region_delay_ms(&self, region: &RegionName) -> f64 {
-        self.region_delays.get(region).copied().unwrap_or(FIRST_AWAY_MS)
+        self.regions.delay_ms(region)
     }
 
     /// Whether a backend server has shown lately that it works.
@@ -435,7 +454,7 @@
             suspect: serving().filter(|b| b.health.is_suspect(now)).count(),
             cold: serving().filter(|b| self.is_cold(b, now)).count(),
             regions: offers().count(),
-            paused: offers().filter(|r| self.is_paused(&r.region, now)).count(),
+            paused: offers().filter(|r| self.regions.is_paused(r, now)).count(),
             waiting: self.waiting.len(),
         }
     }
--- a/crates/dispatch/src/scheduler/placing.rs
+++ b/crates/dispatch/src/scheduler/placing.rs
@@ -72,16 +72,9 @@
         &'a self,
         item: &'a WorkItem,
     ) -> impl Iterator<Item = &'a RegionFacts> {
-        self.regions.iter().filter(|r| {
-            r.service == item.service
-                && r.backends > 0
-                && r.region != self.settings.region
-                && item.route.allows(&r.region)
-        })
-    }
-
-    pub(super) fn is_paused(&self, region: &RegionName, now: MonotonicTime) -> bool {
-        self.region_pauses.get(region).is_some_and(|until| now < *until)
+        self.regions
+            .offers(&item.service)
+            .filter(|r| r.region != self.settings.region && item.route.allows(&r.region))
     }
 
     pub(super) fn look_here(&self, item: &WorkItem, now: MonotonicTime) -> Local {
@@ -200,10 +193,11 @@
                 return None;
             }
         }
-        let offers = self.allowed_offers(item).filter(|r| !self.is_paused(&r.region, now));
-        let there_ms =
-            |r: &RegionFacts| r.first_byte_ms.unwrap_or(0.0) + self.region_delay_ms(&r.region);
-        let best = offers.min_by(|a, b| there_ms(a).total_cmp(&there_ms(b)))?;
+        let there_ms = |r: &RegionFacts| self.regions.first_byte_ms(r, item.route.priority, now);
+        let best = self
+            .allowed_offers(item)
+            .filter(|r| !self.regions.is_paused(r, now))
+            .min_by(|a, b| there_ms(a).total_cmp(&there_ms(b)))?;
         match here_ms {
             Some(here_ms) if there_ms(best) + AWAY_MARGIN_MS >= here_ms => None,
             _ => Some(best.region.clone()),
--- a/crates/dispatch/tests/rules.rs
+++ b/crates/dispatch/tests/rules.rs
@@ -4,7 +4,8 @@
 
 use {
     gullglade_dispatch::{
-        RefusalReason, RegionFacts, RepeatBudget, Scheduler, TicketId, Verdict, WorkOutcome,
+        FirstByteTimes, RefusalReason, RegionFacts, RepeatBudget, Scheduler, TicketId, Verdict,
+        WorkOutcome,
     },
     gullglade_units::{MonotonicTime, RandomSource, SeededRandom},
     std::{collections::BTreeSet, rc::Rc, time::Duration},
@@ -161,18 +162,18 @@
 fn work_leaves_its_region_only_where_that_serves_it_better() {
     struct Case {
         engines: usize,
-        there_ms: Option<f64>,
+        there_ms: Option<u32>,
         may_leave: bool,
         homes: &'static [&'static str],
         is_away: bool,
     }
     let (any, near, far): (&[&str], &[&str], &[&str]) = (&[], &["puget"], &["columbia"]);
     let cases = [
-        Case { engines: 1, there_ms: Some(0.0), may_leave: true, homes: any, is_away: false },
-        Case { engines: 0, there_ms: Some(0.0), may_leave: true, homes: any, is_away: true },
-        Case { engines: 0, there_ms: Some(0.0), may_leave: false, homes: any, is_away: false },
-        Case { engines: 0, there_ms: Some(0.0), may_leave: true, homes: near, is_away: false },
-        Case { engines: 1, there_ms: Some(0.0), may_leave: true, homes: far, is_away: true },
+        Case { engines: 1, there_ms: Some(0), may_leave: true, homes: any, is_away: false },
+        Case { engines: 0, there_ms: Some(0), may_leave: true, homes: any, is_away: true },
+        Case { engines: 0, there_ms: Some(0), may_leave: false, homes: any, is_away: false },
+        Case { engines: 0, there_ms: Some(0), may_leave: true, homes: near, is_away: false },
+        Case { engines: 1, there_ms: Some(0), may_leave: true, homes: far, is_away: true },
         Case { engines: 0, there_ms: None, may_leave: true, homes: any, is_away: false },
     ];
     for (index, case) in cases.iter().enumerate() {
@@ -181,7 +182,7 @@
             region: region("columbia"),
             service: service("pool"),
             backends: 3,
-            first_byte_ms: Some(first_byte_ms),
+            first_byte: FirstByteTimes::from_millis(&[first_byte_ms]),
         };
         scheduler.set_regions(case.there_ms.into_iter().map(offer).collect());
         let mut route = (*route(1, 800, 10_000)).clone();
@@ -202,7 +203,7 @@
         region: region("columbia"),
         service: service("pool"),
         backends: 3,
-        first_byte_ms: Some(20.0),
+        first_byte: FirstByteTimes::from_millis(&[20]),
     }]);
     let route = route(1, 800, 10_000);
     let verdicts: Vec<_> = (0..40)
--- a/crates/fleet/examples/sync_bytes.rs
+++ b/crates/fleet/examples/sync_bytes.rs
@@ -18,7 +18,11 @@
     let domain = FailureDomain::try_from("region-07-c")?;
     let service = ServiceName::try_from("model-pool-12")?;
     let address = SocketAddr::from(([10, 7, 3, 21], 8_144));
-    let offer = ServiceOffer { service: service.clone(), backends: 145, first_byte_ms: 120 };
+    let offer = ServiceOffer {
+        service: service.clone(),
+        backends: 145,
+        first_byte_ms: vec![120, 140, 180, 180],
+    };
     let profile = GatewayProfile {
         vm: VmName::try_from("edge-region-07-c-12")?,
         run: u64::MAX,
--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -193,24 +193,18 @@
     /// What each region offers: the mean over its gateways that are ready, since each of them
     /// sees the load only in part.
     pub fn region_offers(&self) -> Vec<RegionOffer> {
-        let mut sums: BTreeMap<(&RegionName, &ServiceName), (u32, u32, u32)> = BTreeMap::new();
+        let mut told: BTreeMap<(&RegionName, &ServiceName), Vec<&ServiceOffer>> = BTreeMap::new();
         for entry in self.gateways.values().filter(|e| e.is_ready()) {
             for offer in &entry.offers {
                 let key = (&entry.pulse.profile.region, &offer.service);
-                let (backends, sum, count) = sums.entry(key).or_default();
-                *backends = offer.backends.max(*backends);
-                *sum = sum.saturating_add(offer.first_byte_ms);
-                *count += 1;
+                told.entry(key).or_default().push(offer);
             }
         }
-        let offer =
-            |((region, service), (backends, sum, count)): ((&RegionName, &ServiceName), _)| {
-                let first_byte_ms: u32 = sum / count;
-                let service = service.clone();
-                let offer = ServiceOffer { service, backends, first_byte_ms };
-                RegionOffer { region: region.clone(), offer }
-            };
-        sums.into_iter().map(offer).collect()
+        let offer = |((region, service), offers): ((&RegionName, &ServiceName), Vec<_>)| {
+            let region = region.clone();
+            RegionOffer { region, offer: mean_offer(service.clone(), &offers) }
+        };
+        told.into_iter().map(offer).collect()
     }
 
     /// Notices who has fallen silent, and forgets who has long been. Returns what changed.
@@ -327,3 +321,21 @@
         }
     }
 }
+
+/// The mean of what some gateways offer of one service.
+fn mean_offer(service: ServiceName, offers: &[&ServiceOffer]) -> ServiceOffer {
+    let priorities = offers.iter().map(|o| o.first_byte_ms.len()).max().unwrap_or_default();
+    let mean = |priority: usize| {
+        let times: Vec<u64> = offers
+            .iter()
+            .filter_map(|o| o.first_byte_ms.get(priority).map(|ms| u64::from(*ms)))
+            .collect();
+        let mean = times.iter().sum::<u64>() / times.len().max(1) as u64;
+        u32::try_from(mean).unwrap_or(u32::MAX)
+    };
+    ServiceOffer {
+        service,
+        backends: offers.iter().map(|o| o.backends).max().unwrap_or_default(),
+        first_byte_ms: (0..priorities).map(mean).collect(),
+    }
+}
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -30,8 +30,8 @@
     pub service: ServiceName,
     /// Its backend servers that serve.
     pub backends: u32,
-    /// Milliseconds until a first byte.
-    pub first_byte_ms: u32,
+    /// Milliseconds until a first byte, by priority, the most urgent first.
+    pub first_byte_ms: Vec<u32>,
 }
 
 /// What another region offers.
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -231,15 +231,15 @@
 #[test]
 fn what_a_region_offers_is_the_mean_of_its_ready_gateways() {
     let mut book = FleetBook::new(FleetSettings::new(INTERVAL), at(0));
-    let offer = |first_byte_ms| ServiceOffer {
+    let offer = |first_byte_ms: [u32; 2]| ServiceOffer {
         service: ServiceName::try_from("pool").expect("a name"),
         backends: 4,
-        first_byte_ms,
+        first_byte_ms: Vec::from(first_byte_ms),
     };
     for (vm, phase, wait) in [
-        ("a", GatewayPhase::Ready, 100),
-        ("b", GatewayPhase::Ready, 300),
-        ("c", GatewayPhase::Stopping, 9_000),
+        ("a", GatewayPhase::Ready, [100, 400]),
+        ("b", GatewayPhase::Ready, [300, 800]),
+        ("c", GatewayPhase::Stopping, [9_000, 9_000]),
     ] {
         let pulse = pulse(vm, "puget", phase);
         book.pulse(&pulse, at(0));
@@ -247,7 +247,7 @@
     }
     let offers = book.region_offers();
     assert_eq!(offers.len(), 1);
-    assert_eq!(offers[0].offer, offer(200));
+    assert_eq!(offers[0].offer, offer([200, 600]));
 }
 
 #[test]
--- a/crates/node/src/proxy_node.rs
+++ b/crates/node/src/proxy_node.rs
@@ -6,7 +6,7 @@
         core::{CoreSettings, NodeCore},
         error::{HttpStart, NoticeStart},
     },
-    gullglade_dispatch::{BackendFacts, RegionFacts, Scheduler, SchedulerSettings},
+    gullglade_dispatch::{BackendFacts, FirstByteTimes, RegionFacts, Scheduler, SchedulerSettings},
     gullglade_event::{EventDraft, EventSink, MetricSet},
     gullglade_fleet::{
         BackendRow, FleetFollower, FollowerParts, GatewayPhase, GatewayProfile, ServiceOffer,
@@ -178,7 +178,7 @@
             scheduler.set_regions(facts.regions);
         });
         let offers = self.dispatcher.ask(|scheduler, now| scheduler.offers(now));
-        self.fleet.set_offers(offers.into_iter().filter_map(told_offer).collect());
+        self.fleet.set_offers(offers.into_iter().map(told_offer).collect());
         if facts.is_confirmed && self.fleet.phase() == GatewayPhase::Starting {
             self.fleet.set_phase(GatewayPhase::Ready);
         }
@@ -287,9 +287,9 @@
     }
 }
 
-fn told_offer(facts: RegionFacts) -> Option<ServiceOffer> {
-    let first_byte_ms = facts.first_byte_ms?.round().clamp(0.0, f64::from(u32::MAX)) as u32;
-    Some(ServiceOffer { service: facts.service, backends: facts.backends, first_byte_ms })
+fn told_offer(facts: RegionFacts) -> ServiceOffer {
+    let first_byte_ms = facts.first_byte.to_millis();
+    ServiceOffer { service: facts.service, backends: facts.backends, first_byte_ms }
 }
 
 /// What a scheduler needs to know of the fleet.
@@ -322,7 +322,7 @@
                     region: r.region.clone(),
                     service: r.offer.service.clone(),
                     backends: r.offer.backends,
-                    first_byte_ms: Some(f64::from(r.offer.first_byte_ms)),
+                    first_byte: FirstByteTimes::from_millis(&r.offer.first_byte_ms),
                 })
                 .collect(),
             is_confirmed: view.confirmed().is_some() && view.traffic().is_some(),
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -7,7 +7,7 @@
         outcome::{AttemptEnd, NotRunReason, UnknownReason},
     },
     bytes::Bytes,
-    gullglade_dispatch::{PromptShape, WorkItem},
+    gullglade_dispatch::{FirstByteTimes, PromptShape, WorkItem},
     gullglade_fleet::{FleetFollower, GatewayRow},
     gullglade_http::BodyError,
     gullglade_peer::{PeerError, PeerStream, PeerTransport},
@@ -44,7 +44,7 @@
 /// A region to which the path is broken gets no work for this long.
 const BROKEN_PAUSE: Duration = Duration::from_millis(1_500);
 
-/// A region that turned work away gets no more for this long.
+/// A region that turned work of a service away gets no more of it for this long.
 const REFUSED_PAUSE: Duration = Duration::from_millis(200);
 
 /// The gateways of each other region to which a gateway keeps sessions. One of them may just have
@@ -79,8 +79,9 @@
 /// What comes back. The end of the stream is the end of a whole body.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) enum ForwardPiece {
-    /// The request has arrived.
-    Accepted,
+    /// The request has arrived, and this is what the region offers of its service: milliseconds
+    /// until a first byte, by priority. None where it offers nothing of it.
+    Accepted(Vec<u32>),
     Head {
         status: u16,
         headers: Vec<(String, Bytes)>,
@@ -154,7 +155,7 @@
             let limit = call.left.min(self.accept_limit(region));
             match timeout(&*self.context.clock, limit, opening).await {
                 Some(Ok(stream)) => {
-                    return self.first_piece(region, stream, call.left, may_repeat).await;
+                    return self.first_piece(region, stream, call, may_repeat).await;
                 }
                 // A session that does not come about in this time has sent nothing.
                 Some(Err(error)) if error.nothing_sent() => {}
@@ -172,6 +173,21 @@
         LEAST_ACCEPT.max(Duration::from_secs_f64(usual_ms / 1_000.0) * ACCEPT_FACTOR)
     }
 
+    /// Notes what the region offers, where the first piece tells it.
+    fn note_word(
+        &self,
+        region: &RegionName,
+        service: &ServiceName,
+        first: Option<&Result<Bytes, PeerError>>,
+    ) {
+        let Some(Ok(piece)) = first else { return };
+        let Some(offer) = word_of(piece).filter(|offer| !offer.is_empty()) else { return };
+        let word = FirstByteTimes::from_millis(&offer);
+        self.dispatcher.ask(|scheduler, now| {
+            scheduler.note_region_word(region, service, word, now);
+        });
+    }
+
     fn pause(&self, region: &RegionName, pause: Duration) {
         self.dispatcher.ask(|scheduler, now| scheduler.pause_region(region, pause, now));
     }
@@ -230,15 +246,17 @@
         &self,
         region: &RegionName,
         mut stream: PeerStream,
-        left: Duration,
+        call: &ForwardCall,
         may_repeat: bool,
     ) -> AttemptEnd {
+        let left = call.left;
         let clock = &*self.context.clock;
         let began = clock.now();
         let mut first = timeout(clock, left.min(self.accept_limit(region)), stream.next()).await;
-        if first.is_some() {
+        if let Some(first) = &first {
             let took = clock.now().since(began);
             self.dispatcher.ask(|scheduler, _| scheduler.note_region_delay(region, took));
+            self.note_word(region, &call.service, first.as_ref());
         } else {
             // Other requests need not find out for themselves.
             self.pause(region, BROKEN_PAUSE);
@@ -263,24 +281,34 @@
             }
             Some(Ok(ForwardPiece::NotRun(reason, wait))) => {
                 if reason == NotRunReason::RefusedAway {
-                    self.pause(region, REFUSED_PAUSE);
+                    self.dispatcher.ask(|scheduler, now| {
+                        scheduler.pause_service(region, &call.service, REFUSED_PAUSE, now);
+                    });
                 }
                 AttemptEnd::NotRun(reason, wait)
             }
             Some(Ok(ForwardPiece::Unknown(reason))) => AttemptEnd::Unknown(reason),
-            Some(Ok(ForwardPiece::Accepted | ForwardPiece::Chunk(_)) | Err(_)) | None => {
+            Some(Ok(ForwardPiece::Accepted(_) | ForwardPiece::Chunk(_)) | Err(_)) | None => {
                 self.lost(region)
             }
         }
     }
 }
 
+/// What the region offers, where the piece is the word that the request has arrived.
+fn word_of(piece: &Bytes) -> Option<Vec<u32>> {
+    match decode(piece) {
+        Ok(ForwardPiece::Accepted(offer)) => Some(offer),
+        _ => None,
+    }
+}
+
 /// The piece after the word that the request has arrived.
 async fn next_content(
     stream: &mut PeerStream,
     first: Option<Option<Result<Bytes, PeerError>>>,
 ) -> Option<Result<Bytes, PeerError>> {
-    let is_word = |piece: &Bytes| matches!(decode(piece), Ok(ForwardPiece::Accepted));
+    let is_word = |piece: &Bytes| word_of(piece).is_some();
     match first {
         Some(Some(Ok(piece))) if !is_word(&piece) => Some(Ok(piece)),
         Some(_) => stream.next().await,
--- a/crates/proxy/src/forward_server.rs
+++ b/crates/proxy/src/forward_server.rs
@@ -13,7 +13,7 @@
     },
     bytes::Bytes,
     gullglade_peer::{HandlerTable, PeerFault, PeerHandler, PeerIdentity, PeerReplySink},
-    gullglade_units::{LocalFuture, decode, encode},
+    gullglade_units::{LocalFuture, ServiceName, decode, encode},
     http::Method,
     std::rc::Rc,
 };
@@ -27,10 +27,16 @@
         handlers.register(PROXY_PREFIX, Rc::new(Self(proxy.clone())));
     }
 
+    /// What this region offers of a service, for the word that a request has arrived.
+    fn offer_millis(&self, service: &ServiceName) -> Vec<u32> {
+        let offer = self.0.dispatcher().ask(|scheduler, now| scheduler.offer(service, now));
+        offer.map(|offer| offer.first_byte.to_millis()).unwrap_or_default()
+    }
+
     async fn serve(&self, body: &[u8], reply: &mut PeerReplySink) -> Result<(), PeerFault> {
         let _in_progress = self.0.begin_forward();
         let forward: ForwardCall = decode(body).map_err(PeerFault::malformed)?;
-        put(reply, &ForwardPiece::Accepted).await?;
+        put(reply, &ForwardPiece::Accepted(self.offer_millis(&forward.service))).await?;
         let method = Method::from_bytes(forward.method.as_bytes()).map_err(PeerFault::malformed)?;
         let call = CallerCall {
             id: forward.id,
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -6,7 +6,9 @@
 use {
     bytes::Bytes,
     futures::{StreamExt, stream},
-    gullglade_dispatch::{BackendFacts, BackendReport, RegionFacts, Scheduler, SchedulerSettings},
+    gullglade_dispatch::{
+        BackendFacts, BackendReport, FirstByteTimes, RegionFacts, Scheduler, SchedulerSettings,
+    },
     gullglade_event::{EventSink, MemorySink, MetricSet},
     gullglade_fleet::{
         FleetFollower, FleetServer, FleetSettings, FollowerParts, GatewayPhase, GatewayProfile,
@@ -604,7 +606,7 @@
         region: region(elsewhere),
         service,
         backends: u32::from(others),
-        first_byte_ms: Some(10.0),
+        first_byte: FirstByteTimes::from_millis(&[10]),
     }]);
     Dispatcher::new(scheduler, context.clone())
 }
