Tell of elections that fail, with their votes

Change: control.election.failed says how many voters of how many granted and refused, in a poll or in the election itself. Test: three of five members killed.

--- a/crates/control/src/consensus/election.rs
+++ b/crates/control/src/consensus/election.rs
@@ -119,12 +119,20 @@
         let others = membership.voters().filter(|m| m.id != self.me);
         let mut replies: FuturesUnordered<_> =
             others.map(|m| async { (m.id, self.ask_for_vote(m, term, is_poll).await) }).collect();
+        let mut refused = 0_usize;
         while !count.is_won(&membership) {
-            let Some((id, reply)) = replies.next().await else { return false };
+            let Some((id, reply)) = replies.next().await else {
+                self.tell_failed(term, is_poll, &count, refused);
+                return false;
+            };
             let Some(reply) = reply else { continue };
             if reply.is_granted {
                 count.granted.insert(id, reply.is_doubtful);
-            } else if reply.term > term || (is_poll && reply.term >= term) {
+                continue;
+            }
+            refused += 1;
+            if reply.term > term || (is_poll && reply.term >= term) {
+                self.tell_failed(term, is_poll, &count, refused);
                 self.observe_term(reply.term).await;
                 return false;
             }
@@ -132,6 +140,14 @@
         true
     }
 
+    /// Tells why nobody leads yet: the voters that are missing did not answer in time.
+    fn tell_failed(&self, term: Term, is_poll: bool, count: &VoteCount, refused: usize) {
+        let voters = self.state.borrow().membership().map_or(0, |m| m.voters().count());
+        let event = EventDraft::new("control.election.failed").field("term", term.0);
+        let event = event.field("poll", is_poll).field("granted", count.granted.len());
+        self.events.emit(event.field("refused", refused).field("voters", voters));
+    }
+
     async fn ask_for_vote(
         &self,
         voter: &crate::entry::Member,
--- a/crates/control/tests/seeded.rs
+++ b/crates/control/tests/seeded.rs
@@ -214,6 +214,22 @@
     assert!(longest < Duration::from_millis(2_500), "{waits:?}");
 }
 
+#[test]
+fn an_election_that_fails_is_told_with_its_votes() {
+    let mut deployment = Deployment::started(3, 0);
+    deployment.acknowledge(ACKNOWLEDGED_WITHIN);
+    deployment.cluster.wait_until("five voters", |_| deployment.voters() == VMS);
+    deployment.draw(3).into_iter().for_each(|at| deployment.cluster.kill(at));
+    deployment.cluster.world.run_for(Duration::from_secs(6));
+    let lines = deployment.cluster.events.lines();
+    let is_told = |line: &String| {
+        line.starts_with("control.election.failed") && line.contains("granted=") && {
+            line.contains("voters=5") && line.contains("poll=true")
+        }
+    };
+    assert!(lines.iter().any(is_told), "{lines:#?}");
+}
+
 #[test]
 fn a_seed_that_lost_its_disk_founds_no_second_log() {
     // Symptom: reads show an older configuration, or none. Sequence: all seeds lose their disks,
