Read again: one piece of code where the same logic stood twice, and what nothing used taken out

Found in the diff of the change: - Rendezvous ranks were made anew in dispatch and proxy with the standard hasher, whose algorithm may differ between builds though gateways must agree. backend's module moves to units and serves all three. Which gateway holds which part changes; how the parts divide does not. - The process for gateways and the one for control bound HTTP servers by themselves; node had a function for it.

--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -21,7 +21,6 @@
 mod record;
 mod regions;
 mod relay;
-mod rendezvous;
 mod row;
 mod row_totals;
 mod status;
--- a/crates/backend/src/plan.rs
+++ b/crates/backend/src/plan.rs
@@ -8,8 +8,10 @@
 //! whole row.
 
 use {
-    crate::rendezvous::{deal, ranked},
-    gullglade_units::{FailureDomain, VmName},
+    gullglade_units::{
+        FailureDomain, VmName,
+        rendezvous::{deal, ranked},
+    },
     std::collections::{BTreeMap, BTreeSet},
 };
 
--- a/crates/backend/src/relay/speaker.rs
+++ b/crates/backend/src/relay/speaker.rs
@@ -8,11 +8,13 @@
     super::shared::RelayShared,
     crate::{
         GatewayContact, Origin, RegionDelta, TotalsDelta,
-        rendezvous::{deal, ranked, score},
         summary::{TotalsMap, add_totals},
     },
     bytes::Bytes,
-    gullglade_units::{RegionName, VmName, decode, encode},
+    gullglade_units::{
+        RegionName, VmName, decode, encode,
+        rendezvous::{deal, ranked, score},
+    },
     serde::{Deserialize, Serialize},
     std::{cmp::Reverse, net::SocketAddr, rc::Rc, time::Duration},
 };
--- a/crates/backend/src/subset.rs
+++ b/crates/backend/src/subset.rs
@@ -7,8 +7,10 @@
 //! [`SubsetConfig::followers`] gateways, everyone follows everything.
 
 use {
-    crate::rendezvous::{ranked, score},
-    gullglade_units::{BackendName, FailureDomain, VmName},
+    gullglade_units::{
+        BackendName, FailureDomain, VmName,
+        rendezvous::{ranked, score},
+    },
     std::{
         cmp::Reverse,
         collections::{BTreeMap, BTreeSet},
--- a/crates/dispatch/src/cache.rs
+++ b/crates/dispatch/src/cache.rs
@@ -48,12 +48,6 @@
         }
     }
 
-    /// Forgets everything: the engine was restarted.
-    pub fn clear(&mut self) {
-        self.parts.clear();
-        self.tokens = 0;
-    }
-
     fn keep(&mut self, part: PromptPart, now: MonotonicTime) {
         let cached = CachedPart { tokens: part.tokens, used: now };
         match self.parts.insert(part.id, cached) {
--- a/crates/dispatch/src/cold.rs
+++ b/crates/dispatch/src/cold.rs
@@ -7,11 +7,8 @@
 //! to more than the whole, as long as the gateways agree about who there is.
 
 use {
-    gullglade_units::{BackendName, MonotonicTime, VmName},
-    std::{
-        hash::{DefaultHasher, Hash, Hasher},
-        time::Duration,
-    },
+    gullglade_units::{BackendName, MonotonicTime, VmName, rendezvous::score},
+    std::time::Duration,
 };
 
 /// The span in which sends are counted: a second, and the time by which a gateway that stands
@@ -41,7 +38,9 @@
     ) -> usize {
         let whole = (requests_per_second * USED_SHARE).floor().max(1.0) as usize;
         let count = gateways.len().max(1);
-        let rank = gateways.iter().filter(|g| weight(g, backend) > weight(own, backend)).count();
+        // Every gateway ranks all of them alike, and in another order for each backend server.
+        let score_of = |gateway: &VmName| score(backend.as_str(), gateway.as_str());
+        let rank = gateways.iter().filter(|g| score_of(g) > score_of(own)).count();
         whole / count + usize::from(rank < whole % count)
     }
 
@@ -56,11 +55,3 @@
         self.last = Some(now);
     }
 }
-
-/// Ranks gateways for a backend server, the same way on every gateway, and another for each
-/// backend server.
-fn weight(gateway: &VmName, backend: &BackendName) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (gateway.as_str(), backend.as_str()).hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -4,7 +4,11 @@
 //! check is good. Outcomes decide here. A suspect gets no work while others can take it; after a
 //! pause it is tried with one request, and a good answer clears it.
 
-use {crate::WorkOutcome, gullglade_units::MonotonicTime, std::time::Duration};
+use {
+    crate::{WorkOutcome, fade::faded},
+    gullglade_units::MonotonicTime,
+    std::time::Duration,
+};
 
 /// The pause after a first failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
@@ -56,11 +60,6 @@
         now < until || is_tried
     }
 
-    /// Whether sending now would be a trial.
-    pub fn is_on_trial(&self) -> bool {
-        self.suspect_until.is_some()
-    }
-
     /// Notes that work is sent.
     pub fn note_send(&mut self, now: MonotonicTime) {
         if self.suspect_until.is_some() {
@@ -71,8 +70,7 @@
     /// The part of the last outcomes that were failures, 0 to 1. It fades: a gateway that sends
     /// little to a backend server would otherwise avoid it for minutes after it has recovered.
     pub fn failure_rate(&self, now: MonotonicTime) -> f64 {
-        let age = now.since(self.weighed).as_secs_f64() / RATE_HALF_LIFE.as_secs_f64();
-        self.failure_rate * 0.5_f64.powf(age)
+        faded(self.failure_rate, now.since(self.weighed), RATE_HALF_LIFE)
     }
 
     fn clear_with(&mut self, failure: f64, now: MonotonicTime) {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 mod cache;
 mod cold;
 mod facts;
+mod fade;
 mod health;
 mod load;
 mod regions;
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -8,7 +8,7 @@
 //! predicted; from those a base is learned, which fades, since what caused it may be over.
 
 use {
-    crate::TicketId,
+    crate::{TicketId, fade::faded},
     gullglade_units::MonotonicTime,
     std::{collections::HashMap, time::Duration},
 };
@@ -124,8 +124,7 @@
         let Some((report, at)) = self.report else { return own as u32 };
         let stated = f64::from(report.running + report.waiting);
         let others = (stated - f64::from(self.own_at_report)).max(0.0);
-        let age = now.since(at).as_secs_f64() / STATED_HALF_LIFE.as_secs_f64();
-        (own + others * 0.5_f64.powf(age)).round() as u32
+        (own + faded(others, now.since(at), STATED_HALF_LIFE)).round() as u32
     }
 
     /// Milliseconds until the first byte, were a request of this cost sent now.
@@ -213,8 +212,7 @@
     /// how long the more urgent waits.
     fn base(&self, priority: u8, now: MonotonicTime) -> f64 {
         let (base_ms, at) = self.bases[rank(priority)];
-        let age = now.since(at).as_secs_f64() / BASE_HALF_LIFE.as_secs_f64();
-        base_ms * 0.5_f64.powf(age)
+        faded(base_ms, now.since(at), BASE_HALF_LIFE)
     }
 
     pub(crate) fn read_ms(&self, tokens: u32) -> f64 {
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -228,9 +228,8 @@
     /// Begins a look at what waits for one service. Every gateway of the region has such a queue,
     /// and all of them share the backend servers.
     fn begin_look(&self, service: &ServiceName) -> ServiceLook {
-        let loads = || self.serving(service).map(|b| (&b.load, b.facts.slots));
-        let queues_per_backend = self.gateways.len() as f64 / loads().count().max(1) as f64;
-        ServiceLook::new(loads(), queues_per_backend)
+        let loads = self.serving(service).map(|b| (&b.load, b.facts.slots));
+        ServiceLook::new(loads, self.gateways.len())
     }
 
     /// When [`poll`](Self::poll) should be called again at the latest.
--- a/crates/dispatch/src/scheduler/look.rs
+++ b/crates/dispatch/src/scheduler/look.rs
@@ -13,10 +13,6 @@
     gullglade_units::MonotonicTime,
 };
 
-/// The length of the prompt by which reading rates are compared, tokens. Any will do: the time is
-/// in proportion.
-const SAMPLE_TOKENS: u32 = 1_000;
-
 /// All backend servers are full for a priority.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FullLook {
@@ -40,19 +36,23 @@
 }
 
 impl ServiceLook {
-    /// A look at a service of backend servers with these loads and places.
+    /// A look at a service of backend servers with these loads and places, before which so many
+    /// gateways have a queue.
     pub(crate) fn new<'a>(
         loads: impl Iterator<Item = (&'a BackendLoad, u32)>,
-        queues_per_backend: f64,
+        queues: usize,
     ) -> Self {
-        let mut look = Self { queues_per_backend, ..Self::default() };
-        let least = |known: f64, found: f64| if known == 0.0 { found } else { known.min(found) };
+        let (mut count, mut token_ms, mut plain_ms) = (0_usize, f64::MAX, f64::MAX);
         for (load, slots) in loads {
-            let sample = load.cost_ms(WorkCost { tokens: Some(SAMPLE_TOKENS), slots });
-            look.token_ms = least(look.token_ms, sample / f64::from(SAMPLE_TOKENS));
-            look.plain_ms = least(look.plain_ms, load.cost_ms(WorkCost { tokens: None, slots }));
+            count += 1;
+            token_ms = token_ms.min(load.read_ms(1));
+            plain_ms = plain_ms.min(load.cost_ms(WorkCost { tokens: None, slots }));
+        }
+        if count == 0 {
+            return Self::default();
         }
-        look
+        let queues_per_backend = queues as f64 / count as f64;
+        Self { token_ms, plain_ms, queues_per_backend, ..Self::default() }
     }
 
     /// Whether all backend servers were found full for requests of this one's priority.
--- a/crates/dispatch/src/scheduler/placing.rs
+++ b/crates/dispatch/src/scheduler/placing.rs
@@ -174,10 +174,9 @@
             if !self.has_room(backend, item, now) {
                 continue;
             }
-            let crowd = f64::from(backend.load.total(now)) / f64::from(backend.facts.slots.max(1));
             let cost = expected_ms
                 + READ_WEIGHT * cost.tokens.map_or(0.0, |tokens| backend.load.read_ms(tokens))
-                + CROWD_COST_MS * crowd
+                + CROWD_COST_MS * fullness(backend, now)
                 + failure_cost_ms * backend.health.failure_rate(now);
             if best.is_none_or(|(least, _, _)| cost < least) {
                 best = Some((cost, here, &backend.facts.name));
@@ -271,6 +270,10 @@
 
 /// What the requests that are at a backend server cost one more, beside the work ahead of it.
 pub(super) fn strain_ms(backend: &Backend, now: MonotonicTime) -> f64 {
-    let places = f64::from(backend.facts.slots.max(1));
-    STRAIN_MS * (f64::from(backend.load.total(now)) / places).min(1.0)
+    STRAIN_MS * fullness(backend, now).min(1.0)
+}
+
+/// The requests at a backend server, as a part of those that it runs at once.
+fn fullness(backend: &Backend, now: MonotonicTime) -> f64 {
+    f64::from(backend.load.total(now)) / f64::from(backend.facts.slots.max(1))
 }
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -3,9 +3,10 @@
 use {
     crate::{
         NodeSettings, StartError,
-        error::{MetricsStart, PeerStart},
+        error::{HttpStart, MetricsStart, PeerStart},
     },
     gullglade_event::{EventLog, EventSink, MetricSet, ThrottledSink},
+    gullglade_http::{HttpServer, RequestHandler, ServerConfig},
     gullglade_peer::{HandlerTable, LinkPolicy, PeerConfig, PeerIdentity, PeerPool, PeerServer},
     gullglade_units::{HybridClock, ProcessContext},
     snafu::ResultExt,
@@ -101,3 +102,14 @@
         Rc::new(ThrottledSink::new(log, Rc::clone(&self.context.clock)))
     }
 }
+
+/// Listens for HTTP at `address`. `port` says whose port it is, for the error.
+pub(crate) fn http_server(
+    port: &'static str,
+    address: SocketAddr,
+    config: ServerConfig,
+    context: &ProcessContext,
+    handler: Rc<dyn RequestHandler>,
+) -> Result<HttpServer, StartError> {
+    HttpServer::bind(address, config, context.clone(), handler).context(HttpStart { port })
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -4,8 +4,7 @@
     crate::{
         NodeSettings, NodeWiring, OperatorPort, OperatorRoute, StartError,
         claim_groups::{lone_group, tell_lone_group},
-        core::NodeCore,
-        error::HttpStart,
+        core::{NodeCore, http_server},
         late::LateHandler,
         report::ReportSource,
         report_routes::ReportRoutes,
@@ -19,12 +18,9 @@
     gullglade_document::ConfigSource,
     gullglade_event::{EventDraft, EventLog, EventSink, MetricSet},
     gullglade_gateway::{Gateway, GatewayConfig, GatewayParts, RelayDirectory},
-    gullglade_http::{
-        ClientConfig, HttpServer, PooledClient, RequestHandler, ServerConfig, StopHandle,
-    },
+    gullglade_http::{ClientConfig, PooledClient, ServerConfig, StopHandle},
     gullglade_peer::{HandlerTable, PeerHandler, PeerPool, PeerStopHandle},
     gullglade_units::{ProcessContext, RegionName, VmName, timeout},
-    snafu::ResultExt,
     std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
@@ -266,16 +262,6 @@
     }
 }
 
-fn http_server(
-    port: &'static str,
-    address: SocketAddr,
-    config: ServerConfig,
-    context: &ProcessContext,
-    handler: Rc<dyn RequestHandler>,
-) -> Result<HttpServer, StartError> {
-    HttpServer::bind(address, config, context.clone(), handler).context(HttpStart { port })
-}
-
 fn new_table(settings: &NodeSettings, context: &ProcessContext) -> Rc<BackendTable> {
     let (region, clock) = (settings.region.clone(), Rc::clone(&context.clock));
     Rc::new(BackendTable::new(region, BackendConfig::default(), clock))
--- a/crates/node/src/proxy_node.rs
+++ b/crates/node/src/proxy_node.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         StartError,
-        core::{CoreSettings, NodeCore},
-        error::{HttpStart, NoticeStart},
+        core::{CoreSettings, NodeCore, http_server},
+        error::NoticeStart,
     },
     gullglade_dispatch::{BackendFacts, FirstByteTimes, RegionFacts, Scheduler, SchedulerSettings},
     gullglade_event::{EventDraft, EventSink, MetricSet},
@@ -12,9 +12,7 @@
         BackendRow, FleetFollower, FollowerParts, GatewayPhase, GatewayProfile, ServiceOffer,
         ServingState,
     },
-    gullglade_http::{
-        ClientConfig, HttpServer, PooledClient, RequestHandler, ServerConfig, StopHandle,
-    },
+    gullglade_http::{ClientConfig, PooledClient, RequestHandler, ServerConfig, StopHandle},
     gullglade_peer::{NoticePort, PeerPool, PeerStopHandle},
     gullglade_proxy::{BackendDialect, Dispatcher, ForwardServer, Proxy, ProxyParts},
     gullglade_traffic::TrafficFormat,
@@ -216,8 +214,7 @@
         config: ServerConfig,
         handler: Rc<dyn RequestHandler>,
     ) -> Result<(), StartError> {
-        let server = HttpServer::bind(address, config, self.context.clone(), handler)
-            .context(HttpStart { port: "callers'" })?;
+        let server = http_server("callers'", address, config, &self.context, handler)?;
         self.caller_stops.borrow_mut().push(server.stop_handle());
         self.spawn(server.run());
         Ok(())
@@ -229,8 +226,8 @@
         address: SocketAddr,
         handler: Rc<dyn RequestHandler>,
     ) -> Result<(), StartError> {
-        let server = HttpServer::bind(address, ServerConfig::new(), self.context.clone(), handler)
-            .context(HttpStart { port: "operators'" })?;
+        let config = ServerConfig::new();
+        let server = http_server("operators'", address, config, &self.context, handler)?;
         self.spawn(server.run());
         Ok(())
     }
--- a/crates/node/src/seeded_control.rs
+++ b/crates/node/src/seeded_control.rs
@@ -3,13 +3,12 @@
 use {
     crate::{
         StartError,
-        core::{CoreSettings, NodeCore},
-        error::HttpStart,
+        core::{CoreSettings, NodeCore, http_server},
     },
     gullglade_control::{ControlConfig, ControlError, ControlNode, DataFolder},
     gullglade_event::{EventDraft, EventSink, MetricSet},
     gullglade_fleet::{FleetServer, FleetSettings},
-    gullglade_http::{HttpServer, RequestHandler, ServerConfig},
+    gullglade_http::{RequestHandler, ServerConfig},
     gullglade_units::ProcessContext,
     snafu::ResultExt,
     std::{net::SocketAddr, rc::Rc},
@@ -91,8 +90,7 @@
         config: ServerConfig,
         handler: Rc<dyn RequestHandler>,
     ) -> Result<(), StartError> {
-        let server = HttpServer::bind(address, config, self.context.clone(), handler)
-            .context(HttpStart { port: "control" })?;
+        let server = http_server("control", address, config, &self.context, handler)?;
         self.context.spawner.spawn(Box::pin(server.run()));
         Ok(())
     }
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -108,7 +108,7 @@
         self.events.emit(event.optional("backend", self.backend.as_ref()));
     }
 
-    pub(crate) fn first_event(&mut self, _item: &WorkItem) {
+    pub(crate) fn first_event(&mut self) {
         self.first_byte.get_or_insert(self.clock.now().since(self.arrived));
     }
 
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -10,19 +10,14 @@
     gullglade_dispatch::{FirstByteTimes, PromptShape, WorkItem},
     gullglade_fleet::{FleetFollower, GatewayRow},
     gullglade_http::BodyError,
-    gullglade_peer::{PeerError, PeerStream, PeerTransport},
+    gullglade_peer::{PeerError, PeerFault, PeerStream, PeerTransport},
     gullglade_units::{
         BackendName, MonotonicTime, ProcessContext, RegionName, ServiceName, decode, encode,
-        timeout,
+        rendezvous::score, timeout,
     },
     http::{HeaderMap, HeaderName, HeaderValue, StatusCode},
     serde::{Deserialize, Serialize},
-    std::{
-        collections::BTreeSet,
-        hash::{DefaultHasher, Hash, Hasher},
-        rc::Rc,
-        time::Duration,
-    },
+    std::{cmp::Reverse, collections::BTreeSet, rc::Rc, time::Duration},
 };
 
 /// The prefix of the methods that gateways serve to each other.
@@ -155,7 +150,8 @@
             let limit = call.left.min(self.accept_limit(region));
             match timeout(&*self.context.clock, limit, opening).await {
                 Some(Ok(stream)) => {
-                    return self.first_piece(region, stream, call, may_repeat).await;
+                    let pieces = PieceStream(stream);
+                    return self.first_piece(region, pieces, call, may_repeat).await;
                 }
                 // A session that does not come about in this time has sent nothing.
                 Some(Err(error)) if error.nothing_sent() => {}
@@ -174,15 +170,12 @@
     }
 
     /// Notes what the region offers, where the first piece tells it.
-    fn note_word(
-        &self,
-        region: &RegionName,
-        service: &ServiceName,
-        first: Option<&Result<Bytes, PeerError>>,
-    ) {
-        let Some(Ok(piece)) = first else { return };
-        let Some(offer) = word_of(piece).filter(|offer| !offer.is_empty()) else { return };
-        let word = FirstByteTimes::from_millis(&offer);
+    fn note_word(&self, region: &RegionName, service: &ServiceName, first: Option<&NextPiece>) {
+        let Some(Ok(ForwardPiece::Accepted(offer))) = first else { return };
+        if offer.is_empty() {
+            return;
+        }
+        let word = FirstByteTimes::from_millis(offer);
         self.dispatcher.ask(|scheduler, now| {
             scheduler.note_region_word(region, service, word, now);
         });
@@ -222,11 +215,7 @@
         let now = self.context.clock.now();
         let mut rows = self.fleet.read(|view| view.serving_gateways(region, now));
         let own = &self.fleet.profile().vm;
-        rows.sort_by_cached_key(|row| {
-            let mut hasher = DefaultHasher::new();
-            (own.as_str(), row.profile.vm.as_str()).hash(&mut hasher);
-            hasher.finish()
-        });
+        rows.sort_by_cached_key(|row| Reverse(score(own.as_str(), row.profile.vm.as_str())));
         rows.truncate(USUAL_GATEWAYS);
         rows
     }
@@ -245,14 +234,14 @@
     async fn first_piece(
         &self,
         region: &RegionName,
-        mut stream: PeerStream,
+        mut pieces: PieceStream,
         call: &ForwardCall,
         may_repeat: bool,
     ) -> AttemptEnd {
         let left = call.left;
         let clock = &*self.context.clock;
         let began = clock.now();
-        let mut first = timeout(clock, left.min(self.accept_limit(region)), stream.next()).await;
+        let mut first = timeout(clock, left.min(self.accept_limit(region)), pieces.next()).await;
         if let Some(first) = &first {
             let took = clock.now().since(began);
             self.dispatcher.ask(|scheduler, _| scheduler.note_region_delay(region, took));
@@ -266,17 +255,17 @@
         }
         if !matches!(first, Some(Some(Err(_)) | None)) {
             let rest = left.saturating_sub(clock.now().since(began));
-            first = timeout(clock, rest, next_content(&mut stream, first)).await;
+            first = timeout(clock, rest, next_content(&mut pieces, first)).await;
         }
         let Some(first) = first else { return AttemptEnd::Unknown(UnknownReason::Overdue) };
-        match first.map(read_piece) {
+        match first {
             Some(Ok(ForwardPiece::Head { status, headers, backend: _ })) => {
                 let Ok(status) = StatusCode::from_u16(status) else { return self.lost(region) };
                 AttemptEnd::Answer(Box::new(AttemptAnswer {
                     source: AnswerSource::Region(region.clone()),
                     status,
                     headers: unpack_headers(headers),
-                    body: AnswerBody::Forward(ForwardBody { stream }),
+                    body: AnswerBody::Forward(ForwardBody { pieces }),
                 }))
             }
             Some(Ok(ForwardPiece::NotRun(reason, wait))) => {
@@ -295,42 +284,47 @@
     }
 }
 
-/// What the region offers, where the piece is the word that the request has arrived.
-fn word_of(piece: &Bytes) -> Option<Vec<u32>> {
-    match decode(piece) {
-        Ok(ForwardPiece::Accepted(offer)) => Some(offer),
-        _ => None,
+/// One piece of a reply, or why there is none.
+type NextPiece = Result<ForwardPiece, PeerError>;
+
+/// A reply from another region, piece by piece.
+pub(crate) struct PieceStream(PeerStream);
+
+impl PieceStream {
+    /// The next piece; `None` after the last one of a whole reply.
+    async fn next(&mut self) -> Option<NextPiece> {
+        let bytes = match self.0.next().await? {
+            Ok(bytes) => bytes,
+            Err(error) => return Some(Err(error)),
+        };
+        Some(decode(&bytes).map_err(|e| PeerFault::malformed(e).into()))
     }
 }
 
-/// The piece after the word that the request has arrived.
+/// The piece after the word that the request has arrived. `first`: what came in time for it.
 async fn next_content(
-    stream: &mut PeerStream,
-    first: Option<Option<Result<Bytes, PeerError>>>,
-) -> Option<Result<Bytes, PeerError>> {
-    let is_word = |piece: &Bytes| word_of(piece).is_some();
+    pieces: &mut PieceStream,
+    first: Option<Option<NextPiece>>,
+) -> Option<NextPiece> {
+    let first = match first {
+        Some(first) => first,
+        None => pieces.next().await,
+    };
     match first {
-        Some(Some(Ok(piece))) if !is_word(&piece) => Some(Ok(piece)),
-        Some(_) => stream.next().await,
-        None => {
-            let late = stream.next().await;
-            match late {
-                Some(Ok(piece)) if is_word(&piece) => stream.next().await,
-                late => late,
-            }
-        }
+        Some(Ok(ForwardPiece::Accepted(_))) => pieces.next().await,
+        first => first,
     }
 }
 
 /// A body that comes from another region.
 pub(crate) struct ForwardBody {
-    stream: PeerStream,
+    pieces: PieceStream,
 }
 
 impl ForwardBody {
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
         let lost = |reason: String| Some(Err(BodyError::Incomplete { reason }));
-        match self.stream.next().await.map(read_piece) {
+        match self.pieces.next().await {
             None => None,
             Some(Ok(ForwardPiece::Chunk(bytes))) => Some(Ok(bytes)),
             Some(Ok(ForwardPiece::Unknown(reason))) => lost(format!("there: {reason}")),
@@ -339,8 +333,3 @@
         }
     }
 }
-
-fn read_piece(piece: Result<Bytes, PeerError>) -> Result<ForwardPiece, PeerError> {
-    let bytes = piece?;
-    decode(&bytes).map_err(|e| gullglade_peer::PeerFault::malformed(e).into())
-}
--- a/crates/proxy/src/hints.rs
+++ b/crates/proxy/src/hints.rs
@@ -43,8 +43,15 @@
     context: ProcessContext,
     pending: RefCell<Vec<PlacementHint>>,
     is_due: Cell<bool>,
-    /// The other gateways of the region, and when they were read.
-    peers: RefCell<(Option<MonotonicTime>, Vec<SocketAddr>)>,
+    peers: RefCell<PeerList>,
+}
+
+/// The other gateways of the region.
+#[derive(Default)]
+struct PeerList {
+    addresses: Vec<SocketAddr>,
+    /// When they were read.
+    read: Option<MonotonicTime>,
 }
 
 impl HintSender {
@@ -76,7 +83,7 @@
         }
         self.refresh_peers();
         let sender = Rc::clone(self);
-        let is_large = self.peers.borrow().1.len() > FEW_PEERS;
+        let is_large = self.peers.borrow().addresses.len() > FEW_PEERS;
         let gather = if is_large { LONG_GATHER } else { GATHER };
         self.context.spawner.spawn(Box::pin(async move {
             sender.context.clock.sleep(gather).await;
@@ -88,18 +95,19 @@
     fn refresh_peers(&self) {
         let now = self.context.clock.now();
         let mut peers = self.peers.borrow_mut();
-        if peers.0.is_some_and(|read| now.since(read) < PEERS_AGE) {
+        if peers.read.is_some_and(|read| now.since(read) < PEERS_AGE) {
             return;
         }
         let own = self.fleet.profile();
         let rows = self.fleet.read(|view| view.ready_gateways(&own.region, now));
         let others = rows.iter().filter(|row| row.profile.vm != own.vm);
-        *peers = (Some(now), others.map(|row| row.profile.peer_address).collect());
+        let addresses = others.map(|row| row.profile.peer_address).collect();
+        *peers = PeerList { addresses, read: Some(now) };
     }
 
     fn send(&self) {
         let hints = self.pending.take();
-        let mut peers = self.peers.borrow().1.clone();
+        let mut peers = self.peers.borrow().addresses.clone();
         while peers.len() > MOST_PEERS {
             peers.swap_remove(self.context.random.below(peers.len() as u64) as usize);
         }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -108,7 +108,7 @@
         let mut events = EventReader::new(body);
         match self.next_events(&mut events).await {
             EventStep::Events(first) => {
-                self.log.first_event(&self.item);
+                self.log.first_event();
                 let body = RelayedBody::Events { first: Some(first), events };
                 Ok(Some(RelayedReply { status, headers, body }))
             }
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -14,6 +14,7 @@
 mod ids;
 mod names;
 mod random;
+pub mod rendezvous;
 
 pub use clock::{Clock, MonotonicTime, SystemClock, WallMillis, timeout};
 pub use codec::{CodecError, decode, encode};
--- a/crates/backend/src/rendezvous.rs
+++ b/crates/units/src/rendezvous.rs
@@ -4,14 +4,14 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The score of `member` for `key`; the highest wins.
-pub(crate) fn score(key: &str, member: &str) -> u64 {
+pub fn score(key: &str, member: &str) -> u64 {
     xxh3_64_with_seed(member.as_bytes(), xxh3_64_with_seed(key.as_bytes(), 0))
 }
 
 /// Deals `keys` out in their order, each to its highest-ranked member that has not got its even
 /// share yet. Plain rendezvous hashing leaves some members with several times their share when
 /// there are few keys.
-pub(crate) fn deal<K: AsRef<str>, T: AsRef<str>>(
+pub fn deal<K: AsRef<str>, T: AsRef<str>>(
     keys: impl IntoIterator<Item = K>,
     members: &[T],
 ) -> Vec<(K, &T)> {
@@ -32,7 +32,7 @@
 }
 
 /// The members, the highest score for `key` first.
-pub(crate) fn ranked<'a, T: AsRef<str>>(
+pub fn ranked<'a, T: AsRef<str>>(
     key: &str,
     members: impl IntoIterator<Item = &'a T>,
 ) -> Vec<&'a T> {
