--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -3,310 +3,40 @@
 
 #![allow(dead_code)] // Each test program uses a part of it.
 
+mod configuration;
+mod servers;
+
+pub(crate) use servers::{Deed, Script, ScriptedBackends};
+
 use {
     bytes::Bytes,
-    futures::{StreamExt, stream},
-    gullglade_dispatch::{
-        BackendFacts, BackendReport, FirstByteTimes, RegionFacts, Scheduler, SchedulerSettings,
-    },
+    configuration::{FixedFormat, FixedSource},
+    futures::StreamExt,
+    gullglade_dispatch::{BackendFacts, FirstByteTimes, RegionFacts, Scheduler, SchedulerSettings},
     gullglade_event::{EventSink, MemorySink, MetricSet},
     gullglade_fleet::{
         FleetFollower, FleetServer, FleetSettings, FollowerParts, GatewayPhase, GatewayProfile,
-        TrafficSnapshot, TrafficSource,
     },
-    gullglade_http::{BodyError, ClientBody, ClientError, ClientReply, HttpClient, ReplyBody},
+    gullglade_http::ReplyBody,
     gullglade_peer::{
         HandlerTable, NoticeSender, PeerIdentity,
         fake::{FakeLink, FakeNetwork, FakeNode, FakeTransport},
     },
-    gullglade_proxy::{
-        BackendDialect, BackendWord, CallId, CallerCall, Dispatcher, ForwardServer, Proxy,
-        ProxyParts, SendOrder,
-    },
-    gullglade_traffic::{
-        CallerLimits, ColdRules, RawRoute, RawService, RawTraffic, RequestKind, TrafficError,
-        TrafficFormat,
-    },
+    gullglade_proxy::{CallId, CallerCall, Dispatcher, ForwardServer, Proxy, ProxyParts},
+    gullglade_traffic::{ColdRules, RequestKind},
     gullglade_units::{
-        BackendName, FailureDomain, HybridClock, Incarnation, LocalFuture, ProcessContext,
-        RegionName, ServiceName, VmName,
+        BackendName, FailureDomain, HybridClock, Incarnation, ProcessContext, RegionName,
+        ServiceName, VmName,
         fake::{FakeProcess, FakeWorld},
     },
-    http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode},
-    std::{
-        cell::{Cell, RefCell},
-        collections::{BTreeSet, VecDeque},
-        net::SocketAddr,
-        rc::Rc,
-        time::Duration,
-    },
+    http::{HeaderMap, HeaderValue, Method},
+    servers::PlainDialect,
+    std::{cell::RefCell, collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// One way between the two regions.
 const LINK: Duration = Duration::from_millis(55);
 
-/// What a backend server does with one request.
-#[derive(Clone, Debug)]
-pub(crate) enum Deed {
-    /// Refuses the connection.
-    Unreachable,
-    /// Closes the connection after the request was sent.
-    Close,
-    /// Says nothing.
-    Hang,
-    /// Answers, after a while.
-    Answer(Script),
-}
-
-/// An answer.
-#[derive(Clone, Debug)]
-pub(crate) struct Script {
-    pub(crate) after: Duration,
-    pub(crate) status: u16,
-    pub(crate) headers: Vec<(&'static str, String)>,
-    /// Pieces of the body, a millisecond apart.
-    pub(crate) pieces: Vec<&'static str>,
-    pub(crate) is_broken: bool,
-}
-
-impl Script {
-    /// A signed answer to the request `call`.
-    pub(crate) fn signed(status: u16, pieces: &[&'static str]) -> Self {
-        Self {
-            after: Duration::from_millis(5),
-            status,
-            headers: vec![("id", "call-1".to_owned()), ("signed", "yes".to_owned())],
-            pieces: pieces.to_vec(),
-            is_broken: false,
-        }
-    }
-
-    pub(crate) fn header(mut self, name: &'static str, value: &str) -> Self {
-        self.headers.retain(|(known, _)| *known != name);
-        self.headers.push((name, value.to_owned()));
-        self
-    }
-
-    pub(crate) fn without(mut self, name: &str) -> Self {
-        self.headers.retain(|(known, _)| *known != name);
-        self
-    }
-
-    pub(crate) fn broken(mut self) -> Self {
-        self.is_broken = true;
-        self
-    }
-
-    pub(crate) fn events(pieces: &[&'static str]) -> Self {
-        Self::signed(200, pieces).header("content-type", "text/event-stream")
-    }
-}
-
-/// A request as a backend server got it.
-#[derive(Clone, Debug)]
-pub(crate) struct Arrival {
-    pub(crate) address: SocketAddr,
-    pub(crate) headers: HeaderMap,
-    pub(crate) target: String,
-    pub(crate) body: Bytes,
-}
-
-/// Backend servers that do what they are told, in the order of arrival.
-pub(crate) struct ScriptedBackends {
-    context: ProcessContext,
-    deeds: RefCell<VecDeque<Deed>>,
-    pub(crate) arrivals: RefCell<Vec<Arrival>>,
-    /// Requests whose answer was dropped before its end.
-    pub(crate) cancelled: Rc<Cell<usize>>,
-}
-
-/// Counts what is dropped before it is over.
-struct DropCount {
-    is_over: bool,
-    count: Rc<Cell<usize>>,
-}
-
-impl DropCount {
-    /// It is over; its drop counts nothing.
-    fn finish(mut self) {
-        self.is_over = true;
-    }
-}
-
-impl Drop for DropCount {
-    fn drop(&mut self) {
-        if !self.is_over {
-            self.count.set(self.count.get() + 1);
-        }
-    }
-}
-
-impl ScriptedBackends {
-    async fn act(
-        &self,
-        address: SocketAddr,
-        request: Request<Bytes>,
-    ) -> Result<ClientReply, ClientError> {
-        let deed = self.deeds.borrow_mut().pop_front().expect("a deed for each request");
-        if matches!(deed, Deed::Unreachable) {
-            return Err(ClientError::Connect { address, reason: "refused".to_owned() });
-        }
-        let (head, body) = request.into_parts();
-        let target = head.uri.to_string();
-        self.arrivals.borrow_mut().push(Arrival { address, headers: head.headers, target, body });
-        let guard = DropCount { is_over: false, count: Rc::clone(&self.cancelled) };
-        let clock = Rc::clone(&self.context.clock);
-        let script = match deed {
-            Deed::Hang => std::future::pending().await,
-            Deed::Close => {
-                guard.finish();
-                return Err(ClientError::Sent { address, reason: "closed".to_owned() });
-            }
-            Deed::Unreachable => unreachable!("handled above"),
-            Deed::Answer(script) => script,
-        };
-        clock.sleep(script.after).await;
-        let mut response = Response::new(());
-        *response.status_mut() = StatusCode::from_u16(script.status).expect("a status");
-        for (name, value) in &script.headers {
-            response
-                .headers_mut()
-                .insert(*name, HeaderValue::from_str(value).expect("a header value"));
-        }
-        let mut pieces: Vec<Result<Bytes, BodyError>> =
-            script.pieces.iter().map(|piece| Ok(Bytes::from_static(piece.as_bytes()))).collect();
-        if script.is_broken {
-            pieces.push(Err(BodyError::Incomplete { reason: "reset".to_owned() }));
-        }
-        let state = (pieces.into_iter(), guard, clock);
-        let body = stream::unfold(state, |(mut pieces, guard, clock)| async move {
-            clock.sleep(Duration::from_millis(1)).await;
-            match pieces.next() {
-                Some(piece) => Some((piece, (pieces, guard, clock))),
-                None => {
-                    guard.finish();
-                    None
-                }
-            }
-        });
-        let body = ClientBody::from_stream(body);
-        Ok(ClientReply { head: response.into_parts().0, body })
-    }
-}
-
-impl HttpClient for ScriptedBackends {
-    fn send<'a>(
-        &'a self,
-        address: SocketAddr,
-        request: Request<Bytes>,
-    ) -> LocalFuture<'a, Result<ClientReply, ClientError>> {
-        Box::pin(self.act(address, request))
-    }
-}
-
-/// Headers with plain names.
-struct PlainDialect;
-
-impl BackendDialect for PlainDialect {
-    fn outgoing(&self, headers: &HeaderMap, order: &SendOrder<'_>) -> HeaderMap {
-        let mut headers = headers.clone();
-        let mut put = |name: &'static str, value: String| {
-            headers.insert(name, HeaderValue::try_from(value).expect("a header value"));
-        };
-        put("run", order.backend.to_string());
-        put("left", order.left.as_millis().to_string());
-        if let Some(event) = order.resume_after {
-            put("after", event.to_string());
-        }
-        headers
-    }
-
-    fn incoming(&self, _status: StatusCode, headers: &HeaderMap) -> BackendWord {
-        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-        BackendWord {
-            is_not_run: text("not-run").is_some(),
-            is_other_run: text("other-run").is_some(),
-            is_signed: text("signed").is_some(),
-            answers: text("id").map(str::to_owned),
-            load: None::<BackendReport>,
-        }
-    }
-
-    fn retry_after(&self, wait: Duration) -> HeaderValue {
-        HeaderValue::try_from(format!("{:.2}", wait.as_secs_f64())).expect("a number")
-    }
-}
-
-/// The one configuration of these tests.
-struct FixedFormat {
-    kind: RequestKind,
-    timeout: Duration,
-    homes: Vec<String>,
-}
-
-impl TrafficFormat for FixedFormat {
-    fn read(&self, _text: &[u8]) -> Result<RawTraffic, TrafficError> {
-        let service = RawService {
-            name: "pool".to_owned(),
-            health_path: String::new(),
-            connection_limit: 100,
-            cold: ColdRules { duration: Duration::ZERO, requests_per_second: 0.0 },
-            engine: None,
-        };
-        let route = RawRoute {
-            name: "r".to_owned(),
-            host: "h".to_owned(),
-            prefix: "/a/".to_owned(),
-            kind: self.kind,
-            timeout: self.timeout,
-            objective: Duration::from_millis(300),
-            priority: 0,
-            targets: vec![("pool".to_owned(), 1)],
-            max_attempts: 2,
-            has_affinity: false,
-            gap_objective: Some(Duration::from_millis(300)),
-            homes: self.homes.clone(),
-        };
-        let limits = CallerLimits {
-            head_bytes: 1 << 14,
-            body_bytes: 1 << 20,
-            head_timeout: Duration::from_secs(3),
-            idle_timeout: Duration::from_secs(15),
-        };
-        Ok(RawTraffic { version: 1, routes: vec![route], services: vec![service], limits })
-    }
-}
-
-/// A control process that holds one configuration.
-struct FixedSource;
-
-impl TrafficSource for FixedSource {
-    fn newer(&self, index: u64, _version: Option<u64>) -> Option<TrafficSnapshot> {
-        (index < 1).then(|| TrafficSnapshot {
-            index: 1,
-            version: Some(1),
-            text: Some(Bytes::from_static(b"1")),
-            evacuated: BTreeSet::new(),
-        })
-    }
-
-    fn changed<'a>(&'a self, index: u64) -> LocalFuture<'a, ()> {
-        Box::pin(async move {
-            if index >= 1 {
-                std::future::pending().await
-            }
-        })
-    }
-
-    fn confirmed_ago(&self) -> Option<Duration> {
-        Some(Duration::ZERO)
-    }
-
-    fn controls(&self) -> Vec<SocketAddr> {
-        vec![address(1)]
-    }
-}
-
 pub(crate) fn address(host: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, host], 8_080))
 }
@@ -456,12 +186,7 @@
         fleet.start();
         fleet.set_phase(GatewayPhase::Ready);
         let dispatcher = new_dispatcher(&context, vm, place, own, others);
-        let backends = Rc::new(ScriptedBackends {
-            context: context.clone(),
-            deeds: RefCell::default(),
-            arrivals: RefCell::default(),
-            cancelled: Rc::default(),
-        });
+        let backends = ScriptedBackends::new(&context);
         let notices: Rc<RecordedNotices> = Rc::default();
         let proxy = Proxy::new(ProxyParts {
             context,
