Keep a control process up on a full disk, and let it take part again by itself

Symptom: a control process on a full disk ended, was started again and ended again, five times in six seconds. Cause: every failed write stopped the member for good, also one that damages nothing. A start that has to mend a torn end waits for space. Drafts that a full disk refused are removed.

--- a/crates/control/src/consensus/core.rs
+++ b/crates/control/src/consensus/core.rs
@@ -5,6 +5,7 @@
         error::ControlError,
         joining::JoinTable,
         message::{Envelope, MemberStatus},
+        space::open_with_space,
         state::NodeState,
         tail::LogTail,
     },
@@ -15,7 +16,7 @@
         distribution::ReportTable,
         entry::{Ballot, MemberId, Term},
         groups::GroupOutcome,
-        log::{FolderIdentity, LogRecord, LogStore, RecoveredLog},
+        log::{LogRecord, LogStore, RecoveredLog},
         signal::WakeSignal,
         state::ConfigState,
         traffic::{TrafficEffect, TrafficOutcome},
@@ -29,9 +30,9 @@
     std::{cell::RefCell, future::Future, net::SocketAddr, rc::Rc, task::Poll, time::Duration},
 };
 
-/// Marks that durable state could not be written; the member has stopped.
+/// Marks that durable state could not be written: the member has stopped, or its disk is full.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct HasStopped;
+pub(crate) struct NotWritten;
 
 /// One member of the log.
 pub(crate) struct ControlCore {
@@ -66,11 +67,7 @@
         folder: Rc<dyn DataFolder>,
         events: Rc<dyn EventSink>,
     ) -> Result<Rc<Self>, ControlError> {
-        let is_first_start = config.seed_settings().is_some_and(|s| s.is_first_start);
-        let (cluster, vm, random) = (&config.cluster, &config.vm, &*context.random);
-        let identity = FolderIdentity::open(&*folder, cluster, vm, random, is_first_start).await?;
-        let (store, log) =
-            LogStore::open(Rc::clone(&folder), &identity, config.trusts_disk).await?;
+        let (identity, store, log) = open_with_space(&config, &context, &folder, &*events).await?;
         let now = context.clock.now();
         let state = restore(now, log)?;
         Ok(Rc::new(Self {
@@ -98,6 +95,7 @@
             Formation::Seeded(_) => self.spawn(Rc::clone(self).run_seeding()),
         }
         self.spawn(Rc::clone(self).ask_witnesses());
+        self.spawn(Rc::clone(self).run_space_watch());
         self.spawn(Rc::clone(self).run_elections());
     }
 
@@ -145,22 +143,26 @@
         timeout(&*self.context.clock, limit, self.until(check)).await
     }
 
-    /// Makes records durable; the caller holds the store. After a failure the member has stopped.
+    /// Makes records durable; the caller holds the store. After a failure the member has stopped,
+    /// or writes nothing until its disk has space again.
     pub(crate) async fn write(
         &self,
         store: &mut LogStore,
         records: &[LogRecord],
-    ) -> Result<(), HasStopped> {
-        if self.state.borrow().stopped.is_some() {
-            return Err(HasStopped);
+    ) -> Result<(), NotWritten> {
+        if !self.state.borrow().can_write() {
+            return Err(NotWritten);
         }
-        store.append(records).await.map_err(|error| self.stop(error.into()))
+        store.append(records).await.map_err(|error| match error.is_disk_full() {
+            true => self.pause_writes(&error),
+            false => self.stop(error.into()),
+        })
     }
 
     /// Stops the member: it leads, votes and acknowledges no more. A failed write or sync leaves
     /// it unknown what is on the disk, and a second sync may report success for pages that the
     /// first one dropped, so only a restart, which reads the disk again, helps.
-    pub(crate) fn stop(&self, error: ControlError) -> HasStopped {
+    pub(crate) fn stop(&self, error: ControlError) -> NotWritten {
         let event = EventDraft::new("control.stopped").level(Level::Error);
         self.events.emit(event.error("reason", &error));
         let mut state = self.state.borrow_mut();
@@ -168,7 +170,7 @@
         state.stopped.get_or_insert(error);
         drop(state);
         self.signal.notify();
-        HasStopped
+        NotWritten
     }
 
     /// Joins a later term, if `term` is one.
@@ -201,7 +203,7 @@
         }
         let state = self.state.borrow();
         if state.stopped.is_some() {
-            return Err(super::voting::stopped(HasStopped));
+            return Err(super::voting::not_written(NotWritten));
         }
         match state.membership() {
             Some(membership) if membership.cluster != envelope.cluster => {
--- a/crates/control/src/consensus/election.rs
+++ b/crates/control/src/consensus/election.rs
@@ -55,10 +55,8 @@
         let wait = self.config.election_least + random;
         let asked = self.now();
         loop {
-            self.until(|s| {
-                (!s.is_leader() && s.stopped.is_none() && self.is_electable(s)).then_some(())
-            })
-            .await;
+            self.until(|s| (!s.is_leader() && s.can_write() && self.is_electable(s)).then_some(()))
+                .await;
             if self.is_alone() {
                 return;
             }
@@ -164,7 +162,7 @@
     fn lead(self: &Rc<Self>, term: Term) {
         {
             let mut state = self.state.borrow_mut();
-            if state.ballot.term != term || state.stopped.is_some() {
+            if state.ballot.term != term || !state.can_write() {
                 return;
             }
             state.begin_leadership(term, self.me, self.now());
--- a/crates/control/src/consensus/follower.rs
+++ b/crates/control/src/consensus/follower.rs
@@ -6,7 +6,7 @@
         error::ControlError,
         message::{AppendReply, AppendRequest, AppendResult},
         state::NodeState,
-        voting::stopped,
+        voting::not_written,
     },
     crate::{
         entry::{Ballot, LogEntry, LogIndex},
@@ -68,7 +68,7 @@
         };
         self.check_conflict(entries)?;
         if !records.is_empty() {
-            self.write(store, &records).await.map_err(stopped)?;
+            self.write(store, &records).await.map_err(not_written)?;
         }
         if let Some(ballot) = ballot {
             self.state.borrow_mut().set_ballot(ballot);
@@ -84,7 +84,7 @@
         let commit = self.state.borrow().commit;
         match entries.first() {
             Some(first) if first.index <= commit => {
-                Err(stopped(self.stop(ControlError::Diverged { index: first.index })))
+                Err(not_written(self.stop(ControlError::Diverged { index: first.index })))
             }
             _ => Ok(()),
         }
@@ -107,7 +107,7 @@
         if !has_caught_up {
             return Ok(());
         }
-        self.write(store, &[LogRecord::Doubt(false)]).await.map_err(stopped)?;
+        self.write(store, &[LogRecord::Doubt(false)]).await.map_err(not_written)?;
         self.state.borrow_mut().is_doubtful = false;
         Ok(())
     }
--- a/crates/control/src/consensus/joining.rs
+++ b/crates/control/src/consensus/joining.rs
@@ -69,7 +69,7 @@
         let state = self.state.borrow();
         let is_member = state.membership().is_some_and(|m| m.member(self.me).is_some());
         let is_silent = self.now().since(state.heard) > LEADER_SILENCE;
-        state.stopped.is_none() && !state.is_leader() && (!is_member || is_silent)
+        state.can_write() && !state.is_leader() && (!is_member || is_silent)
     }
 
     /// Asks all processes it knows, and the leader that they name.
--- a/crates/control/src/consensus/mod.rs
+++ b/crates/control/src/consensus/mod.rs
@@ -24,6 +24,7 @@
 mod replicator;
 mod seeding;
 mod snapshot;
+mod space;
 mod state;
 mod tail;
 mod voting;
--- a/crates/control/src/consensus/snapshot.rs
+++ b/crates/control/src/consensus/snapshot.rs
@@ -5,14 +5,15 @@
         core::{ControlCore, restore},
         error::ControlError,
         message::{SNAPSHOT, SnapshotReply, SnapshotRequest},
-        voting::stopped,
+        space::SPACE_INTERVAL,
+        voting::not_written,
     },
     crate::{
         entry::{LogIndex, Member, Term},
-        log::{RecoveredLog, SnapshotImage, save_snapshot},
+        log::{LogError, RecoveredLog, SnapshotImage, save_snapshot},
     },
     bytes::Bytes,
-    gullglade_event::EventDraft,
+    gullglade_event::{EventDraft, Level},
     gullglade_peer::PeerFault,
     gullglade_units::{decode, encode},
     std::rc::Rc,
@@ -43,12 +44,21 @@
     async fn compact(self: Rc<Self>) {
         let Some(_guard) = self.snapshots.try_lock() else { return };
         let Some(snapshot) = self.take_snapshot() else { return };
-        if let Err(error) = self.compact_to(&snapshot).await {
-            self.stop(error);
+        match self.compact_to(&snapshot).await {
+            Ok(()) => {}
+            Err(error) if error.is_disk_full() => {
+                // The log is whole without the snapshot, and the next compaction tries again.
+                let event = EventDraft::new("control.log.uncompacted").level(Level::Warn);
+                self.events.emit(event.error("reason", &error));
+                self.sleep(SPACE_INTERVAL).await;
+            }
+            Err(error) => {
+                self.stop(error.into());
+            }
         }
     }
 
-    async fn compact_to(&self, snapshot: &SnapshotImage) -> Result<(), ControlError> {
+    async fn compact_to(&self, snapshot: &SnapshotImage) -> Result<(), LogError> {
         save_snapshot(&*self.folder, snapshot).await?;
         let mut store = self.store.lock().await;
         let log = self.log_behind(snapshot.index);
@@ -68,7 +78,7 @@
     }
 
     /// What a segment behind a snapshot at `index` holds.
-    fn log_behind(&self, index: LogIndex) -> RecoveredLog {
+    pub(super) fn log_behind(&self, index: LogIndex) -> RecoveredLog {
         let state = self.state.borrow();
         RecoveredLog {
             ballot: state.ballot,
@@ -163,7 +173,7 @@
             return Ok(());
         }
         let saved = save_snapshot(&*self.folder, &snapshot).await;
-        saved.map_err(|e| stopped(self.stop(e.into())))?;
+        saved.map_err(|e| self.unsaved(e))?;
         let mut store = self.store.lock().await;
         let has_moved_on = {
             let state = self.state.borrow();
@@ -177,9 +187,17 @@
             log.entries.clear();
         }
         let started = store.start_behind(Some(snapshot.index), &log).await;
-        started.map_err(|e| stopped(self.stop(e.into())))?;
+        started.map_err(|e| self.unsaved(e))?;
         log.snapshot = Some(snapshot);
-        self.put_in_place(log).map_err(|e| stopped(self.stop(e)))
+        self.put_in_place(log).map_err(|e| not_written(self.stop(e)))
+    }
+
+    /// A snapshot that did not fit on the disk is sent again; any other failure stops the member.
+    fn unsaved(&self, error: LogError) -> PeerFault {
+        not_written(match error.is_disk_full() {
+            true => self.pause_writes(&error),
+            false => self.stop(error.into()),
+        })
     }
 
     fn put_in_place(&self, log: RecoveredLog) -> Result<(), ControlError> {
--- a/crates/control/src/consensus/state.rs
+++ b/crates/control/src/consensus/state.rs
@@ -84,6 +84,8 @@
     /// What members have acknowledged to this process as their leader, since it started.
     pub(crate) witnessed: BTreeMap<MemberId, LogPosition>,
     pub(crate) stopped: Option<ControlError>,
+    /// Whether the disk refused a write for lack of space and has taken none since.
+    pub(crate) is_disk_full: bool,
     waiters: BTreeMap<LogIndex, Waiter>,
 }
 
@@ -111,6 +113,7 @@
             pending: VecDeque::new(),
             witnessed: BTreeMap::new(),
             stopped: None,
+            is_disk_full: false,
             waiters: BTreeMap::new(),
         }
     }
@@ -124,6 +127,11 @@
         LogPosition { term: self.tail.last_term(), index: self.tail.last() }
     }
 
+    /// Whether this member may make anything durable now.
+    pub(crate) fn can_write(&self) -> bool {
+        self.stopped.is_none() && !self.is_disk_full
+    }
+
     pub(crate) fn is_leader(&self) -> bool {
         matches!(self.role, Role::Leader(_))
     }
--- a/crates/control/src/consensus/voting.rs
+++ b/crates/control/src/consensus/voting.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        core::ControlCore,
+        core::{ControlCore, NotWritten},
         message::{VoteReply, VoteRequest},
         state::NodeState,
     },
@@ -14,6 +14,10 @@
     /// Answers a request for a vote, or a poll that asks what the answer would be.
     pub(super) async fn handle_vote(&self, request: VoteRequest) -> Result<VoteReply, PeerFault> {
         self.check_envelope(&request.envelope)?;
+        // A vote that cannot be written is not given, so it must not be promised to a poll either.
+        if !self.state.borrow().can_write() {
+            return Err(not_written(NotWritten));
+        }
         let mut store = self.store.lock().await;
         let ballot = self.state.borrow().ballot;
         let is_granted = self.would_grant(&request) && !self.goes_first(&request);
@@ -28,7 +32,7 @@
             };
             let cast = Ballot { term: request.term, vote };
             if cast != ballot {
-                self.write(&mut store, &[LogRecord::Ballot(cast)]).await.map_err(stopped)?;
+                self.write(&mut store, &[LogRecord::Ballot(cast)]).await.map_err(not_written)?;
                 self.state.borrow_mut().set_ballot(cast);
             }
             if is_granted {
@@ -83,6 +87,8 @@
     ballot.vote.filter(|_| ballot.term == request.term)
 }
 
-pub(super) fn stopped(_: super::core::HasStopped) -> PeerFault {
-    PeerFault::unavailable("this control process has stopped; see its log for the remedy")
+pub(super) fn not_written(_: NotWritten) -> PeerFault {
+    PeerFault::unavailable(
+        "this control process has stopped, or its disk is full; see its log for the remedy",
+    )
 }
--- a/crates/control/src/consensus/witness.rs
+++ b/crates/control/src/consensus/witness.rs
@@ -54,8 +54,10 @@
         let remedy = "the disk lost synced writes: replace it, and this voter with `gladectl \
                       control replace`";
         self.events.emit(event.field("remedy", remedy));
-        if self.write(&mut store, &[LogRecord::Doubt(true)]).await.is_ok() {
-            self.state.borrow_mut().is_doubtful = true;
+        // In memory also where the disk is full: what is written once it has space says so too.
+        self.state.borrow_mut().is_doubtful = true;
+        if self.write(&mut store, &[LogRecord::Doubt(true)]).await.is_err() {
+            self.events.emit(EventDraft::new("control.doubt.unwritten").level(Level::Warn));
         }
     }
 }
--- a/crates/control/src/disk/mod.rs
+++ b/crates/control/src/disk/mod.rs
@@ -25,8 +25,8 @@
 pub enum DiskError {
     /// No space is left.
     #[snafu(display(
-        "the disk of the data folder is full while writing {name}; free space on it, then \
-         restart this process: nothing accepted is lost"
+        "the disk of the data folder is full while writing {name}; free space on it: this process \
+         takes part again by itself, and nothing accepted is lost"
     ))]
     Full {
         /// The file.
@@ -132,13 +132,26 @@
 ) -> Result<(), DiskError> {
     let draft = format!("{name}{DRAFT_SUFFIX}");
     folder.remove(&draft).await?;
-    for chunk in chunks {
-        folder.append(&draft, chunk).await?;
+    let written = write_draft(folder, &draft, chunks).await;
+    if matches!(written, Err(DiskError::Full { .. })) {
+        // What a full disk took of it would keep the space from what is smaller.
+        folder.remove(&draft).await?;
     }
-    folder.sync(&draft).await?;
+    written?;
     folder.rename(&draft, name).await?;
     folder.sync_folder().await
 }
 
+async fn write_draft(
+    folder: &dyn DataFolder,
+    draft: &str,
+    chunks: Vec<Vec<u8>>,
+) -> Result<(), DiskError> {
+    for chunk in chunks {
+        folder.append(draft, chunk).await?;
+    }
+    folder.sync(draft).await
+}
+
 /// Ends the names of files that are being written; what a crash leaves of them means nothing.
 pub(crate) const DRAFT_SUFFIX: &str = ".draft";
--- a/crates/control/src/log/error.rs
+++ b/crates/control/src/log/error.rs
@@ -58,3 +58,10 @@
         reason: String,
     },
 }
+
+impl LogError {
+    /// Whether the disk refused it for lack of space: nothing is damaged, and it can be tried again.
+    pub(crate) fn is_disk_full(&self) -> bool {
+        matches!(self, Self::Disk { source: DiskError::Full { .. } })
+    }
+}
--- a/crates/control/src/log/store.rs
+++ b/crates/control/src/log/store.rs
@@ -98,7 +98,8 @@
     }
 
     /// Makes records durable: returns once they are synced. After an error the segment may end in
-    /// a torn frame, so the member must stop; its next start mends the segment.
+    /// a torn frame, and nothing may be appended behind it: the next start mends the segment, or
+    /// [`start_behind`](Self::start_behind) replaces it.
     pub async fn append(&mut self, records: &[LogRecord]) -> Result<(), LogError> {
         let bytes = frame(&encode(&records));
         let name = segment_name(self.sequence);
@@ -127,15 +128,17 @@
         snapshot: Option<LogIndex>,
         log: &RecoveredLog,
     ) -> Result<(), LogError> {
-        self.sequence += 1;
         self.start_segment(log).await?;
         self.remove_older(snapshot).await
     }
 
+    /// The old segment stays the one in use until the new one is durable.
     async fn start_segment(&mut self, log: &RecoveredLog) -> Result<(), LogError> {
+        let next = self.sequence + 1;
         let chunks = segment_frames(self.member, log);
-        self.segment_bytes = chunks.iter().map(|c| c.len() as u64).sum();
-        write_whole(&*self.folder, &segment_name(self.sequence), chunks).await?;
+        let segment_bytes = chunks.iter().map(|c| c.len() as u64).sum();
+        write_whole(&*self.folder, &segment_name(next), chunks).await?;
+        (self.sequence, self.segment_bytes) = (next, segment_bytes);
         Ok(())
     }
 
