--- a/crates/dispatch/benches/queue.rs
+++ b/crates/dispatch/benches/queue.rs
@@ -8,6 +8,7 @@
 use {
     criterion::{BatchSize, Criterion, criterion_group, criterion_main},
     gullglade_dispatch::{PlacementHint, Scheduler, WorkOutcome},
+    gullglade_units::Incarnation,
     support::{at, backend, item, prompt, route, scheduler},
 };
 
@@ -39,6 +40,7 @@
     let mut scheduler = scheduler(0, gateways, engines, 0.0);
     let hint = |index| PlacementHint {
         backend: backend(index),
+        incarnation: Incarnation(0),
         tokens: Some(60_000),
         priority: 0,
         parts: Vec::new(),
--- a/crates/dispatch/src/facts.rs
+++ b/crates/dispatch/src/facts.rs
@@ -1,7 +1,9 @@
 //! What a scheduler is told of the deployment around it.
 
 use {
-    gullglade_units::{BackendName, FailureDomain, MonotonicTime, RegionName, ServiceName, VmName},
+    gullglade_units::{
+        BackendName, FailureDomain, Incarnation, MonotonicTime, RegionName, ServiceName, VmName,
+    },
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -27,8 +29,10 @@
 /// A backend server of the own region.
 #[derive(Clone, Debug, PartialEq)]
 pub struct BackendFacts {
-    /// The name of its run.
+    /// Its name.
     pub name: BackendName,
+    /// Which run of that name it is. What was learned of an earlier run says nothing of it.
+    pub incarnation: Incarnation,
     /// Its service.
     pub service: ServiceName,
     /// Where it takes requests.
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -23,7 +23,9 @@
         TicketId, Verdict, WorkCost, WorkItem, WorkOutcome, regions::RegionBook,
     },
     gullglade_traffic::ServicePool,
-    gullglade_units::{BackendName, FailureDomain, MonotonicTime, RegionName, ServiceName, VmName},
+    gullglade_units::{
+        BackendName, FailureDomain, Incarnation, MonotonicTime, RegionName, ServiceName, VmName,
+    },
     look::ServiceLook,
     placing::strain_ms,
     std::{
@@ -62,9 +64,9 @@
     /// Sends that other gateways of the region have not yet been told of.
     hints: Vec<PlacementHint>,
     /// Runs of backend servers that are over, whatever is still announced of them.
-    ended: BTreeSet<BackendName>,
+    ended: BTreeSet<(BackendName, Incarnation)>,
     /// Where the requests run that were sent.
-    sent: HashMap<TicketId, BackendName>,
+    sent: HashMap<TicketId, (BackendName, Incarnation)>,
     next_ticket: u64,
     wake: Option<MonotonicTime>,
 }
@@ -108,11 +110,13 @@
     pub fn set_backends(&mut self, facts: impl IntoIterator<Item = BackendFacts>) {
         let mut old = std::mem::take(&mut self.backends);
         let (ended, facts): (Vec<_>, Vec<_>) =
-            facts.into_iter().partition(|f| self.ended.contains(&f.name));
+            facts.into_iter().partition(|f| self.ended.contains(&(f.name.clone(), f.incarnation)));
         // What is announced no more need not be remembered.
-        self.ended = ended.into_iter().map(|f| f.name).collect();
+        self.ended = ended.into_iter().map(|f| (f.name, f.incarnation)).collect();
         for facts in facts {
-            let known = old.remove(&facts.name);
+            // Another run holds nothing of the one before, and is to be blamed for nothing of it.
+            let known =
+                old.remove(&facts.name).filter(|b| b.facts.incarnation == facts.incarnation);
             let backend = match known {
                 Some(backend) => Backend { facts, ..backend },
                 None => Backend {
@@ -239,31 +243,38 @@
 
     /// Notes the first byte of an answer.
     pub fn begin(&mut self, ticket: TicketId, now: MonotonicTime) {
-        if let Some(name) = self.sent.get(&ticket)
-            && let Some(backend) = self.backends.get_mut(name)
-        {
+        if let Some(backend) = self.sent_to(ticket) {
             backend.load.begin(ticket, now);
         }
     }
 
-    /// Notes the load that a backend server stated.
-    pub fn report(&mut self, name: &BackendName, report: BackendReport, now: MonotonicTime) {
-        if let Some(backend) = self.backends.get_mut(name) {
+    /// Notes the load that a backend server stated with its answer to a request.
+    pub fn report(&mut self, ticket: TicketId, report: BackendReport, now: MonotonicTime) {
+        if let Some(backend) = self.sent_to(ticket) {
             backend.load.note_report(report, now);
         }
     }
 
+    /// The run that a request was sent to, while it is the one that is known.
+    fn sent_to(&mut self, ticket: TicketId) -> Option<&mut Backend> {
+        let (name, incarnation) = self.sent.get(&ticket)?;
+        self.backends.get_mut(name).filter(|b| b.facts.incarnation == *incarnation)
+    }
+
     /// Notes how a send ended.
     pub fn end(&mut self, ticket: TicketId, outcome: WorkOutcome, now: MonotonicTime) {
-        let Some(name) = self.sent.remove(&ticket) else { return };
-        let Some(backend) = self.backends.get_mut(&name) else { return };
+        let Some(backend) = self.sent_to(ticket) else {
+            self.sent.remove(&ticket);
+            return;
+        };
+        let run = (backend.facts.name.clone(), backend.facts.incarnation);
         backend.load.end(ticket);
         backend.health.note(outcome, now);
         match outcome {
             WorkOutcome::Misdirected => {
                 // The run that was meant is over, whatever its last announcement said.
-                self.backends.remove(&name);
-                self.ended.insert(name);
+                self.backends.remove(&run.0);
+                self.ended.insert(run);
             }
             WorkOutcome::Shed => {
                 let slots = backend.facts.slots;
@@ -272,6 +283,7 @@
             }
             _ => {}
         }
+        self.sent.remove(&ticket);
     }
 
     /// Takes one repeat out of the budget of `service`, where there is one left.
@@ -317,9 +329,9 @@
         self.regions.delay_ms(region)
     }
 
-    /// Whether a backend server has shown lately that it works.
-    pub fn is_at_work(&self, name: &BackendName, now: MonotonicTime) -> bool {
-        self.backends.get(name).is_some_and(|b| b.load.is_at_work(now))
+    /// Whether the backend server that a request was sent to has shown lately that it works.
+    pub fn is_at_work(&mut self, ticket: TicketId, now: MonotonicTime) -> bool {
+        self.sent_to(ticket).is_some_and(|b| b.load.is_at_work(now))
     }
 
     /// Takes the sends of this gateway since the last call, to be told to the region's others.
@@ -330,7 +342,9 @@
     /// Notes sends of another gateway of the region.
     pub fn note_hints(&mut self, hints: &[PlacementHint], now: MonotonicTime) {
         for hint in hints {
-            let Some(backend) = self.backends.get_mut(&hint.backend) else { continue };
+            let known = self.backends.get_mut(&hint.backend);
+            let known = known.filter(|b| b.facts.incarnation == hint.incarnation);
+            let Some(backend) = known else { continue };
             let cost = WorkCost { tokens: hint.tokens, slots: backend.facts.slots };
             backend.load.note_other(cost, hint.priority, now);
             let engine = self.services.get(&backend.facts.service).and_then(|s| s.engine);
@@ -358,6 +372,7 @@
         let parts = parts.unwrap_or_default().to_vec();
         self.hints.push(PlacementHint {
             backend: name.clone(),
+            incarnation: backend.facts.incarnation,
             tokens: cost.tokens,
             priority,
             parts,
@@ -369,7 +384,7 @@
         if let (Some(prompt), Some(engine)) = (&waiting.item.prompt, engine) {
             backend.cache.note(&prompt.parts, engine.memory_tokens, now);
         }
-        self.sent.insert(waiting.ticket, name.clone());
+        self.sent.insert(waiting.ticket, (name.clone(), backend.facts.incarnation));
     }
 
     /// The backend servers of a service that may be given work.
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -3,7 +3,7 @@
 use {
     gullglade_event::FieldValue,
     gullglade_traffic::TrafficRoute,
-    gullglade_units::{BackendName, MonotonicTime, ServiceName},
+    gullglade_units::{BackendName, Incarnation, MonotonicTime, ServiceName},
     serde::{Deserialize, Serialize},
     std::{fmt, rc::Rc, time::Duration},
 };
@@ -67,6 +67,8 @@
 pub struct PlacementHint {
     /// Where it was sent.
     pub backend: BackendName,
+    /// To which run there.
+    pub incarnation: Incarnation,
     /// The prompt tokens to be read there; `None` for a request without a prompt.
     pub tokens: Option<u32>,
     /// Its priority.
--- a/crates/dispatch/tests/plain.rs
+++ b/crates/dispatch/tests/plain.rs
@@ -13,7 +13,7 @@
         collections::{BTreeSet, HashMap, VecDeque},
         rc::Rc,
     },
-    support::{at, backend, facts, item, pool, route, scheduler},
+    support::{at, facts, item, pool, route, scheduler},
 };
 
 const SLOTS: u32 = 6;
@@ -128,10 +128,10 @@
                 is_due[gateway] = true;
                 result.asked += 1;
             }
-            for (index, server) in servers.iter_mut().enumerate() {
+            for server in &mut servers {
                 for Place { gateway, ticket } in server.advance(ms) {
                     let scheduler = &mut schedulers[gateway];
-                    scheduler.report(&backend(index), server.report(), now);
+                    scheduler.report(ticket, server.report(), now);
                     scheduler.begin(ticket, now);
                     scheduler.end(ticket, WorkOutcome::Answered, now);
                     result.took.push(ms - asked[&(gateway, ticket)].0);
--- a/crates/dispatch/tests/rules.rs
+++ b/crates/dispatch/tests/rules.rs
@@ -4,11 +4,11 @@
 
 use {
     gullglade_dispatch::{
-        FirstByteTimes, PlacementHint, RefusalReason, RegionFacts, RepeatBudget, Scheduler,
-        TicketId, Verdict, WorkOutcome,
+        BackendFacts, FirstByteTimes, PlacementHint, RefusalReason, RegionFacts, RepeatBudget,
+        Scheduler, TicketId, Verdict, WorkOutcome,
     },
     gullglade_traffic::{RequestKind, TrafficRoute},
-    gullglade_units::{MonotonicTime, RandomSource, SeededRandom},
+    gullglade_units::{Incarnation, MonotonicTime, RandomSource, SeededRandom},
     std::{collections::BTreeSet, rc::Rc, time::Duration},
     support::{at, backend, facts, gateway, item, pool, prompt, region, route, scheduler, service},
 };
@@ -289,6 +289,7 @@
         // The other one has 200 ms of reading ahead.
         let busy = PlacementHint {
             backend: backend(1),
+            incarnation: Incarnation(0),
             tokens: Some(12_000),
             priority: 0,
             parts: Vec::new(),
@@ -303,3 +304,62 @@
         assert_eq!(sent_to(&verdict), Some(expected), "{name}");
     }
 }
+
+#[test]
+fn a_run_that_starts_again_under_its_name_is_judged_anew() {
+    // Symptom: an engine that crashed and started again under its name gets no work, or too much.
+    // Sequence: work is sent to it and breaks; it is announced with a later incarnation; words on
+    // the earlier run still come. Cause: load, suspicion and held parts went by name alone.
+    struct Case {
+        what: &'static str,
+        /// How the send to the earlier run ends, before or after the later one is announced.
+        outcome: WorkOutcome,
+        is_before: bool,
+        /// Reading that another gateway tells of as sent to the earlier run, tokens.
+        late_hint: u32,
+    }
+    let cases = [
+        Case { what: "suspicion", outcome: WorkOutcome::Broken, is_before: true, late_hint: 0 },
+        Case { what: "late failure", outcome: WorkOutcome::Broken, is_before: false, late_hint: 0 },
+        Case {
+            what: "late word that another run answers there",
+            outcome: WorkOutcome::Misdirected,
+            is_before: false,
+            late_hint: 0,
+        },
+        Case {
+            what: "late hint",
+            outcome: WorkOutcome::Answered,
+            is_before: false,
+            late_hint: 600_000,
+        },
+    ];
+    for case in cases {
+        let mut scheduler = scheduler(0, 1, 1, 0.0);
+        let (ticket, verdict) = place(&mut scheduler, at(0));
+        assert_eq!(sent_to(&verdict), Some("i-0"), "{}", case.what);
+        if case.is_before {
+            scheduler.end(ticket, case.outcome, at(10));
+        }
+        let later = Incarnation(20);
+        scheduler.set_backends([BackendFacts { incarnation: later, ..facts(0) }]);
+        if !case.is_before {
+            scheduler.end(ticket, case.outcome, at(20));
+        }
+        let hint = PlacementHint {
+            backend: backend(0),
+            incarnation: Incarnation(0),
+            tokens: Some(case.late_hint),
+            priority: 0,
+            parts: prompt(1, 5_000, 1_000, 0).shared_parts().to_vec(),
+        };
+        scheduler.note_hints(&[hint], at(25));
+        let (_, verdict) = place(&mut scheduler, at(30));
+        let Some(Verdict::Send { expected_ms, .. }) = verdict else {
+            panic!("{}: {verdict:?}", case.what)
+        };
+        // All 6,000 tokens at the first guess of 60 a millisecond: it holds nothing yet, and
+        // nothing is ahead.
+        assert!((99.0..101.0).contains(&expected_ms), "{}: {expected_ms}", case.what);
+    }
+}
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -10,8 +10,8 @@
     },
     gullglade_traffic::{ColdRules, EngineProfile, RequestKind, ServicePool, TrafficRoute},
     gullglade_units::{
-        BackendName, FailureDomain, MonotonicTime, RandomSource, RegionName, SeededRandom,
-        ServiceName, VmName,
+        BackendName, FailureDomain, Incarnation, MonotonicTime, RandomSource, RegionName,
+        SeededRandom, ServiceName, VmName,
     },
     std::{
         collections::{BTreeSet, HashMap},
@@ -65,6 +65,7 @@
 pub(crate) fn facts(index: usize) -> BackendFacts {
     BackendFacts {
         name: backend(index),
+        incarnation: Incarnation(0),
         service: service("pool"),
         address: SocketAddr::from(([10, 0, 1, index as u8], 8_080)),
         domain: FailureDomain::try_from("puget-a").expect("a name"),
--- a/crates/fleet/examples/sync_bytes.rs
+++ b/crates/fleet/examples/sync_bytes.rs
@@ -8,7 +8,7 @@
         ServiceOffer, ServingState, SyncReply, SyncRequest,
     },
     gullglade_units::{
-        BackendName, FailureDomain, NameError, RegionName, ServiceName, VmName, encode,
+        BackendName, FailureDomain, Incarnation, NameError, RegionName, ServiceName, VmName, encode,
     },
     std::{net::SocketAddr, time::Duration},
 };
@@ -48,6 +48,7 @@
         slots: 32,
         state: ServingState::Serving,
         cold_for: Duration::ZERO,
+        incarnation: Incarnation(1_764_720_000_000),
         sequence: 100_000,
     };
     let standing = BackendStanding { record, is_silent: false };
--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -2,10 +2,12 @@
 
 use {
     crate::{
-        BackendRecord, BackendStanding, GatewayPhase, GatewayPulse, GatewayStanding, RegionOffer,
-        ServiceOffer,
+        BackendRecord, BackendStanding, DepartedRun, GatewayPhase, GatewayPulse, GatewayStanding,
+        RegionOffer, ServiceOffer,
+    },
+    gullglade_units::{
+        BackendName, Incarnation, MonotonicTime, RegionName, ServiceName, VmName, WallMillis,
     },
-    gullglade_units::{BackendName, MonotonicTime, RegionName, ServiceName, VmName},
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
@@ -61,8 +63,9 @@
     changed: u64,
 }
 
-/// A goodbye. Final for the run that said it.
+/// A goodbye. Final for the run that said it and those before.
 struct Departure {
+    last: Incarnation,
     heard: MonotonicTime,
     changed: u64,
 }
@@ -113,13 +116,13 @@
         record: BackendRecord,
         now: MonotonicTime,
     ) -> Option<BackendStanding> {
-        if self.departed.contains_key(&record.name) {
+        if self.departed.get(&record.name).is_some_and(|d| record.incarnation <= d.last) {
             return None;
         }
         let cold_until = now + record.cold_for;
         let next = self.last + 1;
         if let Some(entry) = self.backends.get_mut(&record.name) {
-            if record.sequence <= entry.record.sequence {
+            if !record.is_after(&entry.record) {
                 return None;
             }
             let is_news = entry.is_news(&record, cold_until);
@@ -143,21 +146,26 @@
     }
 
     /// Takes note of a goodbye, also of a run that was never heard here: it said so once, to this
-    /// process. Returns whether it is news.
-    pub fn leave(&mut self, name: &BackendName, now: MonotonicTime) -> bool {
-        if self.departed.contains_key(name) {
+    /// process. A goodbye does not say which run it is of, so it is of every one that had started
+    /// by then, `wall`. Returns whether it is news.
+    pub fn leave(&mut self, name: &BackendName, wall: WallMillis, now: MonotonicTime) -> bool {
+        let known = self.backends.get(name).map(|entry| entry.record.incarnation);
+        let told = self.departed.get(name).map(|departure| departure.last);
+        if told.is_some() && known <= told {
             return false;
         }
         self.backends.remove(name);
         self.last += 1;
-        self.departed.insert(name.clone(), Departure { heard: now, changed: self.last });
+        // The clock of a backend server may be ahead of this one.
+        let last = Incarnation(wall.0).max(known.unwrap_or_default());
+        self.departed.insert(name.clone(), Departure { last, heard: now, changed: self.last });
         true
     }
 
     /// The runs whose goodbyes came after `cursor`.
-    pub fn departed_after(&self, cursor: u64) -> Vec<BackendName> {
+    pub fn departed_after(&self, cursor: u64) -> Vec<DepartedRun> {
         let changed = self.departed.iter().filter(|(_, d)| d.changed > cursor);
-        changed.map(|(name, _)| name.clone()).collect()
+        changed.map(|(name, d)| DepartedRun { name: name.clone(), last: d.last }).collect()
     }
 
     /// Takes note of a gateway's sign of life. Returns its standing where it changed.
@@ -294,6 +302,7 @@
         let known = &self.record;
         self.is_silent
             || is_cold_news
+            || known.incarnation != record.incarnation
             || known.state != record.state
             || known.address != record.address
             || known.service != record.service
--- a/crates/fleet/src/follower.rs
+++ b/crates/fleet/src/follower.rs
@@ -284,6 +284,7 @@
                     .field("service", &row.record.service)
                     .field("address", row.record.address)
                     .field("state", row.record.state)
+                    .field("incarnation", row.record.incarnation)
                     .field("sequence", row.record.sequence)
                     .millis("cold_ms", row.cold_until.since(now)),
             );
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,7 +25,8 @@
     entry::EntryGuide,
     follower::{FleetFollower, FollowerParts},
     member::{
-        BackendRecord, BackendStanding, GatewayPhase, GatewayProfile, GatewayStanding, ServingState,
+        BackendRecord, BackendStanding, DepartedRun, GatewayPhase, GatewayProfile, GatewayStanding,
+        ServingState,
     },
     message::{GatewayPulse, RegionOffer, ServiceOffer, SyncReply, SyncRequest, TrafficSnapshot},
     server::FleetServer,
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -2,7 +2,7 @@
 
 use {
     gullglade_event::FieldValue,
-    gullglade_units::{BackendName, FailureDomain, RegionName, ServiceName, VmName},
+    gullglade_units::{BackendName, FailureDomain, Incarnation, RegionName, ServiceName, VmName},
     serde::{Deserialize, Serialize},
     std::{fmt, net::SocketAddr, time::Duration},
 };
@@ -30,7 +30,7 @@
 /// What one run of a backend server says about itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendRecord {
-    /// The name of this run; another run has another one.
+    /// Its name. A run that starts again may have the name of the one before.
     pub name: BackendName,
     /// The service it belongs to.
     pub service: ServiceName,
@@ -46,10 +46,28 @@
     pub state: ServingState,
     /// How much longer it stays cold, from when the record was made or passed on.
     pub cold_for: Duration,
+    /// Which run of that name it is. A later run holds and knows nothing of those before.
+    pub incarnation: Incarnation,
     /// Grows with each announcement of this run, so that a late one is recognized.
     pub sequence: u64,
 }
 
+impl BackendRecord {
+    /// Whether this was said after `other`, of the same name: by a later run, or later by the same.
+    pub(crate) fn is_after(&self, other: &Self) -> bool {
+        (self.incarnation, self.sequence) > (other.incarnation, other.sequence)
+    }
+}
+
+/// A goodbye, with the runs of the name that it ends.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DepartedRun {
+    /// The name.
+    pub name: BackendName,
+    /// The latest run that is over, and all before it.
+    pub last: Incarnation,
+}
+
 /// A backend server as one control process knows it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendStanding {
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -1,9 +1,9 @@
 //! Messages between gateways and control processes, peer methods "fleet.*".
 
 use {
-    crate::{BackendStanding, GatewayPhase, GatewayProfile, GatewayStanding},
+    crate::{BackendStanding, DepartedRun, GatewayPhase, GatewayProfile, GatewayStanding},
     bytes::Bytes,
-    gullglade_units::{BackendName, FailureDomain, RegionName, ServiceName},
+    gullglade_units::{FailureDomain, RegionName, ServiceName},
     serde::{Deserialize, Serialize},
     std::{collections::BTreeSet, net::SocketAddr, time::Duration},
 };
@@ -83,8 +83,8 @@
     pub cursor: u64,
     /// Backend servers that changed.
     pub backends: Vec<BackendStanding>,
-    /// Runs of backend servers that said goodbye. Final: a restarted one has another name.
-    pub departed: Vec<BackendName>,
+    /// Runs of backend servers that said goodbye. Final for them and all earlier ones.
+    pub departed: Vec<DepartedRun>,
     /// Gateways that changed.
     pub gateways: Vec<GatewayStanding>,
     /// What all regions offer, as their gateways said last.
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -72,7 +72,8 @@
 
     /// Takes note of a goodbye.
     pub fn leave(&self, name: &BackendName) {
-        let is_news = self.book.borrow_mut().leave(name, self.context.clock.now());
+        let clock = &self.context.clock;
+        let is_news = self.book.borrow_mut().leave(name, clock.wall(), clock.now());
         if is_news {
             self.events.emit(EventDraft::new("backend.left").field("backend", name));
             self.wake();
@@ -179,6 +180,7 @@
         .field("address", record.address)
         .field("domain", &record.domain)
         .field("state", record.state)
+        .field("incarnation", record.incarnation)
         .field("sequence", record.sequence)
         .millis("cold_ms", record.cold_for)
 }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -2,12 +2,12 @@
 
 use {
     crate::{
-        BackendRecord, BackendStanding, GatewayPhase, GatewayProfile, GatewayStanding, RegionOffer,
-        ServingState, SyncReply,
+        BackendRecord, BackendStanding, DepartedRun, GatewayPhase, GatewayProfile, GatewayStanding,
+        RegionOffer, ServingState, SyncReply,
     },
     bytes::Bytes,
     gullglade_traffic::{TrafficConfig, TrafficError, TrafficFormat},
-    gullglade_units::{BackendName, FailureDomain, MonotonicTime, RegionName, VmName},
+    gullglade_units::{BackendName, FailureDomain, Incarnation, MonotonicTime, RegionName, VmName},
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
@@ -130,7 +130,8 @@
     /// When the configuration in force was last known to be the newest.
     confirmed: Option<MonotonicTime>,
     backends: BTreeMap<BackendName, Believed<BackendRow>>,
-    departed: BTreeMap<BackendName, MonotonicTime>,
+    /// The latest run of each name that said goodbye, and when this gateway learned of it.
+    departed: BTreeMap<BackendName, (Incarnation, MonotonicTime)>,
     gateways: BTreeMap<VmName, Believed<GatewayRow>>,
     controls: BTreeSet<SocketAddr>,
     regions: Vec<RegionOffer>,
@@ -219,11 +220,8 @@
             self.forget_voice(control, now);
         }
         let mut change = ViewChange::default();
-        for name in reply.departed {
-            self.backends.remove(&name);
-            if self.departed.insert(name.clone(), now).is_none() {
-                change.departed.push(name);
-            }
+        for run in reply.departed {
+            self.merge_departure(run, now, &mut change);
         }
         for standing in reply.backends {
             self.merge_backend(control, standing, now, &mut change);
@@ -285,6 +283,18 @@
         Ok(true)
     }
 
+    fn merge_departure(&mut self, run: DepartedRun, now: MonotonicTime, change: &mut ViewChange) {
+        let DepartedRun { name, last } = run;
+        if self.backends.get(&name).is_some_and(|b| b.last.record.incarnation <= last) {
+            self.backends.remove(&name);
+        }
+        let told = self.departed.get(&name).map(|(told, _)| *told);
+        self.departed.insert(name.clone(), (last.max(told.unwrap_or_default()), now));
+        if told.is_none_or(|told| told < last) {
+            change.departed.push(name);
+        }
+    }
+
     fn merge_backend(
         &mut self,
         control: SocketAddr,
@@ -293,7 +303,7 @@
         change: &mut ViewChange,
     ) {
         let BackendStanding { record, is_silent } = standing;
-        if self.departed.contains_key(&record.name) {
+        if self.departed.get(&record.name).is_some_and(|(last, _)| record.incarnation <= *last) {
             return;
         }
         let name = record.name.clone();
@@ -310,6 +320,16 @@
             change.backends.push(name);
             return;
         };
+        // What a control process says of an earlier run is no word on the one that is known.
+        if row.record.incarnation < known.last.record.incarnation {
+            return;
+        }
+        if row.record.incarnation > known.last.record.incarnation {
+            *known = Believed::new(row, now);
+            known.note_voice(control, is_silent, now);
+            change.backends.push(name);
+            return;
+        }
         known.note_voice(control, is_silent, now);
         if row.record.sequence > known.last.record.sequence {
             let is_news = row.record.state != known.last.record.state
@@ -359,7 +379,7 @@
     }
 
     fn forget_old(&mut self, now: MonotonicTime) {
-        self.departed.retain(|_, at| now.since(*at) < MEMORY);
+        self.departed.retain(|_, (_, at)| now.since(*at) < MEMORY);
         self.backends.retain(|_, b| b.is_heard() || now.since(b.heard.max(b.learned)) < MEMORY);
         self.gateways.retain(|_, g| g.is_heard() || now.since(g.heard.max(g.learned)) < MEMORY);
     }
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -3,20 +3,26 @@
 use {
     bytes::Bytes,
     gullglade_fleet::{
-        BackendRecord, BackendStanding, FleetBook, FleetSettings, FleetView, GatewayPhase,
-        GatewayProfile, GatewayPulse, GatewayStanding, ServiceOffer, ServingState, SyncReply,
-        TrafficSnapshot,
+        BackendRecord, BackendStanding, DepartedRun, FleetBook, FleetSettings, FleetView,
+        GatewayPhase, GatewayProfile, GatewayPulse, GatewayStanding, ServiceOffer, ServingState,
+        SyncReply, TrafficSnapshot,
     },
     gullglade_traffic::{
         CallerLimits, ColdRules, RawRoute, RawService, RawTraffic, RequestKind, TrafficError,
         TrafficFormat,
     },
-    gullglade_units::{BackendName, FailureDomain, MonotonicTime, RegionName, ServiceName, VmName},
+    gullglade_units::{
+        BackendName, FailureDomain, Incarnation, MonotonicTime, RegionName, ServiceName, VmName,
+        WallMillis,
+    },
     std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration},
 };
 
 const INTERVAL: Duration = Duration::from_millis(1_200);
 
+/// The time of day of a goodbye.
+const WALL: WallMillis = WallMillis(50_000);
+
 fn at(millis: u64) -> MonotonicTime {
     MonotonicTime(Duration::from_millis(millis))
 }
@@ -39,6 +45,7 @@
         slots: 8,
         state,
         cold_for: Duration::ZERO,
+        incarnation: Incarnation(0),
         sequence,
     }
 }
@@ -112,6 +119,11 @@
     }
 }
 
+fn departed(name: &str, last: u64) -> DepartedRun {
+    let name = BackendName::try_from(name).expect("a name");
+    DepartedRun { name, last: Incarnation(last) }
+}
+
 fn told(record: BackendRecord, is_silent: bool) -> SyncReply {
     SyncReply { backends: vec![BackendStanding { record, is_silent }], ..reply() }
 }
@@ -156,7 +168,7 @@
             book.announce(record("i-1", *sequence, *state), at(10));
         }
         if case.has_left {
-            assert!(book.leave(&BackendName::try_from("i-1").expect("a name"), at(20)));
+            assert!(book.leave(&BackendName::try_from("i-1").expect("a name"), WALL, at(20)));
         }
         book.announce(record("i-1", case.late.0, case.late.1), at(30));
         let known = book.backends_after(0, at(40));
@@ -324,8 +336,7 @@
 #[test]
 fn a_departure_heard_anywhere_is_final() {
     let mut view = view();
-    let gone =
-        SyncReply { departed: vec![BackendName::try_from("i-1").expect("a name")], ..reply() };
+    let gone = SyncReply { departed: vec![departed("i-1", 0)], ..reply() };
     view.merge(address(1), true, gone, at(0)).expect("merged");
     let late = record("i-1", 9, ServingState::Serving);
     view.merge(address(2), true, told(late, false), at(10)).expect("merged");
@@ -349,3 +360,153 @@
     view.merge(address(2), false, standing(2, ready, false), at(2_100)).expect("merged");
     assert_eq!(view.ready_gateways(&region("puget"), at(2_100)).len(), 1);
 }
+
+/// What a backend server said, and who heard it.
+enum Word {
+    Announced { control: u8, incarnation: u64, sequence: u64, state: ServingState },
+    Departed { control: u8, last: u64 },
+    Silent { control: u8, incarnation: u64, sequence: u64 },
+}
+
+#[test]
+fn a_run_that_starts_again_under_its_name_replaces_the_one_before() {
+    // Symptom: a backend server that crashed and started again under its name is never used, or
+    // the earlier run's goodbye, silence or leaving is held against it. Sequence: as in each case.
+    // Cause: runs were told apart by name alone, and counts of the new one start anew.
+    struct Case {
+        what: &'static str,
+        words: Vec<Word>,
+        /// Incarnation, state and silence of what is known in the end.
+        expected: Option<(u64, ServingState, bool)>,
+    }
+    use Word::{Announced, Departed, Silent};
+    let (serving, leaving) = (ServingState::Serving, ServingState::Leaving);
+    let said =
+        |control, incarnation, sequence, state| Announced { control, incarnation, sequence, state };
+    let cases = [
+        Case {
+            what: "its counts start anew",
+            words: vec![said(1, 10, 90, serving), said(1, 20, 1, serving)],
+            expected: Some((20, serving, false)),
+        },
+        Case {
+            what: "a late word of the earlier run changes nothing",
+            words: vec![said(1, 20, 1, serving), said(2, 10, 90, leaving)],
+            expected: Some((20, serving, false)),
+        },
+        Case {
+            what: "the earlier run was leaving",
+            words: vec![said(1, 10, 5, leaving), said(1, 20, 1, serving)],
+            expected: Some((20, serving, false)),
+        },
+        Case {
+            what: "the earlier run said goodbye",
+            words: vec![
+                said(1, 10, 5, serving),
+                Departed { control: 1, last: 15 },
+                said(2, 20, 1, serving),
+            ],
+            expected: Some((20, serving, false)),
+        },
+        Case {
+            what: "its goodbye is told again, after the later run is known",
+            words: vec![said(2, 20, 1, serving), Departed { control: 1, last: 15 }],
+            expected: Some((20, serving, false)),
+        },
+        Case {
+            what: "a goodbye ends the run that it names",
+            words: vec![said(2, 20, 1, serving), Departed { control: 1, last: 25 }],
+            expected: None,
+        },
+        Case {
+            what: "a control process that only knows the earlier run calls it silent",
+            words: vec![
+                said(1, 10, 5, serving),
+                said(2, 20, 1, serving),
+                Silent { control: 1, incarnation: 10, sequence: 5 },
+            ],
+            expected: Some((20, serving, false)),
+        },
+    ];
+    for case in cases {
+        let mut view = view();
+        for (index, word) in case.words.into_iter().enumerate() {
+            let run = |incarnation, sequence, state| BackendRecord {
+                incarnation: Incarnation(incarnation),
+                ..record("i-1", sequence, state)
+            };
+            let (control, reply) = match word {
+                Announced { control, incarnation, sequence, state } => {
+                    (control, told(run(incarnation, sequence, state), false))
+                }
+                Departed { control, last } => {
+                    (control, SyncReply { departed: vec![departed("i-1", last)], ..reply() })
+                }
+                Silent { control, incarnation, sequence } => {
+                    (control, told(run(incarnation, sequence, serving), true))
+                }
+            };
+            view.merge(address(control), false, reply, at(index as u64)).expect("merged");
+        }
+        let row = view.backends(at(100)).next();
+        let found = row.map(|r| (r.record.incarnation.0, r.record.state, r.is_silent));
+        assert_eq!(found, case.expected, "{}", case.what);
+    }
+}
+
+#[test]
+fn a_control_process_tells_runs_of_one_name_apart() {
+    // Symptom and cause as above, in what one control process hears itself.
+    struct Case {
+        what: &'static str,
+        before: Option<u64>,
+        has_left: bool,
+        after: u64,
+        expected: Option<u64>,
+    }
+    let cases = [
+        Case { what: "later", before: Some(10), has_left: false, after: 20, expected: Some(20) },
+        Case { what: "earlier", before: Some(20), has_left: false, after: 10, expected: Some(20) },
+        Case { what: "gone", before: Some(10), has_left: true, after: 10, expected: None },
+        Case {
+            what: "started after the goodbye",
+            before: Some(10),
+            has_left: true,
+            after: WALL.0 + 1,
+            expected: Some(WALL.0 + 1),
+        },
+        Case {
+            what: "late word of a run that was heard elsewhere, after its goodbye here",
+            before: None,
+            has_left: true,
+            after: 10,
+            expected: None,
+        },
+        Case {
+            what: "its clock is ahead of this process's",
+            before: Some(WALL.0 + 900),
+            has_left: true,
+            after: WALL.0 + 900,
+            expected: None,
+        },
+    ];
+    let said = |incarnation, sequence| BackendRecord {
+        incarnation: Incarnation(incarnation),
+        ..record("i-1", sequence, ServingState::Serving)
+    };
+    for case in cases {
+        let mut book = FleetBook::new(FleetSettings::new(INTERVAL), at(0));
+        if let Some(incarnation) = case.before {
+            book.announce(said(incarnation, 40), at(10));
+        }
+        if case.has_left {
+            assert!(book.leave(&BackendName::try_from("i-1").expect("a name"), WALL, at(20)));
+        }
+        // Of one run the counts go on; another one begins anew.
+        let sequence = if case.before == Some(case.after) { 41 } else { 1 };
+        book.announce(said(case.after, sequence), at(30));
+        let known = book.backends_after(0, at(40));
+        let found = known.first().map(|standing| standing.record.incarnation.0);
+        assert_eq!(found, case.expected, "{}", case.what);
+    }
+}
--- a/crates/node/src/proxy_node.rs
+++ b/crates/node/src/proxy_node.rs
@@ -332,6 +332,7 @@
     BackendFacts {
         is_serving: record.state == ServingState::Serving,
         name: record.name,
+        incarnation: record.incarnation,
         service: record.service,
         address: record.address,
         domain: record.domain,
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        BackendDialect, BackendWord, CallerCall, Dispatcher, SendOrder,
+        BackendDialect, BackendWord, CallerCall, SendOrder,
         answer::{AnswerBody, AnswerSource, AttemptAnswer, BackendBody},
         dispatcher::SentTicket,
         outcome::{AttemptEnd, NotRunReason, UnknownReason},
@@ -28,7 +28,6 @@
 pub(crate) struct AttemptParts {
     pub(crate) client: Rc<dyn HttpClient>,
     pub(crate) dialect: Rc<dyn BackendDialect>,
-    pub(crate) dispatcher: Rc<Dispatcher>,
     pub(crate) clock: Rc<dyn Clock>,
 }
 
@@ -60,7 +59,7 @@
             }
         };
         let sending = pin!(self.client.send(attempt.address, request));
-        let Some(sent) = self.wait(attempt, sending).await else {
+        let Some(sent) = self.wait(attempt, &ticket, sending).await else {
             ticket.finish(WorkOutcome::Overdue { waited: attempt.patience });
             return AttemptEnd::Unknown(UnknownReason::Overdue);
         };
@@ -76,6 +75,7 @@
     async fn wait<T>(
         &self,
         attempt: &Attempt<'_>,
+        ticket: &SentTicket,
         mut sending: Pin<&mut (impl Future<Output = T> + ?Sized)>,
     ) -> Option<T> {
         loop {
@@ -83,8 +83,7 @@
             if step.is_some() {
                 return step;
             }
-            let is_at_work = self.dispatcher.ask(|s, now| s.is_at_work(attempt.backend, now));
-            if !is_at_work || attempt.patience >= attempt.left {
+            if !ticket.is_at_work() || attempt.patience >= attempt.left {
                 return None;
             }
         }
@@ -114,7 +113,7 @@
         let ClientReply { head, body } = reply;
         let word = self.dialect.incoming(head.status, &head.headers);
         if let Some(load) = word.load {
-            ticket.report(attempt.backend, load);
+            ticket.report(load);
         }
         if !self.is_for(attempt.call, &word, head.status) {
             ticket.finish(WorkOutcome::Garbled);
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -6,7 +6,7 @@
         BackendReport, RefusalFacts, RefusalReason, Scheduler, TicketId, Verdict, WorkItem,
         WorkOutcome,
     },
-    gullglade_units::{BackendName, MonotonicTime, ProcessContext},
+    gullglade_units::{MonotonicTime, ProcessContext},
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
@@ -125,8 +125,13 @@
     }
 
     /// The backend server stated its load.
-    pub(crate) fn report(&self, backend: &BackendName, report: BackendReport) {
-        self.dispatcher.ask(|scheduler, now| scheduler.report(backend, report, now));
+    pub(crate) fn report(&self, report: BackendReport) {
+        self.dispatcher.ask(|scheduler, now| scheduler.report(self.ticket, report, now));
+    }
+
+    /// Whether something came lately from the backend server that it was sent to.
+    pub(crate) fn is_at_work(&self) -> bool {
+        self.dispatcher.ask(|scheduler, now| scheduler.is_at_work(self.ticket, now))
     }
 
     /// The send has ended.
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -72,7 +72,6 @@
         let attempts = AttemptParts {
             client: Rc::clone(&parts.client),
             dialect: Rc::clone(&parts.dialect),
-            dispatcher: Rc::clone(&parts.dispatcher),
             clock: Rc::clone(&parts.context.clock),
         };
         let forwarder = Forwarder {
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -318,6 +318,7 @@
     scheduler.set_configuration([Rc::new(pool)], &Rc::new(BTreeSet::new()), context.clock.now());
     scheduler.set_backends((0..own).map(|index| BackendFacts {
         name: BackendName::try_from(format!("i-{index}")).expect("a name"),
+        incarnation: Incarnation(0),
         service: service.clone(),
         address: address(100 + index),
         domain: FailureDomain::try_from("d").expect("a name"),
