Let what comes before the configuration wait for it, instead of sending its caller away

Hypothesis: after a loss of power everywhere gateways run for 1.4 s without a configuration and refuse whoever comes; most callers have one attempt left and spend it there. Held for at most a second and a third of the caller's patience, they are served first thing. Change: a gate before the journey, opened with the first configuration; the time waited counts against the caller's patience and the route's timeout.

--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -54,16 +54,21 @@
 }
 
 impl Journey {
-    /// A caller's request; the word to the caller where no route takes it.
-    pub(crate) fn begin(proxy: &Proxy, call: CallerCall) -> Result<Self, FinalWord> {
+    /// A caller's request that has waited here for `waited`; the word to the caller where no route
+    /// takes it.
+    pub(crate) fn begin(
+        proxy: &Proxy,
+        call: CallerCall,
+        waited: Duration,
+    ) -> Result<Self, FinalWord> {
         let traffic = proxy.traffic().ok_or(FinalWord::NoConfiguration)?;
         let route = traffic.config.routes().find(&call.host, call.path()).cloned();
         let route = route.ok_or(FinalWord::NoRoute)?;
-        if !proxy.has_time_for(longest(&route, &call, Duration::ZERO)) {
+        if !proxy.has_time_for(longest(&route, &call, waited)) {
             return Err(FinalWord::Leaving);
         }
         let service = route.target(proxy.context().random.unit()).clone();
-        Ok(Self::new(proxy, call, route, service, Duration::ZERO, true))
+        Ok(Self::new(proxy, call, route, service, waited, true))
     }
 
     /// A request that a gateway of another region sent here. `None` where no route takes it, or
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -23,6 +23,7 @@
 mod outcome;
 mod proxy;
 mod relay;
+mod starting;
 
 pub use {
     call::{CallId, CallIdError, CallerCall},
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         BackendDialect, CallerCall, Dispatcher, attempt::AttemptParts, forward::Forwarder,
-        hints::HintSender, journey::Journey, outcome::FinalWord,
+        hints::HintSender, journey::Journey, outcome::FinalWord, starting::StartGate,
     },
     gullglade_dispatch::PlacementHint,
     gullglade_event::{EventDraft, EventSink, Level, MetricSet},
@@ -45,6 +45,8 @@
     cut_at: Cell<Option<MonotonicTime>>,
     /// Requests of other regions' gateways that are in progress here.
     forwards: Cell<usize>,
+    /// Callers' requests that came before the first configuration.
+    start_gate: StartGate,
 }
 
 /// How often [`Proxy::forwards_finished`] looks. The session's task writes the last piece of an
@@ -88,15 +90,34 @@
         hints.attach(&parts.dispatcher);
         let cut_at = Cell::new(None);
         let forwards = Cell::new(0);
-        let shared = ProxyShared { parts, attempts, forwarder, cut_at, forwards };
-        Self { shared: Rc::new(shared) }
+        let start_gate = StartGate::default();
+        let shared = ProxyShared { parts, attempts, forwarder, cut_at, forwards, start_gate };
+        let proxy = Self { shared: Rc::new(shared) };
+        proxy.watch_start();
+        proxy
+    }
+
+    /// Lets waiting requests in with the first configuration.
+    fn watch_start(&self) {
+        let shared = Rc::downgrade(&self.shared);
+        self.shared.parts.fleet.watch(Rc::new(move || {
+            let Some(shared) = shared.upgrade() else { return };
+            if shared.parts.fleet.traffic().is_some() {
+                shared.start_gate.open();
+            }
+        }));
     }
 
     /// Serves a caller's request. Dropped, it cancels the work behind it; so does dropping the
     /// reply's body before its end.
-    pub async fn serve(&self, call: CallerCall) -> Response<ReplyBody> {
+    pub async fn serve(&self, mut call: CallerCall) -> Response<ReplyBody> {
         let id = call.id.clone();
-        match Journey::begin(self, call) {
+        let mut waited = Duration::ZERO;
+        if self.traffic().is_none() {
+            waited = self.shared.start_gate.wait(call.patience, self.context()).await;
+            call.patience = call.patience.map(|patience| patience.saturating_sub(waited));
+        }
+        match Journey::begin(self, call, waited) {
             Ok(journey) => journey.run().await,
             Err(word) => {
                 let kind = match word {
@@ -106,7 +127,8 @@
                 };
                 let version = self.traffic().map(|t| t.config.version());
                 let event = EventDraft::new(kind).field("request", &id);
-                self.events().emit(event.optional("version", version));
+                let event = event.optional("version", version).millis("waited_ms", waited);
+                self.events().emit(event);
                 word.into_response(self.dialect())
             }
         }
--- a/crates/proxy/tests/journey.rs
+++ b/crates/proxy/tests/journey.rs
@@ -442,3 +442,50 @@
     assert!(has("request.attempt_failed", "reason=broken"), "{lines:#?}");
     assert!(has("request.unknown", "reason=broken"), "{lines:#?}");
 }
+
+#[test]
+fn what_comes_before_the_configuration_waits_for_it() {
+    // Symptom: after a loss of power everywhere, callers are refused for a second by gateways that
+    // run, and many have no attempt left when these are ready. Sequence: gateways start, callers
+    // come back, the control log elects a leader, the configuration comes. Cause: a gateway
+    // without a configuration told everyone to come back.
+    struct Case {
+        what: &'static str,
+        /// How long after the request the control process is there, milliseconds.
+        control_ms: u64,
+        patience_ms: u64,
+        status: u16,
+        /// The longest that the caller may be kept, milliseconds.
+        within_ms: u64,
+    }
+    let case = |what, control_ms, patience_ms, status, within_ms| Case {
+        what,
+        control_ms,
+        patience_ms,
+        status,
+        within_ms,
+    };
+    let cases = [
+        case("the configuration is there", 0, 4_000, 200, 50),
+        case("it comes in time", 400, 4_000, 200, 800),
+        case("it comes too late for anyone", 3_000, 9_000, 503, 1_050),
+        case("it comes too late for this one", 900, 1_200, 503, 450),
+    ];
+    for case in cases {
+        let settings = BedSettings {
+            control_after: Duration::from_millis(case.control_ms),
+            ..BedSettings::of(ONCE)
+        };
+        let bed = TestBed::new(&settings);
+        bed.script(0, &[answer(200, "good")]);
+        let mut call = bed.call();
+        call.patience = Some(Duration::from_millis(case.patience_ms));
+        let began = bed.world.now();
+        let served = bed.serve(call);
+        let took = bed.world.now().since(began);
+        assert_eq!(served.status, case.status, "{}: {served:?}", case.what);
+        assert!(took <= Duration::from_millis(case.within_ms), "{}: {took:?}", case.what);
+        let is_told = served.headers.contains_key("retry-after");
+        assert_eq!(is_told, case.status == 503, "{}", case.what);
+    }
+}
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -34,6 +34,9 @@
     std::{cell::RefCell, collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration},
 };
 
+/// After this a bed has its configuration, and the test begins.
+const SETTLED: Duration = Duration::from_secs(2);
+
 /// One way between the two regions.
 const LINK: Duration = Duration::from_millis(55);
 
@@ -54,6 +57,8 @@
     pub(crate) backends: (u8, u8),
     /// Whether the first region has a second gateway.
     pub(crate) has_neighbour: bool,
+    /// How long after the test's begin the control process is there.
+    pub(crate) control_after: Duration,
 }
 
 impl BedSettings {
@@ -64,6 +69,7 @@
             homes: &[],
             backends: (2, 0),
             has_neighbour: false,
+            control_after: Duration::ZERO,
         }
     }
 }
@@ -127,13 +133,19 @@
         let events: Rc<MemorySink> = Rc::default();
         let control = world.process();
         let (_, handlers) = join(&network, &control, 1, "west");
-        FleetServer::new(
+        let server = FleetServer::new(
             FleetSettings::new(Duration::from_secs(1)),
             Rc::new(FixedSource),
             control.context().clone(),
             Rc::clone(&events) as _,
-        )
-        .start(&handlers);
+        );
+        let (clock, control_after) = (control.context().clock.clone(), settings.control_after);
+        control.context().spawner.spawn(Box::pin(async move {
+            if !control_after.is_zero() {
+                clock.sleep(SETTLED + control_after).await;
+            }
+            server.start(&handlers);
+        }));
         let mut bed = Self { world, events, link, gateways: Vec::new(), _control: control };
         let (west, east) = settings.backends;
         bed.add_gateway(&network, settings, 2, "west", west, east);
@@ -141,7 +153,7 @@
         if settings.has_neighbour {
             bed.add_gateway(&network, settings, 4, "west", west, east);
         }
-        bed.world.run_for(Duration::from_secs(2));
+        bed.world.run_for(SETTLED);
         bed
     }
 
