Let all gateways look for a shared part at the same engine when they know of none that holds it

A gateway that knows nothing chose the shortest queue. Change: where no engine is known to hold the shared parts, the first by a rendezvous hash of the last shared part is taken to hold them; only the choice believes it, the expected time does not.

--- a/crates/dispatch/src/scheduler/look.rs
+++ b/crates/dispatch/src/scheduler/look.rs
@@ -73,8 +73,7 @@
     /// prompt.
     pub(crate) fn own_ms(&self, item: &WorkItem) -> f64 {
         let Some(prompt) = &item.prompt else { return self.plain_ms };
-        let shared: u32 = prompt.shared_parts().iter().map(|part| part.tokens).sum();
-        f64::from(prompt.prompt_tokens.saturating_sub(shared)) * self.token_ms
+        f64::from(prompt.own_tokens()) * self.token_ms
     }
 
     /// Puts a request among those that stay in the queue.
--- a/crates/dispatch/src/scheduler/placing.rs
+++ b/crates/dispatch/src/scheduler/placing.rs
@@ -7,8 +7,8 @@
         look::{FullLook, ServiceLook},
         work_cost,
     },
-    crate::{ColdGate, RegionFacts, SchedulerSettings, WorkItem},
-    gullglade_units::{BackendName, MonotonicTime, RegionName},
+    crate::{ColdGate, PromptShape, RegionFacts, SchedulerSettings, WorkItem},
+    gullglade_units::{BackendName, MonotonicTime, RegionName, rendezvous},
     std::time::Duration,
 };
 
@@ -155,6 +155,8 @@
             true => FAILURE_COST_MS,
             false => LOSS_COST_MS,
         };
+        let sound: Vec<&Backend> = sound.collect();
+        let keeper = likely_keeper(item, &sound);
         let mut best: Option<(f64, HereTimes, &BackendName)> = None;
         let mut wait_ms = f64::MAX;
         let mut again = now + LOOK_INTERVAL;
@@ -174,8 +176,12 @@
             if !self.has_room(backend, item, now) {
                 continue;
             }
+            let tokens = match keeper == Some(&backend.facts.name) {
+                true => item.prompt.as_ref().map(PromptShape::own_tokens),
+                false => cost.tokens,
+            };
             let cost = expected_ms
-                + READ_WEIGHT * cost.tokens.map_or(0.0, |tokens| backend.load.read_ms(tokens))
+                + READ_WEIGHT * tokens.map_or(0.0, |tokens| backend.load.read_ms(tokens))
                 + CROWD_COST_MS * fullness(backend, now)
                 + failure_cost_ms * backend.health.failure_rate(now);
             if best.is_none_or(|(least, _, _)| cost < least) {
@@ -261,6 +267,23 @@
     }
 }
 
+/// The engine that probably holds the shared parts of a prompt though this gateway knows of none:
+/// the first by a hash of the last shared part, which every gateway computes alike.
+///
+/// A gateway that was just started knows nothing of what engines hold, and after a loss of power
+/// none of the region's does. Each part was then read again wherever a queue was a little shorter,
+/// at the moment at which callers come back all at once.
+fn likely_keeper<'a>(item: &WorkItem, sound: &[&'a Backend]) -> Option<&'a BackendName> {
+    let shape = item.prompt.as_ref()?;
+    let part = shape.shared_parts().last()?.id.to_string();
+    let shared = shape.shared_tokens();
+    if sound.iter().any(|b| b.cache.held_tokens(shape) >= shared) {
+        return None;
+    }
+    let names = sound.iter().map(|b| &b.facts.name);
+    names.max_by_key(|name| rendezvous::score(&part, name.as_str()))
+}
+
 /// What is known where all backend servers are full.
 fn later(full: FullLook, own_ms: f64) -> Local {
     let FullLook { wait_ms, again } = full;
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -38,6 +38,16 @@
     pub fn shared_parts(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
+
+    /// The tokens of the parts that other requests may share.
+    pub fn shared_tokens(&self) -> u32 {
+        self.shared_parts().iter().map(|part| part.tokens).sum()
+    }
+
+    /// The tokens of the prompt that no other request shares.
+    pub fn own_tokens(&self) -> u32 {
+        self.prompt_tokens.saturating_sub(self.shared_tokens())
+    }
 }
 
 /// A request that is to be placed.
--- a/crates/dispatch/tests/replay.rs
+++ b/crates/dispatch/tests/replay.rs
@@ -36,6 +36,7 @@
         seconds: 12,
         has_hints: true,
         has_idle_region: false,
+        restarted_ms: None,
         seed,
     }
 }
@@ -98,6 +99,7 @@
         seconds: 8,
         has_hints: true,
         has_idle_region: false,
+        restarted_ms: None,
         seed: 3,
     };
     let results = replay.play();
@@ -150,3 +152,36 @@
     assert!(again * 20 < shared, "{again} of {shared} shared tokens were read again");
     assert!(share(&results) > 0.97, "{results:?}");
 }
+
+#[test]
+fn restarted_gateways_find_shared_parts_where_they_are() {
+    // The load: a region's long prompts over 29 shared parts that fit into its engines, while all
+    // gateways are restarted at once, as after a loss of power.
+    let read_again = |restarted_ms, seed| {
+        let class = Class {
+            route: route(1, 1_200, 10_000),
+            per_second: 12.0,
+            shared_tokens: 13_300,
+            own_tokens: 2_700,
+            generate_ms: 1_000,
+        };
+        let load = Replay {
+            gateways: 3,
+            engines: 4,
+            classes: vec![class],
+            subjects: 29,
+            seconds: 16,
+            has_hints: true,
+            has_idle_region: false,
+            restarted_ms,
+            seed,
+        };
+        load.play()[0].read_again
+    };
+    let sum = |restarted_ms| (0..4).map(|seed| read_again(restarted_ms, seed)).sum::<u64>() / 4;
+    let (steady, restarted) = (sum(None), sum(Some(8_000)));
+    println!("tokens of shared parts read again: {steady}, with a restart {restarted}");
+    // All 29 parts are 386,000 tokens. Without a common order of the engines 296,000 more are read
+    // again than without a restart.
+    assert!(restarted < steady + 180_000, "{restarted} against {steady}");
+}
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -158,6 +158,14 @@
     generating: Vec<(u64, TicketId, usize)>,
 }
 
+impl Engine {
+    /// Its callers are gone; what it has read stays.
+    fn drop_work(&mut self) {
+        self.waiting.clear();
+        self.generating.clear();
+    }
+}
+
 /// A kind of request in a replay.
 #[derive(Clone)]
 pub(crate) struct Class {
@@ -211,18 +219,28 @@
     pub(crate) has_hints: bool,
     /// Whether there is another region, which has room for everything.
     pub(crate) has_idle_region: bool,
+    /// When all gateways are restarted, which know nothing then and have lost what they had sent.
+    pub(crate) restarted_ms: Option<u64>,
     pub(crate) seed: u64,
 }
 
 impl Replay {
+    /// The gateways as they start.
+    fn start(&self) -> Vec<Scheduler> {
+        let start = |gateway| {
+            let mut scheduler = scheduler(gateway, self.gateways, self.engines, 0.0);
+            if self.has_idle_region {
+                scheduler.set_regions(vec![idle_region()]);
+            }
+            scheduler
+        };
+        (0..self.gateways).map(start).collect()
+    }
+
     /// Plays the load.
     pub(crate) fn play(&self) -> Vec<ClassResult> {
         let random = SeededRandom::new(self.seed);
-        let mut schedulers: Vec<_> =
-            (0..self.gateways).map(|g| scheduler(g, self.gateways, self.engines, 0.0)).collect();
-        if self.has_idle_region {
-            schedulers.iter_mut().for_each(|s| s.set_regions(vec![idle_region()]));
-        }
+        let mut schedulers = self.start();
         let mut engines: Vec<Engine> = (0..self.engines).map(|_| Engine::default()).collect();
         let mut results = vec![ClassResult::default(); self.classes.len()];
         let mut asked: HashMap<(usize, TicketId), (usize, u64, PromptShape)> = HashMap::new();
@@ -230,6 +248,12 @@
         let mut order = 0;
         for ms in 0..self.seconds * 1_000 {
             let now = at(ms);
+            if self.restarted_ms == Some(ms) {
+                schedulers = self.start();
+                asked.clear();
+                hints.clear();
+                engines.iter_mut().for_each(Engine::drop_work);
+            }
             for (class_index, class) in self.classes.iter().enumerate() {
                 if random.unit() >= class.per_second / 1_000.0 {
                     continue;
