Keep on a control process's disk which backend servers it heard, as a hint for its next run

Hypothesis: with the configuration there half a second sooner, gateways knew only the backend servers that had announced themselves by then (every 1.2 s) and gave these everything. Change: control processes write what they hear behind the changes; after a restart they tell it as recalled, and a gateway takes that only for what nobody has told it about, for three seconds.

--- a/crates/fleet/examples/sync_bytes.rs
+++ b/crates/fleet/examples/sync_bytes.rs
@@ -51,7 +51,7 @@
         incarnation: Incarnation(1_764_720_000_000),
         sequence: 100_000,
     };
-    let standing = BackendStanding { record, is_silent: false };
+    let standing = BackendStanding { record, is_silent: false, is_recalled: false };
     let reply = |backends, regions| SyncReply {
         run: u64::MAX,
         cursor: 100_000,
--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        BackendRecord, BackendStanding, DepartedRun, GatewayPhase, GatewayPulse, GatewayStanding,
-        RegionOffer, ServiceOffer,
+        BackendRecord, BackendStanding, DepartedRun, FleetMemory, GatewayPhase, GatewayPulse,
+        GatewayStanding, RegionOffer, ServiceOffer,
     },
     gullglade_units::{
         BackendName, Incarnation, MonotonicTime, RegionName, ServiceName, VmName, WallMillis,
@@ -52,6 +52,8 @@
     cold_until: MonotonicTime,
     heard: MonotonicTime,
     is_silent: bool,
+    /// Whether it was only heard in the run before this one.
+    is_recalled: bool,
     changed: u64,
 }
 
@@ -130,6 +132,7 @@
             entry.cold_until = cold_until;
             entry.heard = now;
             entry.is_silent = false;
+            entry.is_recalled = false;
             if !is_news {
                 return None;
             }
@@ -137,14 +140,47 @@
             self.last = next;
             return Some(entry.standing(now));
         }
-        let entry =
-            BackendEntry { record, cold_until, heard: now, is_silent: false, changed: next };
+        let entry = BackendEntry {
+            record,
+            cold_until,
+            heard: now,
+            is_silent: false,
+            is_recalled: false,
+            changed: next,
+        };
         let standing = entry.standing(now);
         self.backends.insert(entry.record.name.clone(), entry);
         self.last = next;
         Some(standing)
     }
 
+    /// What is worth keeping for the next run.
+    pub fn memory(&self, now: MonotonicTime) -> FleetMemory {
+        let heard = self.backends.values().filter(|entry| !entry.is_silent);
+        FleetMemory {
+            backends: heard.map(|entry| entry.standing(now).record).collect(),
+            departed: self.departed_after(0),
+        }
+    }
+
+    /// Takes in what the run before kept, where nothing newer was heard.
+    pub fn recall(&mut self, memory: FleetMemory, now: MonotonicTime) {
+        for DepartedRun { name, last } in memory.departed {
+            self.last += 1;
+            let departure = Departure { last, heard: now, changed: self.last };
+            self.departed.entry(name).or_insert(departure);
+        }
+        for record in memory.backends {
+            if self.backends.contains_key(&record.name) {
+                continue;
+            }
+            self.announce(record.clone(), now);
+            if let Some(entry) = self.backends.get_mut(&record.name) {
+                entry.is_recalled = true;
+            }
+        }
+    }
+
     /// Takes note of a goodbye, also of a run that was never heard here: it said so once, to this
     /// process. A goodbye does not say which run it is of, so it is of every one that had started
     /// by then, `wall`. Returns whether it is news.
@@ -218,7 +254,9 @@
     /// Notices who has fallen silent, and forgets who has long been. Returns what changed.
     pub fn tick(&mut self, now: MonotonicTime) -> (Vec<BackendStanding>, Vec<GatewayStanding>) {
         let settings = self.settings;
-        self.backends.retain(|_, e| now.since(e.heard) < MEMORY);
+        let silence = settings.backend_silence;
+        let is_kept = |e: &BackendEntry| !e.is_recalled || now.since(e.heard) < silence;
+        self.backends.retain(|_, e| now.since(e.heard) < MEMORY && is_kept(e));
         self.departed.retain(|_, d| now.since(d.heard) < MEMORY);
         self.gateways.retain(|_, e| now.since(e.heard) < MEMORY);
         let mut backends = Vec::new();
@@ -301,6 +339,7 @@
         let is_cold_news = !record.cold_for.is_zero() && moved > COLD_SLACK;
         let known = &self.record;
         self.is_silent
+            || self.is_recalled
             || is_cold_news
             || known.incarnation != record.incarnation
             || known.state != record.state
@@ -313,7 +352,7 @@
     fn standing(&self, now: MonotonicTime) -> BackendStanding {
         let mut record = self.record.clone();
         record.cold_for = self.cold_until.since(now);
-        BackendStanding { record, is_silent: self.is_silent }
+        BackendStanding { record, is_silent: self.is_silent, is_recalled: self.is_recalled }
     }
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 mod entry;
 mod follower;
 mod member;
+mod memory;
 mod message;
 mod server;
 mod source;
@@ -28,6 +29,7 @@
         BackendRecord, BackendStanding, DepartedRun, GatewayPhase, GatewayProfile, GatewayStanding,
         ServingState,
     },
+    memory::FleetMemory,
     message::{GatewayPulse, RegionOffer, ServiceOffer, SyncReply, SyncRequest, TrafficSnapshot},
     server::FleetServer,
     source::TrafficSource,
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -75,6 +75,8 @@
     pub record: BackendRecord,
     /// Whether announcements are overdue.
     pub is_silent: bool,
+    /// Whether it was only heard in a run of the control process before this one.
+    pub is_recalled: bool,
 }
 
 /// What a gateway is about to do.
--- /dev/null
+++ b/crates/fleet/src/memory.rs
@@ -0,0 +1,73 @@
+//! What a control process heard of backend servers, kept on its disk for its next run.
+//!
+//! The load pattern: all control processes are restarted at once, after a loss of power, and with
+//! them all gateways. Backend servers run on and announce themselves every second or so, each to
+//! one control process. Until then gateways knew some of them and gave these everything that came;
+//! the rest stood idle, and shared parts of prompts were read again where they were not held.
+//!
+//! It is a hint and no more: the file is written behind the changes, and what it names may be gone.
+//! A gateway takes it only for backend servers of which nobody has told it anything, and for no
+//! longer than a silence lasts; each request says which run it is for.
+
+use {
+    crate::{BackendRecord, DepartedRun},
+    gullglade_control::{DataFolder, DiskError, read_whole, write_whole},
+    gullglade_units::{CodecError, decode, encode},
+    serde::{Deserialize, Serialize},
+    snafu::Snafu,
+};
+
+/// The file in the data folder.
+const FILE_NAME: &str = "fleet";
+
+/// The format of the file. Another version's is not read: it is only a hint.
+const FORMAT: u32 = 1;
+
+/// Why the file is of no use.
+#[derive(Debug, Snafu)]
+pub(crate) enum MemoryError {
+    /// The disk failed.
+    #[snafu(display("{source}"), context(false))]
+    Disk {
+        /// How.
+        source: DiskError,
+    },
+    /// It does not decode.
+    #[snafu(display(
+        "{FILE_NAME} in the data folder does not decode ({source}); it is replaced with the next \
+         announcement"
+    ))]
+    Unreadable {
+        /// The decoder's words.
+        source: CodecError,
+    },
+}
+
+/// What is kept.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetMemory {
+    /// The backend servers, with how much longer they were cold.
+    pub backends: Vec<BackendRecord>,
+    /// The goodbyes.
+    pub departed: Vec<DepartedRun>,
+}
+
+impl FleetMemory {
+    /// Replaces the file.
+    pub(crate) async fn save(&self, folder: &dyn DataFolder) -> Result<(), MemoryError> {
+        let bytes = encode(&(FORMAT, self));
+        Ok(write_whole(folder, FILE_NAME, vec![bytes]).await?)
+    }
+
+    /// What the file holds; nothing where there is none, or one of another format.
+    pub(crate) async fn load(folder: &dyn DataFolder) -> Result<Self, MemoryError> {
+        let files = folder.list().await?;
+        let Some(stat) = files.iter().find(|file| file.name == FILE_NAME) else {
+            return Ok(Self::default());
+        };
+        let bytes = read_whole(folder, stat).await?;
+        let unreadable = |source| MemoryError::Unreadable { source };
+        let (format, memory) = decode::<(u32, Self)>(&bytes).map_err(unreadable)?;
+        Ok(if format == FORMAT { memory } else { Self::default() })
+    }
+}
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -2,20 +2,30 @@
 
 use {
     crate::{
-        BackendRecord, BackendStanding, FleetBook, FleetSettings, GatewayStanding, SyncReply,
-        SyncRequest, TrafficSource,
+        BackendRecord, BackendStanding, FleetBook, FleetMemory, FleetSettings, GatewayStanding,
+        SyncReply, SyncRequest, TrafficSource,
         message::{FLEET_PREFIX, SYNC},
     },
     bytes::Bytes,
     futures::{channel::oneshot, future::select},
+    gullglade_control::DataFolder,
     gullglade_event::{EventDraft, EventSink, Level},
     gullglade_peer::{HandlerTable, PeerFault, PeerHandler, PeerIdentity},
     gullglade_units::{
         BackendName, LocalFuture, ProcessContext, RegionName, decode, encode, timeout,
     },
-    std::{cell::RefCell, net::SocketAddr, pin::pin, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        pin::pin,
+        rc::Rc,
+        time::Duration,
+    },
 };
 
+/// How often what changed is kept on the disk: backend servers come and go by seconds.
+const SAVE_INTERVAL: Duration = Duration::from_millis(250);
+
 /// How often silences are looked for.
 const TICK: Duration = Duration::from_millis(300);
 
@@ -28,6 +38,8 @@
     context: ProcessContext,
     events: Rc<dyn EventSink>,
     run: u64,
+    /// Whether backend servers changed since what is known of them was last kept.
+    is_unsaved: Cell<bool>,
 }
 
 impl FleetServer {
@@ -46,6 +58,7 @@
             context,
             events,
             run,
+            is_unsaved: Cell::new(false),
         })
     }
 
@@ -61,11 +74,47 @@
         }));
     }
 
+    /// Takes in what the run before kept in `folder`, and keeps there what this one hears.
+    pub async fn remember(self: &Rc<Self>, folder: Rc<dyn DataFolder>) {
+        match FleetMemory::load(&*folder).await {
+            Ok(memory) => {
+                let event = EventDraft::new("fleet.recalled");
+                let event = event.field("backends", memory.backends.len());
+                self.events.emit(event.field("departed", memory.departed.len()));
+                self.book.borrow_mut().recall(memory, self.context.clock.now());
+            }
+            Err(error) => {
+                let event = EventDraft::new("fleet.not_recalled").level(Level::Warn);
+                self.events.emit(event.error("reason", &error));
+            }
+        }
+        let server = Rc::clone(self);
+        self.context.spawner.spawn(Box::pin(async move {
+            loop {
+                server.context.clock.sleep(SAVE_INTERVAL).await;
+                server.save(&*folder).await;
+            }
+        }));
+    }
+
+    async fn save(&self, folder: &dyn DataFolder) {
+        if !self.is_unsaved.replace(false) {
+            return;
+        }
+        let memory = self.book.borrow().memory(self.context.clock.now());
+        if let Err(error) = memory.save(folder).await {
+            // It is a hint: the next change writes it again.
+            let event = EventDraft::new("fleet.unsaved").level(Level::Warn);
+            self.events.emit(event.error("reason", &error));
+        }
+    }
+
     /// Takes note of an announcement.
     pub fn announce(&self, record: BackendRecord) {
         let change = self.book.borrow_mut().announce(record, self.context.clock.now());
         if let Some(standing) = change {
             self.events.emit(backend_event("backend.announced", &standing));
+            self.is_unsaved.set(true);
             self.wake();
         }
     }
@@ -76,6 +125,7 @@
         let is_news = self.book.borrow_mut().leave(name, clock.wall(), clock.now());
         if is_news {
             self.events.emit(EventDraft::new("backend.left").field("backend", name));
+            self.is_unsaved.set(true);
             self.wake();
         }
     }
@@ -110,6 +160,9 @@
         for standing in &gateways {
             self.events.emit(gateway_event("gateway.silent", standing).level(Level::Warn));
         }
+        if !backends.is_empty() {
+            self.is_unsaved.set(true);
+        }
         if !backends.is_empty() || !gateways.is_empty() {
             self.wake();
         }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -21,6 +21,10 @@
 /// servers take a few intervals to announce themselves again.
 const BELIEF: Duration = Duration::from_secs(8);
 
+/// One that a control process only recalls from its run before is believed to be there for this
+/// long: it announces itself every interval, and that is late by a second at times.
+const RECALLED_BELIEF: Duration = Duration::from_secs(3);
+
 /// How long a departure, or a member nobody speaks of, is remembered; as long as the control
 /// processes remember it.
 const MEMORY: Duration = Duration::from_secs(120);
@@ -302,7 +306,7 @@
         now: MonotonicTime,
         change: &mut ViewChange,
     ) {
-        let BackendStanding { record, is_silent } = standing;
+        let BackendStanding { record, is_silent, is_recalled } = standing;
         if self.departed.get(&record.name).is_some_and(|(last, _)| record.incarnation <= *last) {
             return;
         }
@@ -315,13 +319,19 @@
         };
         let Some(known) = self.backends.get_mut(&name) else {
             let mut believed = Believed::new(row, now);
-            believed.note_voice(control, is_silent, now);
+            if is_recalled {
+                // Nobody vouches for it, and it is believed for less long.
+                believed.heard = MonotonicTime(now.0.saturating_sub(BELIEF - RECALLED_BELIEF));
+            } else {
+                believed.note_voice(control, is_silent, now);
+            }
             self.backends.insert(name.clone(), believed);
             change.backends.push(name);
             return;
         };
-        // What a control process says of an earlier run is no word on the one that is known.
-        if row.record.incarnation < known.last.record.incarnation {
+        // What a control process says of an earlier run, or kept from its own run before, is no word
+        // on the one that is known.
+        if is_recalled || row.record.incarnation < known.last.record.incarnation {
             return;
         }
         if row.record.incarnation > known.last.record.incarnation {
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -125,7 +125,10 @@
 }
 
 fn told(record: BackendRecord, is_silent: bool) -> SyncReply {
-    SyncReply { backends: vec![BackendStanding { record, is_silent }], ..reply() }
+    SyncReply {
+        backends: vec![BackendStanding { record, is_silent, is_recalled: false }],
+        ..reply()
+    }
 }
 
 fn configured(index: u64, version: u64) -> SyncReply {
--- a/crates/node/src/seeded_control.rs
+++ b/crates/node/src/seeded_control.rs
@@ -48,7 +48,7 @@
             settings.control,
             context.clone(),
             transport,
-            folder,
+            Rc::clone(&folder),
             Rc::clone(&events),
         )
         .await
@@ -56,6 +56,7 @@
         control.serve(&core.handlers);
         let source = Rc::new(control.clone());
         let fleet = FleetServer::new(settings.fleet, source, context.clone(), Rc::clone(&events));
+        fleet.remember(folder).await;
         fleet.start(&core.handlers);
         let node = Rc::new(Self { control, fleet, events, metrics: core.metrics, context });
         node.context.spawner.spawn(Box::pin(core.server.run()));
