--- a/crates/dispatch/src/scheduler/placing.rs
+++ b/crates/dispatch/src/scheduler/placing.rs
@@ -153,14 +153,9 @@
         sound: impl Iterator<Item = &'a Backend>,
         now: MonotonicTime,
     ) -> Local {
-        let failure_cost_ms = match item.route.kind.may_repeat() {
-            true => FAILURE_COST_MS,
-            false => LOSS_COST_MS,
-        };
         let sound: Vec<&Backend> = sound.collect();
-        let keeper = likely_keeper(item, &sound);
-        let source = self.copy_source(item, &sound, keeper);
-        let mut best: Option<(f64, HereTimes, &BackendName, Option<PromptCopy>)> = None;
+        let shared = self.shared_parts(item, &sound);
+        let mut best: Option<(Candidate, &BackendName)> = None;
         let mut wait_ms = f64::MAX;
         let mut again = now + LOOK_INTERVAL;
         for backend in sound {
@@ -168,34 +163,17 @@
                 again = again.min(room);
                 continue;
             }
-            let shape = item.prompt.as_ref();
-            let copy = source.as_ref().zip(shape).and_then(|(s, shape)| s.copy_to(backend, shape));
-            let cost = work_cost(backend, item);
-            let cost = copy.map_or(cost, |copy| copy.reduce(cost));
-            let expected_ms = backend.load.first_byte_ms(cost, item.route.priority, now);
-            let here = HereTimes {
-                expected_ms,
-                wait_ms: expected_ms - backend.load.own_ms(cost),
-                strain_ms: strain_ms(backend, now),
-            };
-            wait_ms = wait_ms.min(here.wait_ms);
-            if !self.has_room(backend, item, now) {
-                continue;
-            }
-            let tokens = match keeper == Some(&backend.facts.name) {
-                true => item.prompt.as_ref().map(PromptShape::own_tokens),
-                false => cost.tokens,
-            };
-            let cost = expected_ms
-                + READ_WEIGHT * tokens.map_or(0.0, |tokens| backend.load.read_ms(tokens))
-                + CROWD_COST_MS * fullness(backend, now)
-                + failure_cost_ms * backend.health.failure_rate(now);
-            if best.is_none_or(|(least, ..)| cost < least) {
-                best = Some((cost, here, &backend.facts.name, copy));
+            let candidate = candidate(item, backend, &shared, now);
+            wait_ms = wait_ms.min(candidate.here.wait_ms);
+            let is_better = best.as_ref().is_none_or(|(b, _)| candidate.cost_ms < b.cost_ms);
+            if is_better && self.has_room(backend, item, now) {
+                best = Some((candidate, &backend.facts.name));
             }
         }
         match best {
-            Some((_, here, name, copy)) => Local::Place { backend: name.clone(), here, copy },
+            Some((Candidate { here, copy, .. }, name)) => {
+                Local::Place { backend: name.clone(), here, copy }
+            }
             None => {
                 let wait_ms = if wait_ms == f64::MAX { COLD_WAIT_MS } else { wait_ms };
                 let wait_ms = wait_ms + LOOK_INTERVAL.as_secs_f64() * 1_000.0;
@@ -206,15 +184,13 @@
         }
     }
 
-    /// The engine from which others may copy shared parts of the prompt.
-    fn copy_source<'a>(
-        &self,
-        item: &WorkItem,
-        sound: &[&'a Backend],
-        keeper: Option<&BackendName>,
-    ) -> Option<CopySource<'a>> {
-        let engine = self.services.get(&item.service)?.engine?;
-        CopySource::find(item.prompt.as_ref()?, sound, keeper, engine)
+    /// Where the shared parts of the prompt are, as far as that is known or likely.
+    fn shared_parts<'a>(&self, item: &WorkItem, sound: &[&'a Backend]) -> SharedParts<'a> {
+        let keeper = likely_keeper(item, sound);
+        let engine = self.services.get(&item.service).and_then(|service| service.engine);
+        let source = item.prompt.as_ref().zip(engine);
+        let source = source.and_then(|(s, engine)| CopySource::find(s, sound, keeper, engine));
+        SharedParts { keeper, source }
     }
 
     /// Whether a backend server can take the request now.
@@ -284,6 +260,51 @@
     }
 }
 
+/// Where the shared parts of a prompt are.
+struct SharedParts<'a> {
+    /// Who probably holds them, where nobody is known to.
+    keeper: Option<&'a BackendName>,
+    /// From where they can be copied.
+    source: Option<CopySource<'a>>,
+}
+
+/// How a request would fare at one backend server.
+struct Candidate {
+    /// What is compared, milliseconds.
+    cost_ms: f64,
+    here: HereTimes,
+    copy: Option<PromptCopy>,
+}
+
+fn candidate(
+    item: &WorkItem,
+    backend: &Backend,
+    shared: &SharedParts<'_>,
+    now: MonotonicTime,
+) -> Candidate {
+    let shape = item.prompt.as_ref();
+    let source = shared.source.as_ref().zip(shape);
+    let copy = source.and_then(|(source, shape)| source.copy_to(backend, shape));
+    let work = work_cost(backend, item);
+    let work = copy.map_or(work, |copy| copy.reduce(work));
+    let expected_ms = backend.load.first_byte_ms(work, item.route.priority, now);
+    let wait_ms = expected_ms - backend.load.own_ms(work);
+    let here = HereTimes { expected_ms, wait_ms, strain_ms: strain_ms(backend, now) };
+    let read_tokens = match shared.keeper == Some(&backend.facts.name) {
+        true => shape.map(PromptShape::own_tokens),
+        false => work.tokens,
+    };
+    let failure_cost_ms = match item.route.kind.may_repeat() {
+        true => FAILURE_COST_MS,
+        false => LOSS_COST_MS,
+    };
+    let cost_ms = expected_ms
+        + READ_WEIGHT * read_tokens.map_or(0.0, |tokens| backend.load.read_ms(tokens))
+        + CROWD_COST_MS * fullness(backend, now)
+        + failure_cost_ms * backend.health.failure_rate(now);
+    Candidate { cost_ms, here, copy }
+}
+
 /// The engine that probably holds the shared parts of a prompt though this gateway knows of none:
 /// the first by a hash of the last shared part, which every gateway computes alike.
 ///
