--- a/crates/control/src/log/store.rs
+++ b/crates/control/src/log/store.rs
@@ -99,7 +99,7 @@
 
     /// Makes records durable: returns once they are synced. After an error the segment may end in
     /// a torn frame, and nothing may be appended behind it: the next start mends the segment, or
-    /// [`start_behind`](Self::start_behind) replaces it.
+    /// a new segment takes its place.
     pub async fn append(&mut self, records: &[LogRecord]) -> Result<(), LogError> {
         let bytes = frame(&encode(&records));
         let name = segment_name(self.sequence);
