--- a/crates/dispatch/benches/queue.rs
+++ b/crates/dispatch/benches/queue.rs
@@ -7,9 +7,8 @@
 
 use {
     criterion::{BatchSize, Criterion, criterion_group, criterion_main},
-    gullglade_dispatch::{PlacementHint, Scheduler, WorkOutcome},
-    gullglade_units::Incarnation,
-    support::{at, backend, item, prompt, route, scheduler},
+    gullglade_dispatch::{Scheduler, WorkOutcome},
+    support::{at, item, prompt, route, scheduler, sent_hint},
 };
 
 /// The engines of the letter's mean region.
@@ -29,7 +28,7 @@
             let ticket = scheduler.submit(work, at(id));
             assert_eq!(scheduler.poll(at(id)).len(), 1, "it is placed");
             scheduler.end(ticket, WorkOutcome::Answered, at(id + 1));
-            scheduler.take_hints()
+            scheduler.take_hints(at(id + 1))
         });
     });
 }
@@ -38,15 +37,8 @@
 fn at_peak() -> Scheduler {
     let (engines, gateways, waiting) = PEAK;
     let mut scheduler = scheduler(0, gateways, engines, 0.0);
-    let hint = |index| PlacementHint {
-        backend: backend(index),
-        incarnation: Incarnation(0),
-        tokens: Some(60_000),
-        priority: 0,
-        parts: Vec::new(),
-    };
-    let hints: Vec<_> = (0..engines).map(hint).collect();
-    scheduler.note_hints(&hints, at(1_000));
+    let hints: Vec<_> = (0..engines).map(|index| sent_hint(index, 60_000, &[])).collect();
+    scheduler.note_hints(hints, at(1_000));
     for id in 0..waiting {
         let route = route((id % 3) as u8, 2_000, 10_000);
         let shape = prompt(id, 5_000, 6_000, id);
--- /dev/null
+++ b/crates/dispatch/src/hint.rs
@@ -0,0 +1,80 @@
+//! What gateways of a region tell each other of the backend servers that they share.
+
+use {
+    crate::{BackendReport, PromptPart},
+    gullglade_units::{BackendName, Incarnation, MonotonicTime},
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// Something that other gateways of the region should know of: they send to the same backend
+/// servers, and see little of each of them themselves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendHint {
+    /// The backend server.
+    pub backend: BackendName,
+    /// Which run of it.
+    pub incarnation: Incarnation,
+    /// The request's number among those of all gateways.
+    pub request: u64,
+    /// Its priority.
+    pub priority: u8,
+    /// How long ago it was sent, microseconds, when this is told.
+    pub sent_ago_us: u32,
+    /// What happened.
+    pub news: RequestNews,
+}
+
+/// What happened to a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RequestNews {
+    /// It was sent.
+    Sent {
+        /// The prompt tokens to be read; `None` for a request without a prompt.
+        tokens: Option<u32>,
+        /// The parts of its prompt that other requests may share, which the engine will hold.
+        parts: Vec<PromptPart>,
+    },
+    /// The first byte of its answer came.
+    Begun {
+        /// How long ago, microseconds.
+        ago_us: u32,
+        /// The load that the backend server stated with the answer.
+        load: Option<BackendReport>,
+    },
+    /// It ended without an answer.
+    Dropped,
+}
+
+/// A hint that is still to be told: its times are those of this process.
+#[derive(Clone, Debug)]
+pub(crate) struct OwnHint {
+    pub(crate) backend: BackendName,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) request: u64,
+    pub(crate) priority: u8,
+    pub(crate) sent: MonotonicTime,
+    pub(crate) happened: MonotonicTime,
+    pub(crate) news: RequestNews,
+}
+
+impl OwnHint {
+    /// As it is told at `now`.
+    pub(crate) fn told(self, now: MonotonicTime) -> BackendHint {
+        let Self { backend, incarnation, request, priority, sent, happened, mut news } = self;
+        if let RequestNews::Begun { ago_us, .. } = &mut news {
+            *ago_us = micros(now.since(happened));
+        }
+        let sent_ago_us = micros(now.since(sent));
+        BackendHint { backend, incarnation, request, priority, sent_ago_us, news }
+    }
+}
+
+/// The time that was so many microseconds ago.
+pub(crate) fn ago(now: MonotonicTime, micros: u32) -> MonotonicTime {
+    MonotonicTime(now.0.saturating_sub(Duration::from_micros(micros.into())))
+}
+
+fn micros(duration: Duration) -> u32 {
+    u32::try_from(duration.as_micros()).unwrap_or(u32::MAX)
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,9 +16,12 @@
 mod facts;
 mod fade;
 mod health;
+mod hint;
 mod load;
 mod regions;
 mod scheduler;
+mod unread;
+mod urgency;
 mod verdict;
 mod work;
 
@@ -28,11 +31,10 @@
     cold::ColdGate,
     facts::{BackendFacts, SchedulerSettings},
     health::HealthRecord,
-    load::{BackendLoad, BackendReport, WorkCost},
+    hint::{BackendHint, RequestNews},
+    load::{BackendLoad, BackendReport, SentRequest, WorkCost},
     regions::{FirstByteTimes, RegionFacts},
     scheduler::Scheduler,
     verdict::{PromptCopy, RefusalFacts, Verdict},
-    work::{
-        PlacementHint, PromptPart, PromptShape, RefusalReason, TicketId, WorkItem, WorkOutcome,
-    },
+    work::{PromptPart, PromptShape, RefusalReason, TicketId, WorkItem, WorkOutcome},
 };
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -2,14 +2,18 @@
 //!
 //! The load pattern: several gateways send prompts of very different length to the same engines.
 //! An engine reads them one after the other, the more urgent first, so what counts is the reading
-//! that is ahead. Each engine has a virtual clock for it: the time at which it will have read all
-//! that was sent to it, own sends and those that other gateways told of. What the clock does not
-//! know, such as generation that slows reading down, shows in first bytes that come later than
-//! predicted; from those a base is learned, which fades, since what caused it may be over.
+//! that is ahead ([`UnreadQueue`]), own sends and those that other gateways told of. What that does
+//! not know shows in first bytes that come later than predicted; from those a base is learned,
+//! which fades, since what caused it may be over.
 
 use {
-    crate::{TicketId, fade::faded},
+    crate::{
+        TicketId,
+        fade::faded,
+        unread::{FirstByte, UnreadPrompt, UnreadQueue},
+    },
     gullglade_units::MonotonicTime,
+    serde::{Deserialize, Serialize},
     std::{collections::HashMap, time::Duration},
 };
 
@@ -50,8 +54,13 @@
 /// answered waits its turn there.
 const PROGRESS_AGE: Duration = Duration::from_millis(700);
 
+/// An engine stands still where first bytes are overdue by this and nothing was heard from it for
+/// as long. Reading the longest prompts takes longer, but that is expected, and more urgent ones
+/// are answered meanwhile.
+const STALL_AGE: Duration = Duration::from_millis(500);
+
 /// The load that a backend server stated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendReport {
     /// Requests that run.
     pub running: u32,
@@ -70,11 +79,25 @@
     pub slots: u32,
 }
 
+/// One request at a backend server, as it is told to its load.
+#[derive(Clone, Copy, Debug)]
+pub struct SentRequest {
+    /// Its number among those of all gateways.
+    pub request: u64,
+    /// Whether this gateway sent it.
+    pub is_own: bool,
+    /// What it takes.
+    pub cost: WorkCost,
+    /// Its priority, 0 the most urgent.
+    pub priority: u8,
+    /// When it was sent.
+    pub sent: MonotonicTime,
+}
+
+/// What a load remembers of an own request.
 #[derive(Clone, Copy, Debug)]
 struct SentWork {
-    cost: WorkCost,
-    sent: MonotonicTime,
-    priority: u8,
+    sent: SentRequest,
     has_begun: bool,
     /// The work that was ahead of it when it was sent, milliseconds.
     ahead_ms: f64,
@@ -84,23 +107,28 @@
 #[derive(Debug)]
 pub struct BackendLoad {
     sent: HashMap<TicketId, SentWork>,
-    /// By priority: when all work that goes before a request of it will be done.
+    /// The prompts of all gateways that it has not begun to answer.
+    unread: UnreadQueue,
+    /// By priority: when all plain work that goes before a request of it will be done.
     busy_until: [MonotonicTime; PRIORITIES],
-    /// When something last came from it.
+    /// When something last came from it, to any gateway.
     heard: MonotonicTime,
-    /// By priority: how much later than the clock says first bytes come, and when that was seen.
+    /// By priority: how much later than predicted first bytes come, and when that was seen.
     bases: [(f64, MonotonicTime); PRIORITIES],
     read_rate: f64,
     work_ms: f64,
     report: Option<(BackendReport, MonotonicTime)>,
     /// This gateway's requests that were there when the load was stated.
     own_at_report: u32,
+    /// Requests of other gateways that were sent since.
+    others_since_report: u32,
 }
 
 impl Default for BackendLoad {
     fn default() -> Self {
         Self {
             sent: HashMap::new(),
+            unread: UnreadQueue::default(),
             busy_until: [MonotonicTime::default(); PRIORITIES],
             heard: MonotonicTime::default(),
             bases: [(0.0, MonotonicTime::default()); PRIORITIES],
@@ -108,6 +136,7 @@
             work_ms: FIRST_WORK_MS,
             report: None,
             own_at_report: 0,
+            others_since_report: 0,
         }
     }
 }
@@ -123,31 +152,48 @@
         let own = self.sent.len() as f64;
         let Some((report, at)) = self.report else { return own as u32 };
         let stated = f64::from(report.running + report.waiting);
-        let others = (stated - f64::from(self.own_at_report)).max(0.0);
+        let others =
+            (stated - f64::from(self.own_at_report)).max(0.0) + f64::from(self.others_since_report);
         (own + faded(others, now.since(at), STATED_HALF_LIFE)).round() as u32
     }
 
     /// Milliseconds until the first byte, were a request of this cost sent now.
     pub fn first_byte_ms(&self, cost: WorkCost, priority: u8, now: MonotonicTime) -> f64 {
-        self.base(priority, now) + self.ahead_ms(priority, now) + self.own_ms(cost)
+        let stretch = self.unread.stretch(rank(priority), now);
+        let work = self.ahead_ms(priority, now) + self.own_ms(cost);
+        self.base(priority, now) + work * stretch
     }
 
     /// Milliseconds of work that goes before a request of this priority.
     pub fn ahead_ms(&self, priority: u8, now: MonotonicTime) -> f64 {
-        millis(self.busy_until[rank(priority)].since(now))
-    }
-
-    /// Notes a send of this gateway.
-    pub fn send(&mut self, ticket: TicketId, cost: WorkCost, priority: u8, now: MonotonicTime) {
-        let ahead_ms = self.ahead_ms(priority, now);
-        self.sent
-            .insert(ticket, SentWork { cost, sent: now, priority, has_begun: false, ahead_ms });
-        self.add_work(self.cost_ms(cost), priority, now);
+        let rank = rank(priority);
+        self.unread.ahead_ms(rank, now) + millis(self.busy_until[rank].since(now))
     }
 
-    /// Notes a send of another gateway.
-    pub fn note_other(&mut self, cost: WorkCost, priority: u8, now: MonotonicTime) {
-        self.add_work(self.cost_ms(cost), priority, now);
+    /// Notes a send, of this gateway where `ticket` is given.
+    pub fn send(&mut self, ticket: Option<TicketId>, sent: SentRequest, now: MonotonicTime) {
+        let ahead_ms = self.ahead_ms(sent.priority, now);
+        let expected_ms = self.first_byte_ms(sent.cost, sent.priority, now);
+        match ticket {
+            Some(ticket) => {
+                self.sent.insert(ticket, SentWork { sent, has_begun: false, ahead_ms });
+            }
+            None => self.others_since_report += 1,
+        }
+        let rank = rank(sent.priority);
+        match sent.cost.tokens {
+            Some(tokens) => self.unread.add(UnreadPrompt {
+                request: sent.request,
+                is_own: sent.is_own,
+                rank,
+                sent: sent.sent,
+                tokens,
+                cost_ms: self.read_ms(tokens),
+                ahead_ms,
+                due: sent.sent + Duration::from_secs_f64(expected_ms.max(0.0) / 1_000.0),
+            }),
+            None => self.add_plain(self.cost_ms(sent.cost), rank, now),
+        }
     }
 
     /// Whether something came from it lately.
@@ -155,10 +201,16 @@
         now.since(self.heard) < PROGRESS_AGE
     }
 
-    /// Work of one priority delays every one that is not more urgent.
-    fn add_work(&mut self, cost_ms: f64, priority: u8, now: MonotonicTime) {
+    /// Whether an engine stands still: first bytes are overdue, and nothing at all has come from it
+    /// to any gateway of the region. One that is only slow answers others meanwhile.
+    pub fn is_stalled(&self, now: MonotonicTime) -> bool {
+        now.since(self.heard) > STALL_AGE && self.unread.is_overdue(STALL_AGE, now)
+    }
+
+    /// Plain work of one priority delays every one that is not more urgent.
+    fn add_plain(&mut self, cost_ms: f64, rank: usize, now: MonotonicTime) {
         let work = Duration::from_secs_f64(cost_ms / 1_000.0);
-        for until in &mut self.busy_until[rank(priority)..] {
+        for until in &mut self.busy_until[rank..] {
             *until = (*until).max(now) + work;
         }
     }
@@ -174,38 +226,76 @@
 
     /// The milliseconds until the first byte of a request with nothing ahead of it.
     pub(crate) fn own_ms(&self, cost: WorkCost) -> f64 {
-        cost.tokens.map_or(self.work_ms, |tokens| self.read_ms(tokens))
+        let reading = |tokens| self.read_ms(tokens) * self.unread.pace();
+        cost.tokens.map_or(self.work_ms, reading)
     }
 
-    /// Notes a first byte, and learns from when it came.
-    pub fn begin(&mut self, ticket: TicketId, now: MonotonicTime) {
+    /// Notes the first byte of an own request, and learns from when it came. `None` where it had
+    /// come before.
+    pub fn begin(&mut self, ticket: TicketId, now: MonotonicTime) -> Option<SentRequest> {
         self.heard = now;
-        let Some(work) = self.sent.get_mut(&ticket) else { return };
+        let work = self.sent.get_mut(&ticket)?;
         if std::mem::replace(&mut work.has_begun, true) {
-            return;
+            return None;
         }
-        let work = *work;
-        let base = self.base(work.priority, now);
-        let took = millis(now.since(work.sent));
-        let known = work.ahead_ms + self.own_ms(work.cost);
-        let beyond = (took - known).clamp(0.0, MOST_BASE_MS);
-        self.bases[rank(work.priority)] = (base + BASE_WEIGHT * (beyond - base), now);
-        match work.cost.tokens {
-            Some(tokens) => self.learn_rate(tokens, &work, took, base),
-            None => self.work_ms += WORK_WEIGHT * ((took - work.ahead_ms).max(1.0) - self.work_ms),
+        let SentWork { sent, ahead_ms, .. } = *work;
+        if sent.cost.tokens.is_none() {
+            let took = millis(now.since(sent.sent));
+            let beyond = took - (ahead_ms + self.own_ms(sent.cost));
+            self.learn_base(beyond, rank(sent.priority), now);
+            self.work_ms += WORK_WEIGHT * ((took - ahead_ms).max(1.0) - self.work_ms);
         }
+        self.note_first_byte(sent.request, sent.priority, sent.sent, now);
+        Some(sent)
     }
 
-    /// Notes the end of a send.
-    pub fn end(&mut self, ticket: TicketId) {
-        self.sent.remove(&ticket);
+    /// Notes the first byte of an answer, to whichever gateway.
+    pub fn note_first_byte(
+        &mut self,
+        request: u64,
+        priority: u8,
+        sent: MonotonicTime,
+        came: MonotonicTime,
+    ) {
+        self.heard = self.heard.max(came);
+        let rank = rank(priority);
+        let Some(prompt) = self.unread.begin(FirstByte { request, rank, sent, came }) else {
+            return;
+        };
+        let took = millis(came.since(prompt.sent));
+        let base = self.base(priority, came);
+        let own_ms = prompt.cost_ms * self.unread.pace();
+        let known = (prompt.ahead_ms + own_ms) * self.unread.stretch(rank, prompt.sent);
+        self.learn_base(took - known, rank, came);
+        self.learn_rate(&prompt, took, base);
+    }
+
+    /// Notes the end of an own send; its request where its answer had not begun.
+    pub fn end(&mut self, ticket: TicketId) -> Option<SentRequest> {
+        let work = self.sent.remove(&ticket).filter(|work| !work.has_begun)?;
+        self.unread.withdraw(work.sent.request);
+        Some(work.sent)
+    }
+
+    /// Notes that a request of another gateway will not begin.
+    pub fn note_dropped(&mut self, request: u64) {
+        self.unread.withdraw(request);
     }
 
     /// Notes the load that the backend server stated.
     pub fn note_report(&mut self, report: BackendReport, now: MonotonicTime) {
-        self.heard = now;
+        self.heard = self.heard.max(now);
+        if self.report.is_some_and(|(_, at)| at > now) {
+            return;
+        }
         self.report = Some((report, now));
         self.own_at_report = u32::try_from(self.sent.len()).unwrap_or(u32::MAX);
+        self.others_since_report = 0;
+    }
+
+    /// The load that it stated within the last `age`.
+    pub fn recent_report(&self, age: Duration, now: MonotonicTime) -> Option<BackendReport> {
+        self.report.filter(|(_, at)| now.since(*at) < age).map(|(report, _)| report)
     }
 
     /// Kept apart by priority: less urgent work that waits long behind more urgent says nothing of
@@ -215,17 +305,24 @@
         faded(base_ms, now.since(at), BASE_HALF_LIFE)
     }
 
+    fn learn_base(&mut self, beyond_ms: f64, rank: usize, now: MonotonicTime) {
+        let (base_ms, at) = self.bases[rank];
+        let base = faded(base_ms, now.since(at), BASE_HALF_LIFE);
+        let beyond = beyond_ms.clamp(0.0, MOST_BASE_MS);
+        self.bases[rank] = (base + BASE_WEIGHT * (beyond - base), now);
+    }
+
     pub(crate) fn read_ms(&self, tokens: u32) -> f64 {
         f64::from(tokens) / self.read_rate
     }
 
     /// A long prompt with nothing ahead tells how fast prompts are read.
-    fn learn_rate(&mut self, tokens: u32, work: &SentWork, took: f64, base: f64) {
+    fn learn_rate(&mut self, prompt: &UnreadPrompt, took: f64, base: f64) {
         const TELLING_TOKENS: u32 = 3_000;
-        if tokens < TELLING_TOKENS || work.ahead_ms > 0.0 || base > 20.0 {
+        if prompt.tokens < TELLING_TOKENS || prompt.ahead_ms > 0.0 || base > 20.0 {
             return;
         }
-        let rate = f64::from(tokens) / took.max(1.0);
+        let rate = f64::from(prompt.tokens) / took.max(1.0);
         let (least, most) = READ_RATE_BOUNDS;
         self.read_rate = (self.read_rate + 0.1 * (rate - self.read_rate)).clamp(least, most);
     }
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -19,13 +19,17 @@
 
 use {
     crate::{
-        BackendFacts, BackendLoad, BackendReport, CacheEstimate, ColdGate, FirstByteTimes,
-        HealthRecord, PlacementHint, PromptShape, RegionFacts, RepeatBudget, SchedulerSettings,
-        TicketId, Verdict, WorkCost, WorkItem, WorkOutcome, regions::RegionBook,
+        BackendFacts, BackendHint, BackendLoad, BackendReport, CacheEstimate, ColdGate,
+        FirstByteTimes, HealthRecord, PromptShape, RegionFacts, RepeatBudget, RequestNews,
+        SchedulerSettings, SentRequest, TicketId, Verdict, WorkCost, WorkItem, WorkOutcome,
+        hint::{OwnHint, ago},
+        regions::RegionBook,
+        urgency::ObjectiveBook,
     },
     gullglade_traffic::ServicePool,
     gullglade_units::{
         BackendName, FailureDomain, Incarnation, MonotonicTime, RegionName, ServiceName, VmName,
+        rendezvous,
     },
     look::ServiceLook,
     placing::strain_ms,
@@ -36,6 +40,9 @@
     },
 };
 
+/// A stated load this young is told with a first byte: it came with the head of the same answer.
+const TOLD_REPORT_AGE: Duration = Duration::from_millis(100);
+
 struct Backend {
     facts: BackendFacts,
     load: BackendLoad,
@@ -55,6 +62,7 @@
     services: BTreeMap<ServiceName, Rc<ServicePool>>,
     backends: BTreeMap<BackendName, Backend>,
     regions: RegionBook,
+    objectives: HashMap<ServiceName, ObjectiveBook>,
     evacuated: Rc<BTreeSet<FailureDomain>>,
     /// Failure domains that were evacuated, and when that ended.
     returned: BTreeMap<FailureDomain, MonotonicTime>,
@@ -62,8 +70,10 @@
     gateway_total: usize,
     budgets: HashMap<ServiceName, RepeatBudget>,
     waiting: Vec<Waiting>,
-    /// Sends that other gateways of the region have not yet been told of.
-    hints: Vec<PlacementHint>,
+    /// What other gateways of the region have not yet been told of.
+    hints: Vec<OwnHint>,
+    /// The part of its requests' numbers that is this gateway's own.
+    request_base: u64,
     /// Runs of backend servers that are over, whatever is still announced of them.
     ended: BTreeSet<(BackendName, Incarnation)>,
     /// Where the requests run that were sent.
@@ -75,12 +85,15 @@
 impl Scheduler {
     /// A scheduler that knows of no backend server yet.
     pub fn new(settings: SchedulerSettings) -> Self {
+        let request_base = rendezvous::score(settings.own.as_str(), "requests");
         Self {
             gateways: vec![settings.own.clone()],
+            request_base,
             settings,
             services: BTreeMap::new(),
             backends: BTreeMap::new(),
             regions: RegionBook::default(),
+            objectives: HashMap::new(),
             evacuated: Rc::default(),
             returned: BTreeMap::new(),
             gateway_total: 1,
@@ -156,8 +169,8 @@
 
     /// The same of one service; `None` where nobody could be given work of it.
     pub fn offer(&self, service: &ServiceName, now: MonotonicTime) -> Option<RegionFacts> {
-        let sound =
-            |b: &&Backend| !b.facts.is_silent && !b.health.is_suspect(now) && !self.is_cold(b, now);
+        let is_trusted = |b: &Backend| !b.health.is_suspect(now) && !b.load.is_stalled(now);
+        let sound = |b: &&Backend| !b.facts.is_silent && is_trusted(b) && !self.is_cold(b, now);
         let times: Vec<FirstByteTimes> = self
             .serving(service)
             .filter(sound)
@@ -187,6 +200,7 @@
         if !item.is_repeat {
             self.budget(&item.service).note_request(now);
         }
+        self.objectives.entry(item.service.clone()).or_default().note(&item);
         self.next_ticket += 1;
         let ticket = TicketId(self.next_ticket);
         self.waiting.push(Waiting { ticket, item });
@@ -244,9 +258,27 @@
 
     /// Notes the first byte of an answer.
     pub fn begin(&mut self, ticket: TicketId, now: MonotonicTime) {
-        if let Some(backend) = self.sent_to(ticket) {
-            backend.load.begin(ticket, now);
-        }
+        let Some((name, incarnation)) = self.sent.get(&ticket).cloned() else { return };
+        let Some(backend) = run_of(&mut self.backends, &name, incarnation) else { return };
+        let Some(sent) = backend.load.begin(ticket, now) else { return };
+        let load = backend.load.recent_report(TOLD_REPORT_AGE, now);
+        let news = RequestNews::Begun { ago_us: 0, load };
+        self.note_own(name, incarnation, sent, news, now);
+    }
+
+    /// Keeps something to be told to the region's other gateways.
+    fn note_own(
+        &mut self,
+        backend: BackendName,
+        incarnation: Incarnation,
+        request: SentRequest,
+        news: RequestNews,
+        now: MonotonicTime,
+    ) {
+        let SentRequest { request, priority, sent, .. } = request;
+        let happened = now;
+        let hint = OwnHint { backend, incarnation, request, priority, sent, happened, news };
+        self.hints.push(hint);
     }
 
     /// Notes the load that a backend server stated with its answer to a request.
@@ -266,13 +298,13 @@
     pub fn end(&mut self, ticket: TicketId, outcome: WorkOutcome, now: MonotonicTime) {
         let Some(run) = self.sent.remove(&ticket) else { return };
         let Some(backend) = run_of(&mut self.backends, &run.0, run.1) else { return };
-        backend.load.end(ticket);
+        let unbegun = backend.load.end(ticket);
         backend.health.note(outcome, now);
         match outcome {
             WorkOutcome::Misdirected => {
                 // The run that was meant is over, whatever its last announcement said.
                 self.backends.remove(&run.0);
-                self.ended.insert(run);
+                self.ended.insert(run.clone());
             }
             WorkOutcome::Shed => {
                 let slots = backend.facts.slots;
@@ -281,6 +313,9 @@
             }
             _ => {}
         }
+        if let Some(sent) = unbegun {
+            self.note_own(run.0, run.1, sent, RequestNews::Dropped, now);
+        }
     }
 
     /// Takes one repeat out of the budget of `service`, where there is one left.
@@ -331,22 +366,46 @@
         self.sent_to(ticket).is_some_and(|b| b.load.is_at_work(now))
     }
 
-    /// Takes the sends of this gateway since the last call, to be told to the region's others.
-    pub fn take_hints(&mut self) -> Vec<PlacementHint> {
-        std::mem::take(&mut self.hints)
+    /// Takes what has happened since the last call, to be told to the region's others.
+    pub fn take_hints(&mut self, now: MonotonicTime) -> Vec<BackendHint> {
+        self.hints.drain(..).map(|hint| hint.told(now)).collect()
     }
 
-    /// Notes sends of another gateway of the region.
-    pub fn note_hints(&mut self, hints: &[PlacementHint], now: MonotonicTime) {
+    /// Whether there is anything to be told to the region's others.
+    pub fn has_hints(&self) -> bool {
+        !self.hints.is_empty()
+    }
+
+    /// Notes what another gateway of the region told.
+    pub fn note_hints(&mut self, hints: Vec<BackendHint>, now: MonotonicTime) {
         for hint in hints {
-            let backend = run_of(&mut self.backends, &hint.backend, hint.incarnation);
-            let Some(backend) = backend else { continue };
-            let cost = WorkCost { tokens: hint.tokens, slots: backend.facts.slots };
-            backend.load.note_other(cost, hint.priority, now);
-            let engine = self.services.get(&backend.facts.service).and_then(|s| s.engine);
-            if let Some(engine) = engine {
-                backend.cache.note(&hint.parts, engine.memory_tokens, now);
+            self.note_hint(hint, now);
+        }
+    }
+
+    fn note_hint(&mut self, hint: BackendHint, now: MonotonicTime) {
+        let BackendHint { backend, incarnation, request, priority, sent_ago_us, news } = hint;
+        let Some(backend) = run_of(&mut self.backends, &backend, incarnation) else { return };
+        let sent = ago(now, sent_ago_us);
+        match news {
+            RequestNews::Sent { tokens, parts } => {
+                let cost = WorkCost { tokens, slots: backend.facts.slots };
+                let is_own = false;
+                let other = SentRequest { request, is_own, cost, priority, sent };
+                backend.load.send(None, other, now);
+                let engine = self.services.get(&backend.facts.service).and_then(|s| s.engine);
+                if let Some(engine) = engine {
+                    backend.cache.note(&parts, engine.memory_tokens, now);
+                }
+            }
+            RequestNews::Begun { ago_us, load } => {
+                let came = ago(now, ago_us);
+                backend.load.note_first_byte(request, priority, sent, came);
+                if let Some(load) = load {
+                    backend.load.note_report(load, came);
+                }
             }
+            RequestNews::Dropped => backend.load.note_dropped(request),
         }
     }
 
@@ -357,23 +416,22 @@
     }
 
     fn carry_out(&mut self, waiting: &Waiting, verdict: &Verdict, now: MonotonicTime) {
-        let Verdict::Send { backend: name, copy, .. } = verdict else { return };
+        let Verdict::Send { backend: name, copy, priority, .. } = verdict else { return };
         let engine = self.services.get(&waiting.item.service).and_then(|s| s.engine);
         let is_cold = self.backends.get(name).is_some_and(|b| self.is_cold(b, now));
         let Some(backend) = self.backends.get_mut(name) else { return };
         let cost = work_cost(backend, &waiting.item);
         let cost = copy.map_or(cost, |copy| copy.reduce(cost));
-        let priority = waiting.item.route.priority;
-        backend.load.send(waiting.ticket, cost, priority, now);
+        let sent = SentRequest {
+            request: self.request_base.wrapping_add(waiting.ticket.0),
+            is_own: true,
+            cost,
+            priority: *priority,
+            sent: now,
+        };
+        backend.load.send(Some(waiting.ticket), sent, now);
         let parts = waiting.item.prompt.as_ref().map(PromptShape::shared_parts);
         let parts = parts.unwrap_or_default().to_vec();
-        self.hints.push(PlacementHint {
-            backend: name.clone(),
-            incarnation: backend.facts.incarnation,
-            tokens: cost.tokens,
-            priority,
-            parts,
-        });
         backend.health.note_send(now);
         if is_cold {
             backend.cold.note(now);
@@ -381,7 +439,10 @@
         if let (Some(prompt), Some(engine)) = (&waiting.item.prompt, engine) {
             backend.cache.note(&prompt.parts, engine.memory_tokens, now);
         }
-        self.sent.insert(waiting.ticket, (name.clone(), backend.facts.incarnation));
+        let incarnation = backend.facts.incarnation;
+        self.sent.insert(waiting.ticket, (name.clone(), incarnation));
+        let news = RequestNews::Sent { tokens: cost.tokens, parts };
+        self.note_own(name.clone(), incarnation, sent, news, now);
     }
 
     /// The backend servers of a service that may be given work.
--- a/crates/dispatch/src/scheduler/deciding.rs
+++ b/crates/dispatch/src/scheduler/deciding.rs
@@ -4,7 +4,11 @@
 //! turned away at once, with the time after which there will be room.
 
 use {
-    super::{Scheduler, Waiting, look::ServiceLook, placing::Local},
+    super::{
+        Scheduler, Waiting,
+        look::ServiceLook,
+        placing::{HereTimes, Local},
+    },
     crate::{RefusalFacts, RefusalReason, Verdict, WorkItem},
     gullglade_units::MonotonicTime,
     std::time::Duration,
@@ -54,8 +58,8 @@
         match local {
             Local::Place { backend, here, copy } => {
                 let address = self.backends.get(&backend)?.facts.address;
-                let expected_ms = here.expected_ms;
-                Some(Verdict::Send { backend, address, expected_ms, copy })
+                let HereTimes { expected_ms, priority, .. } = here;
+                Some(Verdict::Send { backend, address, priority, expected_ms, copy })
             }
             Local::Later { here, again } => {
                 let wait = Duration::from_secs_f64((here.expected_ms + look.queued_ms()) / 1_000.0);
--- a/crates/dispatch/src/scheduler/look.rs
+++ b/crates/dispatch/src/scheduler/look.rs
@@ -76,6 +76,12 @@
         f64::from(prompt.own_tokens()) * self.token_ms
     }
 
+    /// The same of one that holds nothing of its prompt.
+    pub(crate) fn whole_ms(&self, item: &WorkItem) -> f64 {
+        let Some(prompt) = &item.prompt else { return self.plain_ms };
+        f64::from(prompt.prompt_tokens) * self.token_ms
+    }
+
     /// Puts a request among those that stay in the queue.
     pub(crate) fn queue(&mut self, item: &WorkItem) {
         self.queued_ms += self.own_ms(item) * self.queues_per_backend;
--- a/crates/dispatch/src/scheduler/placing.rs
+++ b/crates/dispatch/src/scheduler/placing.rs
@@ -8,7 +8,10 @@
         look::{FullLook, ServiceLook},
         work_cost,
     },
-    crate::{ColdGate, PromptCopy, PromptShape, RegionFacts, SchedulerSettings, WorkItem},
+    crate::{
+        ColdGate, PromptCopy, PromptShape, RegionFacts, SchedulerSettings, WorkCost, WorkItem,
+        urgency::{ObjectiveBook, Urgency},
+    },
     gullglade_units::{BackendName, MonotonicTime, RegionName, rendezvous},
     std::time::Duration,
 };
@@ -100,12 +103,16 @@
 /// How a request would fare in the own region, milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct HereTimes {
+    /// The priority with which it would be sent.
+    pub(crate) priority: u8,
     /// Until its first byte.
     pub(crate) expected_ms: f64,
     /// The part of it in which nothing is done for the request yet.
     pub(crate) wait_ms: f64,
     /// What the least strained backend server's other requests cost it.
     pub(crate) strain_ms: f64,
+    /// Its own reading or work in another region, where nothing of its prompt is known to be held.
+    pub(crate) away_own_ms: f64,
 }
 
 impl Scheduler {
@@ -126,7 +133,7 @@
         now: MonotonicTime,
     ) -> Local {
         if let Some(full) = look.full(item) {
-            return later(full, look.own_ms(item));
+            return later(full, look, item);
         }
         let untried = |b: &&Backend| !item.tried.contains(&b.facts.name);
         let pool: Vec<&Backend> = self.serving(&item.service).filter(untried).collect();
@@ -138,7 +145,7 @@
         let mut sound = pool
             .into_iter()
             .filter(|b| !b.facts.is_silent || !is_any_heard)
-            .filter(|b| !b.health.is_suspect(now))
+            .filter(|b| !b.health.is_suspect(now) && !b.load.is_stalled(now))
             .peekable();
         if sound.peek().is_none() {
             return Local::Suspects { again: now + SUSPECT_LOOK };
@@ -155,6 +162,7 @@
     ) -> Local {
         let sound: Vec<&Backend> = sound.collect();
         let shared = self.shared_parts(item, &sound);
+        let objectives = self.objectives.get(&item.service).copied().unwrap_or_default();
         let mut best: Option<(Candidate, &BackendName)> = None;
         let mut wait_ms = f64::MAX;
         let mut again = now + LOOK_INTERVAL;
@@ -163,10 +171,10 @@
                 again = again.min(room);
                 continue;
             }
-            let candidate = candidate(item, backend, &shared, now);
+            let candidate = candidate(item, backend, &shared, &objectives, now);
             wait_ms = wait_ms.min(candidate.here.wait_ms);
             let is_better = best.as_ref().is_none_or(|(b, _)| candidate.cost_ms < b.cost_ms);
-            if is_better && self.has_room(backend, item, now) {
+            if is_better && self.has_room(backend, item, candidate.here.priority, now) {
                 best = Some((candidate, &backend.facts.name));
             }
         }
@@ -179,7 +187,7 @@
                 let wait_ms = wait_ms + LOOK_INTERVAL.as_secs_f64() * 1_000.0;
                 let full = FullLook { wait_ms, again };
                 look.note_full(item, full);
-                later(full, look.own_ms(item))
+                later(full, look, item)
             }
         }
     }
@@ -194,7 +202,13 @@
     }
 
     /// Whether a backend server can take the request now.
-    fn has_room(&self, backend: &Backend, item: &WorkItem, now: MonotonicTime) -> bool {
+    fn has_room(
+        &self,
+        backend: &Backend,
+        item: &WorkItem,
+        priority: u8,
+        now: MonotonicTime,
+    ) -> bool {
         let Some(service) = self.services.get(&item.service) else { return false };
         let connections = service.connection_limit as usize / self.gateways.len().max(1);
         if backend.load.own() >= connections.max(1) {
@@ -207,7 +221,7 @@
         if backend.load.total(now) >= backend.facts.slots.max(1) * fullness {
             return false;
         }
-        backend.load.ahead_ms(item.route.priority, now) < backlog_limit_ms
+        backend.load.ahead_ms(priority, now) < backlog_limit_ms
     }
 
     pub(super) fn is_cold(&self, backend: &Backend, now: MonotonicTime) -> bool {
@@ -246,13 +260,17 @@
         {
             return None;
         }
-        let there_ms = |r: &RegionFacts| self.regions.first_byte_ms(r, item.route.priority, now);
+        let priority = here.map_or(item.route.priority, |here| here.priority);
+        let there_ms = |r: &RegionFacts| self.regions.first_byte_ms(r, priority, now);
         let best = self
             .allowed_offers(item)
             .filter(|r| !self.regions.is_paused(r, now))
             .min_by(|a, b| there_ms(a).total_cmp(&there_ms(b)))?;
         match here {
-            Some(here) if there_ms(best) + AWAY_MARGIN_MS >= here.expected_ms + here.strain_ms => {
+            Some(here)
+                if there_ms(best) + here.away_own_ms + AWAY_MARGIN_MS
+                    >= here.expected_ms + here.strain_ms =>
+            {
                 None
             }
             _ => Some(best.region.clone()),
@@ -280,6 +298,7 @@
     item: &WorkItem,
     backend: &Backend,
     shared: &SharedParts<'_>,
+    objectives: &ObjectiveBook,
     now: MonotonicTime,
 ) -> Candidate {
     let shape = item.prompt.as_ref();
@@ -287,9 +306,16 @@
     let copy = source.and_then(|(source, shape)| source.copy_to(backend, shape));
     let work = work_cost(backend, item);
     let work = copy.map_or(work, |copy| copy.reduce(work));
-    let expected_ms = backend.load.first_byte_ms(work, item.route.priority, now);
+    let Urgency { priority, expected_ms } = Urgency::at(&backend.load, item, work, objectives, now);
     let wait_ms = expected_ms - backend.load.own_ms(work);
-    let here = HereTimes { expected_ms, wait_ms, strain_ms: strain_ms(backend, now) };
+    let whole = WorkCost { tokens: shape.map(|shape| shape.prompt_tokens), ..work };
+    let here = HereTimes {
+        priority,
+        expected_ms,
+        wait_ms,
+        strain_ms: strain_ms(backend, now),
+        away_own_ms: backend.load.own_ms(whole),
+    };
     let read_tokens = match shared.keeper == Some(&backend.facts.name) {
         true => shape.map(PromptShape::own_tokens),
         false => work.tokens,
@@ -323,9 +349,15 @@
 }
 
 /// What is known where all backend servers are full.
-fn later(full: FullLook, own_ms: f64) -> Local {
+fn later(full: FullLook, look: &ServiceLook, item: &WorkItem) -> Local {
     let FullLook { wait_ms, again } = full;
-    let here = HereTimes { expected_ms: wait_ms + own_ms, wait_ms, strain_ms: STRAIN_MS };
+    let here = HereTimes {
+        priority: item.route.priority,
+        expected_ms: wait_ms + look.own_ms(item),
+        wait_ms,
+        strain_ms: STRAIN_MS,
+        away_own_ms: look.whole_ms(item),
+    };
     Local::Later { here, again }
 }
 
--- a/crates/dispatch/src/verdict.rs
+++ b/crates/dispatch/src/verdict.rs
@@ -15,6 +15,8 @@
         backend: BackendName,
         /// Which takes requests here.
         address: SocketAddr,
+        /// With this priority, 0 the most urgent.
+        priority: u8,
         /// The first byte is expected after this many milliseconds.
         expected_ms: f64,
         /// What it copies of the prompt instead of reading it.
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -3,7 +3,7 @@
 use {
     gullglade_event::FieldValue,
     gullglade_traffic::TrafficRoute,
-    gullglade_units::{BackendName, Incarnation, MonotonicTime, ServiceName},
+    gullglade_units::{BackendName, MonotonicTime, ServiceName},
     serde::{Deserialize, Serialize},
     std::{fmt, rc::Rc, time::Duration},
 };
@@ -71,22 +71,6 @@
     pub is_repeat: bool,
 }
 
-/// A send that other gateways of the region should know of: they send to the same engines, and
-/// see nothing of it until answers come.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PlacementHint {
-    /// Where it was sent.
-    pub backend: BackendName,
-    /// To which run there.
-    pub incarnation: Incarnation,
-    /// The prompt tokens to be read there; `None` for a request without a prompt.
-    pub tokens: Option<u32>,
-    /// Its priority.
-    pub priority: u8,
-    /// The parts of its prompt that other requests may share, which the engine will hold.
-    pub parts: Vec<PromptPart>,
-}
-
 /// Why a request was turned away. It has not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RefusalReason {
--- a/crates/dispatch/tests/copying.rs
+++ b/crates/dispatch/tests/copying.rs
@@ -3,13 +3,11 @@
 mod support;
 
 use {
-    gullglade_dispatch::{
-        BackendFacts, PlacementHint, PromptCopy, Scheduler, Verdict, WorkItem, WorkOutcome,
-    },
+    gullglade_dispatch::{BackendFacts, PromptCopy, Scheduler, Verdict, WorkItem, WorkOutcome},
     gullglade_traffic::{EngineProfile, ServicePool},
-    gullglade_units::{Incarnation, MonotonicTime},
+    gullglade_units::MonotonicTime,
     std::{collections::BTreeSet, rc::Rc, time::Duration},
-    support::{at, backend, facts, item, pool, prompt, route, scheduler},
+    support::{at, facts, item, pool, prompt, route, scheduler, sent_hint},
 };
 
 /// Tokens that an engine copies in a millisecond.
@@ -49,16 +47,6 @@
     (backend.as_str().to_owned(), copy)
 }
 
-fn busy(index: usize, tokens: u32) -> PlacementHint {
-    PlacementHint {
-        backend: backend(index),
-        incarnation: Incarnation(0),
-        tokens: Some(tokens),
-        priority: 0,
-        parts: Vec::new(),
-    }
-}
-
 #[test]
 fn an_engine_copies_what_another_one_holds() {
     // The load: the engine that holds a long shared part is full at a peak. Symptom without: the
@@ -107,7 +95,7 @@
         let (holder, _) = place(&mut scheduler, 1, at(0));
         let holder: usize = holder[2..].parse().expect("engines are numbered");
         if case.is_full {
-            scheduler.note_hints(&[busy(holder, 120_000)], at(1_000));
+            scheduler.note_hints(vec![sent_hint(holder, 120_000, &[])], at(1_000));
         }
         if case.is_gone {
             scheduler.set_backends([facts(1 - holder)]);
@@ -133,7 +121,7 @@
     let holder: usize = holder[2..].parse().expect("engines are numbered");
 
     let mut restarted = copying_scheduler(4, COPY_RATE);
-    restarted.note_hints(&[busy(holder, 120_000)], at(10));
+    restarted.note_hints(vec![sent_hint(holder, 120_000, &[])], at(10));
     let (other, copy) = place(&mut restarted, 2, at(10));
     assert_ne!(other, format!("i-{holder}"));
     let copy = copy.expect("a copy is tried");
--- a/crates/dispatch/tests/plain.rs
+++ b/crates/dispatch/tests/plain.rs
@@ -5,7 +5,7 @@
 
 use {
     gullglade_dispatch::{
-        BackendReport, PlacementHint, Scheduler, TicketId, Verdict, WorkItem, WorkOutcome,
+        BackendHint, BackendReport, Scheduler, TicketId, Verdict, WorkItem, WorkOutcome,
     },
     gullglade_traffic::{RequestKind, ServicePool, TrafficRoute},
     gullglade_units::{RandomSource, SeededRandom},
@@ -113,7 +113,7 @@
         let mut schedulers: Vec<_> = (0..self.gateways).map(|g| plain_scheduler(self, g)).collect();
         let mut servers: Vec<_> = (0..self.servers).map(|_| PlainServer::default()).collect();
         let mut asked: HashMap<(usize, TicketId), (u64, WorkItem)> = HashMap::new();
-        let mut hints: VecDeque<(u64, usize, Vec<PlacementHint>)> = VecDeque::new();
+        let mut hints: VecDeque<(u64, usize, Vec<BackendHint>)> = VecDeque::new();
         let mut result = PlainResult::default();
         // As in a process, a gateway looks at its queue when something happens to it, or when it
         // asked to.
@@ -155,7 +155,7 @@
                         schedulers[gateway].end(ticket, WorkOutcome::Shed, now);
                     }
                 }
-                let sent = schedulers[gateway].take_hints();
+                let sent = schedulers[gateway].take_hints(now);
                 if !sent.is_empty() {
                     hints.push_back((ms + HINT_DELAY, gateway, sent));
                 }
@@ -164,7 +164,7 @@
                 let Some((_, from, sent)) = hints.pop_front() else { break };
                 for (index, scheduler) in schedulers.iter_mut().enumerate() {
                     if index != from {
-                        scheduler.note_hints(&sent, now);
+                        scheduler.note_hints(sent.clone(), now);
                     }
                 }
             }
--- a/crates/dispatch/tests/rules.rs
+++ b/crates/dispatch/tests/rules.rs
@@ -4,13 +4,16 @@
 
 use {
     gullglade_dispatch::{
-        BackendFacts, FirstByteTimes, PlacementHint, RefusalReason, RegionFacts, RepeatBudget,
-        Scheduler, TicketId, Verdict, WorkOutcome,
+        BackendFacts, BackendHint, FirstByteTimes, RefusalReason, RegionFacts, RepeatBudget,
+        RequestNews, Scheduler, TicketId, Verdict, WorkOutcome,
     },
     gullglade_traffic::{RequestKind, TrafficRoute},
     gullglade_units::{Incarnation, MonotonicTime, RandomSource, SeededRandom},
     std::{collections::BTreeSet, rc::Rc, time::Duration},
-    support::{at, backend, facts, gateway, item, pool, prompt, region, route, scheduler, service},
+    support::{
+        at, backend, facts, gateway, item, pool, prompt, region, route, scheduler, sent_hint,
+        service,
+    },
 };
 
 fn place(scheduler: &mut Scheduler, now: MonotonicTime) -> (TicketId, Option<Verdict>) {
@@ -287,14 +290,7 @@
         }
         scheduler.set_backends([facts(0), facts(1)]);
         // The other one has 200 ms of reading ahead.
-        let busy = PlacementHint {
-            backend: backend(1),
-            incarnation: Incarnation(0),
-            tokens: Some(12_000),
-            priority: 0,
-            parts: Vec::new(),
-        };
-        scheduler.note_hints(&[busy], at(millis));
+        scheduler.note_hints(vec![sent_hint(1, 12_000, &[])], at(millis));
         let route = TrafficRoute { kind, ..(*route(1, 800, 10_000)).clone() };
         let shape = prompt(7, 500, 500, 7);
         let ticket = scheduler.submit(item(&Rc::new(route), Some(shape), at(millis)), at(millis));
@@ -346,14 +342,9 @@
         if !case.is_before {
             scheduler.end(ticket, case.outcome, at(20));
         }
-        let hint = PlacementHint {
-            backend: backend(0),
-            incarnation: Incarnation(0),
-            tokens: Some(case.late_hint),
-            priority: 0,
-            parts: prompt(1, 5_000, 1_000, 0).shared_parts().to_vec(),
-        };
-        scheduler.note_hints(&[hint], at(25));
+        let parts = prompt(1, 5_000, 1_000, 0);
+        let hint = sent_hint(0, case.late_hint, parts.shared_parts());
+        scheduler.note_hints(vec![hint], at(25));
         let (_, verdict) = place(&mut scheduler, at(30));
         let Some(Verdict::Send { expected_ms, .. }) = verdict else {
             panic!("{}: {verdict:?}", case.what)
@@ -363,3 +354,69 @@
         assert!((99.0..101.0).contains(&expected_ms), "{}: {expected_ms}", case.what);
     }
 }
+
+#[test]
+fn a_long_prompt_goes_in_front_of_urgent_ones_that_have_time() {
+    // Symptom: at a peak long prompts began after seconds, while short, urgent ones were answered in
+    // a fifth of their objective. Cause: an engine reads by priority, and priorities were the ranks
+    // of the routes alone.
+    struct Case {
+        name: &'static str,
+        /// The objective of the urgent route, milliseconds.
+        urgent_objective: u64,
+        /// The tokens of the long prompt.
+        tokens: u32,
+        expected: u8,
+    }
+    let cases = [
+        Case { name: "they have time", urgent_objective: 1_000, tokens: 12_000, expected: 0 },
+        Case { name: "they have none", urgent_objective: 300, tokens: 12_000, expected: 1 },
+        Case { name: "late all the same", urgent_objective: 10_000, tokens: 60_000, expected: 1 },
+    ];
+    for Case { name, urgent_objective, tokens, expected } in cases {
+        let mut scheduler = scheduler(0, 1, 1, 0.0);
+        let urgent = route(0, urgent_objective, 10_000);
+        scheduler.submit(item(&urgent, Some(prompt(1, 500, 2_500, 1)), at(0)), at(0));
+        scheduler.poll(at(0));
+        let work = item(&route(1, 800, 10_000), Some(prompt(2, 500, tokens - 500, 2)), at(0));
+        let ticket = scheduler.submit(work, at(0));
+        let verdicts = scheduler.poll(at(0));
+        let sent = verdicts.iter().find(|(t, _)| *t == ticket).map(|(_, verdict)| verdict);
+        let Some(Verdict::Send { priority, .. }) = sent else { panic!("{name}: {sent:?}") };
+        assert_eq!(*priority, expected, "{name}");
+    }
+}
+
+#[test]
+fn an_engine_that_stands_still_gets_no_work() {
+    // Symptom: requests died at an engine that had gone dark, and its gateway sent more. Sequence:
+    // the engine answers nobody any more, its connections stay open. Cause: work that is overdue
+    // there counted as done, so that the engine seemed idle.
+    struct Case {
+        name: &'static str,
+        /// When the word of another gateway's first byte from that engine comes, if it does.
+        heard_ms: Option<u64>,
+        /// When the next request comes.
+        at_ms: u64,
+        avoids: bool,
+    }
+    let cases = [
+        Case { name: "at once", heard_ms: None, at_ms: 200, avoids: false },
+        Case { name: "overdue", heard_ms: None, at_ms: 1_000, avoids: true },
+        Case { name: "others are answered", heard_ms: Some(900), at_ms: 1_000, avoids: false },
+    ];
+    for Case { name, heard_ms, at_ms, avoids } in cases {
+        let mut scheduler = scheduler(0, 2, 1, 0.0);
+        let (_, verdict) = place(&mut scheduler, at(0));
+        assert_eq!(sent_to(&verdict), Some("i-0"), "{name}");
+        if let Some(ms) = heard_ms {
+            let news = RequestNews::Begun { ago_us: 0, load: None };
+            scheduler.note_hints(vec![BackendHint { news, ..sent_hint(0, 0, &[]) }], at(ms));
+        }
+        // The other engine holds nothing of the prompt, so that a sound first one is preferred.
+        scheduler.set_backends([facts(0), facts(1)]);
+        let (_, verdict) = place(&mut scheduler, at(at_ms));
+        let expected = if avoids { "i-1" } else { "i-0" };
+        assert_eq!(sent_to(&verdict), Some(expected), "{name}");
+    }
+}
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -3,10 +3,13 @@
 
 #![allow(dead_code)] // Each test program uses a part of it.
 
+pub(crate) mod deployment;
+pub(crate) mod engine;
+
 use {
     gullglade_dispatch::{
-        BackendFacts, FirstByteTimes, PlacementHint, PromptPart, PromptShape, RegionFacts,
-        Scheduler, SchedulerSettings, TicketId, Verdict, WorkItem, WorkOutcome,
+        BackendFacts, BackendHint, FirstByteTimes, PromptPart, PromptShape, RegionFacts,
+        RequestNews, Scheduler, SchedulerSettings, TicketId, Verdict, WorkItem, WorkOutcome,
     },
     gullglade_traffic::{ColdRules, EngineProfile, RequestKind, ServicePool, TrafficRoute},
     gullglade_units::{
@@ -24,8 +27,11 @@
 /// Prompt tokens that an engine reads in a millisecond, with nothing else to do.
 const READ_RATE: f64 = 85.0;
 
+/// Hints are gathered for this long, milliseconds.
+const HINT_GATHER: u64 = 8;
+
 /// The time that a hint takes from one gateway to another, with its gathering.
-const HINT_DELAY: u64 = 9;
+const HINT_DELAY: u64 = HINT_GATHER + 1;
 
 /// The time to another region and back, milliseconds.
 const AWAY_DELAY: u64 = 112;
@@ -137,6 +143,18 @@
     }
 }
 
+/// The word of another gateway that it just sent `tokens` of a prompt to engine `index`.
+pub(crate) fn sent_hint(index: usize, tokens: u32, parts: &[PromptPart]) -> BackendHint {
+    BackendHint {
+        backend: backend(index),
+        incarnation: Incarnation(0),
+        request: 1_000_000 + index as u64,
+        priority: 0,
+        sent_ago_us: 0,
+        news: RequestNews::Sent { tokens: Some(tokens), parts: parts.to_vec() },
+    }
+}
+
 /// A scheduler of gateway `index` of `gateways`, before `engines` engines.
 pub(crate) fn scheduler(index: usize, gateways: usize, engines: usize, cold: f64) -> Scheduler {
     let mut scheduler = Scheduler::new(settings(index));
@@ -249,7 +267,7 @@
         let mut engines: Vec<Engine> = (0..self.engines).map(|_| Engine::default()).collect();
         let mut results = vec![ClassResult::default(); self.classes.len()];
         let mut asked: HashMap<(usize, TicketId), (usize, u64, PromptShape)> = HashMap::new();
-        let mut hints: Vec<(u64, usize, Vec<PlacementHint>)> = Vec::new();
+        let mut hints: Vec<(u64, usize, Vec<BackendHint>)> = Vec::new();
         let mut order = 0;
         for ms in 0..self.seconds * 1_000 {
             let now = at(ms);
@@ -271,16 +289,16 @@
                 let shape = prompt(subject, class.shared_tokens, own, order);
                 let work = item(&class.route, Some(shape.clone()), now);
                 let ticket = schedulers[gateway].submit(work, now);
-                asked.insert((gateway, ticket), (class_index, ms, shape));
                 results[class_index].asked += 1;
+                asked.insert((gateway, ticket), (class_index, ms, shape));
             }
             for (index, scheduler) in schedulers.iter_mut().enumerate() {
                 for (ticket, verdict) in scheduler.poll(now) {
                     let (class_index, asked_at, shape) = &asked[&(index, ticket)];
                     let result = &mut results[*class_index];
                     let held = Duration::from_millis(ms - asked_at);
-                    let backend = match verdict {
-                        Verdict::Send { backend, .. } => backend,
+                    let (backend, priority) = match verdict {
+                        Verdict::Send { backend, priority, .. } => (backend, priority),
                         Verdict::SendAway { .. } => {
                             let objective = self.classes[*class_index].route.objective;
                             let took = held + away_time(shape);
@@ -308,13 +326,13 @@
                     engines[engine].waiting.push(Reading {
                         ticket,
                         gateway: index,
-                        priority: self.classes[*class_index].route.priority,
+                        priority,
                         order,
                         left: f64::from(read),
                         subject,
                     });
                 }
-                let sent = scheduler.take_hints();
+                let sent = scheduler.take_hints(at(ms + HINT_GATHER));
                 if self.has_hints && !sent.is_empty() {
                     hints.push((ms + HINT_DELAY, index, sent));
                 }
@@ -322,7 +340,7 @@
             for (_, from, sent) in hints.extract_if(.., |(due, ..)| *due <= ms) {
                 for (index, scheduler) in schedulers.iter_mut().enumerate() {
                     if index != from {
-                        scheduler.note_hints(&sent, now);
+                        scheduler.note_hints(sent.clone(), now);
                     }
                 }
             }
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -22,8 +22,8 @@
     context: ProcessContext,
     /// When the next look at the queue is due.
     alarm: Cell<Option<MonotonicTime>>,
-    /// Told after each look at the queue, for hints to other gateways.
-    after_pump: RefCell<Option<Rc<dyn Fn()>>>,
+    /// Called when there may be something to be told to other gateways.
+    on_news: RefCell<Option<Rc<dyn Fn()>>>,
 }
 
 impl Dispatcher {
@@ -34,7 +34,7 @@
             waiting: RefCell::default(),
             context,
             alarm: Cell::new(None),
-            after_pump: RefCell::default(),
+            on_news: RefCell::default(),
         })
     }
 
@@ -81,15 +81,19 @@
             }
         }
         self.set_alarm(now);
-        let after = self.after_pump.borrow().clone();
-        if let Some(after) = after {
-            after();
-        }
+        self.tell_news();
+    }
+
+    /// Calls `on_news` when there may be something to be told to other gateways.
+    pub(crate) fn set_on_news(&self, on_news: Rc<dyn Fn()>) {
+        self.on_news.replace(Some(on_news));
     }
 
-    /// Calls `after` after each look at the queue.
-    pub(crate) fn set_after_pump(&self, after: Rc<dyn Fn()>) {
-        self.after_pump.replace(Some(after));
+    fn tell_news(&self) {
+        let on_news = self.on_news.borrow().clone();
+        if let Some(on_news) = on_news {
+            on_news();
+        }
     }
 
     fn set_alarm(self: &Rc<Self>, now: MonotonicTime) {
@@ -122,6 +126,7 @@
     /// The first byte of the answer has come.
     pub(crate) fn begin(&self) {
         self.dispatcher.ask(|scheduler, now| scheduler.begin(self.ticket, now));
+        self.dispatcher.tell_news();
     }
 
     /// The backend server stated its load.
--- a/crates/proxy/src/hints.rs
+++ b/crates/proxy/src/hints.rs
@@ -1,4 +1,4 @@
-//! Tells the other gateways of the region what was sent where.
+//! Tells the other gateways of the region what was sent where, and which answers have begun.
 //!
 //! Without it each gateway sees only its own sends at once, and several send their longest prompts
 //! to the same engine: with four gateways in a region, 14% of long prompts came late at three
@@ -6,7 +6,7 @@
 
 use {
     crate::Dispatcher,
-    gullglade_dispatch::PlacementHint,
+    gullglade_dispatch::{BackendHint, RequestNews},
     gullglade_fleet::FleetFollower,
     gullglade_peer::{NOTICE_LIMIT, NoticeSender},
     gullglade_units::{MonotonicTime, ProcessContext, encode},
@@ -41,7 +41,6 @@
     notices: Rc<dyn NoticeSender>,
     fleet: Rc<FleetFollower>,
     context: ProcessContext,
-    pending: RefCell<Vec<PlacementHint>>,
     is_due: Cell<bool>,
     peers: RefCell<PeerList>,
 }
@@ -60,35 +59,35 @@
         fleet: Rc<FleetFollower>,
         context: ProcessContext,
     ) -> Rc<Self> {
-        let (pending, is_due, peers) = (RefCell::default(), Cell::new(false), RefCell::default());
-        Rc::new(Self { notices, fleet, context, pending, is_due, peers })
+        let (is_due, peers) = (Cell::new(false), RefCell::default());
+        Rc::new(Self { notices, fleet, context, is_due, peers })
     }
 
-    /// Sends what `dispatcher` places from now on.
+    /// Sends what `dispatcher` has to tell from now on.
     pub(crate) fn attach(self: &Rc<Self>, dispatcher: &Rc<Dispatcher>) {
         let (sender, source) = (Rc::clone(self), Rc::downgrade(dispatcher));
-        dispatcher.set_after_pump(Rc::new(move || {
+        dispatcher.set_on_news(Rc::new(move || {
             let Some(dispatcher) = source.upgrade() else { return };
-            let hints = dispatcher.ask(|scheduler, _| scheduler.take_hints());
-            if !hints.is_empty() {
-                sender.pending.borrow_mut().extend(hints);
-                sender.schedule();
+            if dispatcher.ask(|scheduler, _| scheduler.has_hints()) {
+                sender.schedule(&dispatcher);
             }
         }));
     }
 
-    fn schedule(self: &Rc<Self>) {
+    fn schedule(self: &Rc<Self>, dispatcher: &Rc<Dispatcher>) {
         if self.is_due.replace(true) {
             return;
         }
         self.refresh_peers();
-        let sender = Rc::clone(self);
+        let (sender, source) = (Rc::clone(self), Rc::downgrade(dispatcher));
         let is_large = self.peers.borrow().addresses.len() > FEW_PEERS;
         let gather = if is_large { LONG_GATHER } else { GATHER };
         self.context.spawner.spawn(Box::pin(async move {
             sender.context.clock.sleep(gather).await;
             sender.is_due.set(false);
-            sender.send();
+            if let Some(dispatcher) = source.upgrade() {
+                sender.send(&dispatcher);
+            }
         }));
     }
 
@@ -105,8 +104,8 @@
         *peers = PeerList { addresses, read: Some(now) };
     }
 
-    fn send(&self) {
-        let hints = self.pending.take();
+    fn send(&self, dispatcher: &Dispatcher) {
+        let hints = dispatcher.ask(|scheduler, now| scheduler.take_hints(now));
         let mut peers = self.peers.borrow().addresses.clone();
         while peers.len() > MOST_PEERS {
             peers.swap_remove(self.context.random.below(peers.len() as u64) as usize);
@@ -118,17 +117,25 @@
 }
 
 /// The bodies of notices that tell all of `hints`.
-fn bodies(hints: &[PlacementHint]) -> Vec<Vec<u8>> {
+fn bodies(hints: &[BackendHint]) -> Vec<Vec<u8>> {
     let whole = encode(&hints);
     if whole.len() <= NOTICE_LIMIT {
         return vec![whole];
     }
     match hints {
         // Its prompt has more parts than fit. The reading that it causes is what matters more.
-        [hint] => vec![encode(&[PlacementHint { parts: Vec::new(), ..hint.clone() }].as_slice())],
+        [hint] => vec![encode(&[without_parts(hint)].as_slice())],
         _ => {
             let (first, second) = hints.split_at(hints.len() / 2);
             [bodies(first), bodies(second)].concat()
         }
     }
 }
+
+fn without_parts(hint: &BackendHint) -> BackendHint {
+    let mut hint = hint.clone();
+    if let RequestNews::Sent { parts, .. } = &mut hint.news {
+        parts.clear();
+    }
+    hint
+}
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -21,14 +21,14 @@
 
 /// How much later than expected the head of a repeatable answer may be before it is asked for
 /// elsewhere: this many times the expectation, and the time below.
-const PATIENCE_FACTOR: f64 = 4.0;
+const PATIENCE_FACTOR: f64 = 2.0;
 
 /// A plain answer's least patience.
 const PLAIN_PATIENCE: Duration = Duration::from_millis(150);
 
 /// A stream's least patience: its prompt may be among the longest, and a second read of it takes
 /// as long again.
-const STREAM_PATIENCE: Duration = Duration::from_millis(1_000);
+const STREAM_PATIENCE: Duration = Duration::from_millis(600);
 
 /// When a caller may come back to what backend servers turned away.
 const SHED_RETRY: Duration = Duration::from_millis(400);
@@ -169,7 +169,7 @@
                 self.log.refused(reason, retry_after, facts, &self.item);
                 Err(FinalWord::Refused(reason, retry_after))
             }
-            Verdict::Send { backend, address, expected_ms, copy } => {
+            Verdict::Send { backend, address, priority, expected_ms, copy } => {
                 self.log.placed(&backend, expected_ms, copy);
                 let left = self.left();
                 let attempt = Attempt {
@@ -178,7 +178,7 @@
                     address,
                     left,
                     patience: self.patience(expected_ms, left),
-                    priority: self.item.route.priority,
+                    priority,
                     resume_after: self.last_event,
                     copy_from: copy.map(|copy| copy.from),
                     is_once_only: !self.item.route.kind.may_repeat(),
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -5,7 +5,7 @@
         BackendDialect, CallerCall, Dispatcher, attempt::AttemptParts, forward::Forwarder,
         hints::HintSender, journey::Journey, outcome::FinalWord, starting::StartGate,
     },
-    gullglade_dispatch::PlacementHint,
+    gullglade_dispatch::BackendHint,
     gullglade_event::{EventDraft, EventSink, Level, MetricSet},
     gullglade_fleet::{FleetFollower, TrafficInForce},
     gullglade_http::{HttpClient, ReplyBody},
@@ -166,9 +166,9 @@
 
     /// Takes a notice of another gateway of the region: where it sent requests.
     pub fn take_notice(&self, body: &[u8]) {
-        match decode::<Vec<PlacementHint>>(body) {
+        match decode::<Vec<BackendHint>>(body) {
             Ok(hints) => {
-                self.dispatcher().ask(|scheduler, now| scheduler.note_hints(&hints, now));
+                self.dispatcher().ask(|scheduler, now| scheduler.note_hints(hints, now));
             }
             Err(error) => {
                 let event = EventDraft::new("gateway.notice_unreadable").level(Level::Warn);
--- a/crates/proxy/tests/hints.rs
+++ b/crates/proxy/tests/hints.rs
@@ -24,9 +24,15 @@
     CallerCall { prompt: Some(prompt), ..bed.call() }
 }
 
+/// An answer whose first byte comes after the hint of its send has gone out.
+fn late_answer() -> Deed {
+    let after = Duration::from_millis(60);
+    Deed::Answer(Script { after, ..Script::events(&["id: 1\ndata: x\n\n"]) })
+}
+
 /// Serves a call at the first gateway, and lets its hints go out.
 fn serve(bed: &TestBed, call: CallerCall) {
-    bed.script(0, &[Deed::Answer(Script::events(&["id: 1\ndata: x\n\n"]))]);
+    bed.script(0, &[late_answer()]);
     bed.serve(call);
     bed.world.run_for(Duration::from_millis(100));
 }
@@ -37,7 +43,8 @@
     serve(&bed, prompted(&bed, 3));
     let notices = bed.notices(0);
     let told: Vec<_> = notices.iter().map(|(to, _)| to.clone()).collect();
-    assert_eq!(told, [vec![address(4)]]);
+    // Of the send, and of the first byte.
+    assert_eq!(told, [vec![address(4)], vec![address(4)]]);
 }
 
 #[test]
@@ -45,13 +52,16 @@
     let bed = bed();
     serve(&bed, prompted(&bed, 2_000));
     let notices = bed.notices(0);
-    assert_eq!(notices.len(), 1);
-    assert!(notices[0].1.len() <= NOTICE_LIMIT, "{} bytes", notices[0].1.len());
+    // Of the send, and of the first byte.
+    assert_eq!(notices.len(), 2);
+    let sizes: Vec<_> = notices.iter().map(|(_, body)| body.len()).collect();
+    assert!(sizes.iter().all(|size| *size <= NOTICE_LIMIT), "{sizes:?} bytes");
 }
 
 #[test]
 fn a_neighbour_that_is_told_uses_another_backend_server() {
-    // Both gateways would send their first long prompt to the same of two idle backend servers.
+    // Both gateways would send their first long prompt to the same of two idle backend servers. The
+    // first one is still read when the second comes.
     let bed = bed();
     serve(&bed, prompted(&bed, 20));
     let first = bed.backends(0).arrivals.borrow()[0].address;
@@ -64,6 +74,23 @@
     assert_ne!(first, second);
 }
 
+#[test]
+fn a_neighbour_is_told_when_an_answer_begins() {
+    // Symptom: gateways kept away from an engine that had long read everything. Cause: they knew
+    // what others had sent there, and not that it had begun to answer.
+    let bed = bed();
+    serve(&bed, prompted(&bed, 20));
+    let first = bed.backends(0).arrivals.borrow()[0].address;
+    for (_, body) in bed.notices(0) {
+        bed.tell(2, &body);
+    }
+    bed.script(2, &[Deed::Answer(Script::events(&["id: 1\ndata: x\n\n"]))]);
+    let call = prompted(&bed, 20);
+    bed.world.run_until(support::take(bed.gateway(2), call));
+    let second = bed.backends(2).arrivals.borrow()[0].address;
+    assert_eq!(first, second, "it holds the shared parts and has nothing to read");
+}
+
 #[test]
 fn a_notice_that_cannot_be_read_is_told_of_and_changes_nothing() {
     let bed = bed();
