Tell the same gateways of a large region of a send and of its first byte

Cause: in regions of more than 40 other gateways a random part was told each time. Since first bytes are told too, whoever knew only of a send waited for a first byte that had come: two of those make an engine seem to stand still for three seconds.

Change: FleetView::neighbours, the first 40 by a hash. Test: crates/fleet/tests/audience.rs.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -7,8 +7,12 @@
     },
     bytes::Bytes,
     gullglade_traffic::{TrafficConfig, TrafficError, TrafficFormat},
-    gullglade_units::{BackendName, FailureDomain, Incarnation, MonotonicTime, RegionName, VmName},
+    gullglade_units::{
+        BackendName, FailureDomain, Incarnation, MonotonicTime, RegionName, VmName,
+        rendezvous::score,
+    },
     std::{
+        cmp::Reverse,
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
         rc::Rc,
@@ -211,6 +215,25 @@
         self.gateways(now).filter(|g| is_ready(g) && g.profile.region == *region).collect()
     }
 
+    /// Up to `most` other ready gateways of the region of `own`: in a large region the first by a
+    /// hash, which stay the same ones as long as they are ready. Who is told that a request was sent
+    /// has to be told of its first byte, too.
+    pub fn neighbours(
+        &self,
+        own: &GatewayProfile,
+        most: usize,
+        now: MonotonicTime,
+    ) -> Vec<SocketAddr> {
+        let mut rows = self.ready_gateways(&own.region, now);
+        rows.retain(|row| row.profile.vm != own.vm);
+        if rows.len() > most {
+            let by_hash = |row: &GatewayRow| score(own.vm.as_str(), row.profile.vm.as_str());
+            rows.sort_by_cached_key(|row| Reverse(by_hash(row)));
+            rows.truncate(most);
+        }
+        rows.into_iter().map(|row| row.profile.peer_address).collect()
+    }
+
     /// The gateways of `region` that take work from other gateways: those that take callers, or
     /// where there are none, those that are stopping, as they still serve for a while.
     pub fn serving_gateways(&self, region: &RegionName, now: MonotonicTime) -> Vec<GatewayRow> {
--- a/crates/fleet/tests/audience.rs
+++ b/crates/fleet/tests/audience.rs
@@ -2,14 +2,15 @@
 
 use {
     gullglade_fleet::{
-        Audience, BackendRecord, FleetBook, FleetNews, FleetSettings, GatewayPhase, GatewayProfile,
-        GatewayPulse, GatewayStanding, ServingState,
+        Audience, BackendRecord, FleetBook, FleetNews, FleetSettings, FleetView, GatewayPhase,
+        GatewayProfile, GatewayPulse, GatewayStanding, ServingState, SyncReply,
     },
+    gullglade_traffic::{RawTraffic, TrafficError, TrafficFormat},
     gullglade_units::{
         BackendName, FailureDomain, Incarnation, MonotonicTime, RegionName, ServiceName, VmName,
         WallMillis,
     },
-    std::{collections::BTreeSet, time::Duration},
+    std::{collections::BTreeSet, rc::Rc, time::Duration},
 };
 
 /// Gateways of each region.
@@ -17,6 +18,15 @@
 
 const REGIONS: [&str; 3] = ["puget", "columbia", "inland"];
 
+/// There is no configuration here to be read.
+struct NoFormat;
+
+impl TrafficFormat for NoFormat {
+    fn read(&self, _text: &[u8]) -> Result<RawTraffic, TrafficError> {
+        unreachable!("no text is told")
+    }
+}
+
 fn at(millis: u64) -> MonotonicTime {
     MonotonicTime(Duration::from_millis(millis))
 }
@@ -155,3 +165,37 @@
         assert!(quiet.last_change_for(&region(place)) > cursor + 1, "{place}");
     }
 }
+
+#[test]
+fn a_gateway_tells_the_same_part_of_a_large_region_each_time() {
+    // Symptom: in a region of 100 gateways engines that were well got no work for seconds. Sequence: a
+    // gateway told 40 others, drawn at random, of a send, and 40 others of its first byte; whoever
+    // knew only of the send waited for a first byte that had come. Cause: the draw.
+    let mut view = FleetView::new(Rc::new(NoFormat));
+    let book = book();
+    let (vm, own_region) = (vm("puget", 0), region("puget"));
+    let audience = Audience { vm: &vm, region: &own_region };
+    let FleetNews { backends, departed, gateways } = audience.news(&book, 0, at(0));
+    let reply = SyncReply {
+        run: 1,
+        cursor: 1,
+        backends,
+        departed,
+        gateways,
+        ready_total: 120,
+        regions: Vec::new(),
+        traffic: None,
+        confirmed_ago: None,
+        controls: Vec::new(),
+    };
+    view.merge(([10, 0, 0, 1], 80).into(), true, reply, at(0)).expect("merged");
+    let own = pulse("puget", 0, GatewayPhase::Ready).profile;
+    let told = view.neighbours(&own, 10, at(1));
+    assert_eq!(told.len(), 10);
+    assert!(!told.contains(&own.peer_address));
+    for ms in 2..20 {
+        assert_eq!(view.neighbours(&own, 10, at(ms)), told);
+    }
+    assert_eq!(view.neighbours(&own, 50, at(20)).len(), GATEWAYS - 1, "all of a small region");
+    assert_eq!(view.ready_total(), 120);
+}
--- a/crates/proxy/src/hints.rs
+++ b/crates/proxy/src/hints.rs
@@ -29,7 +29,7 @@
 /// Up to so many other gateways hints are sent on at once.
 const FEW_PEERS: usize = 8;
 
-/// The most gateways that are told. In larger regions a random part of them is told each time.
+/// The most gateways that are told. In larger regions each gateway tells the same part of them.
 const MOST_PEERS: usize = 40;
 
 /// How long the list of the other gateways is used before it is read again. One that has gone
@@ -98,18 +98,13 @@
             return;
         }
         let own = self.fleet.profile();
-        let rows = self.fleet.read(|view| view.ready_gateways(&own.region, now));
-        let others = rows.iter().filter(|row| row.profile.vm != own.vm);
-        let addresses = others.map(|row| row.profile.peer_address).collect();
+        let addresses = self.fleet.read(|view| view.neighbours(own, MOST_PEERS, now));
         *peers = PeerList { addresses, read: Some(now) };
     }
 
     fn send(&self, dispatcher: &Dispatcher) {
         let hints = dispatcher.ask(|scheduler, now| scheduler.take_hints(now));
-        let mut peers = self.peers.borrow().addresses.clone();
-        while peers.len() > MOST_PEERS {
-            peers.swap_remove(self.context.random.below(peers.len() as u64) as usize);
-        }
+        let peers = self.peers.borrow().addresses.clone();
         for body in bodies(&hints) {
             self.notices.notify(&peers, &body);
         }
