--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -79,13 +79,11 @@
     pub slots: u32,
 }
 
-/// One request at a backend server, as it is told to its load.
+/// One request at a backend server.
 #[derive(Clone, Copy, Debug)]
 pub struct SentRequest {
     /// Its number among those of all gateways.
     pub request: u64,
-    /// Whether this gateway sent it.
-    pub is_own: bool,
     /// What it takes.
     pub cost: WorkCost,
     /// Its priority, 0 the most urgent.
@@ -184,7 +182,7 @@
         match sent.cost.tokens {
             Some(tokens) => self.unread.add(UnreadPrompt {
                 request: sent.request,
-                is_own: sent.is_own,
+                is_own: ticket.is_some(),
                 rank,
                 sent: sent.sent,
                 tokens,
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -390,8 +390,7 @@
         match news {
             RequestNews::Sent { tokens, parts } => {
                 let cost = WorkCost { tokens, slots: backend.facts.slots };
-                let is_own = false;
-                let other = SentRequest { request, is_own, cost, priority, sent };
+                let other = SentRequest { request, cost, priority, sent };
                 backend.load.send(None, other, now);
                 let engine = self.services.get(&backend.facts.service).and_then(|s| s.engine);
                 if let Some(engine) = engine {
@@ -424,7 +423,6 @@
         let cost = copy.map_or(cost, |copy| copy.reduce(cost));
         let sent = SentRequest {
             request: self.request_base.wrapping_add(waiting.ticket.0),
-            is_own: true,
             cost,
             priority: *priority,
             sent: now,
