Share common limits among all gateways that are heard, not among those that are ready

Since a gateway is told the total of ready gateways as a number, and took it in twice a second only: after a loss of power everywhere each gateway took its part of the allowance by the few that were ready before it.

Change: every gateway that is heard counts, also starting and stopping ones, and the number is taken in with each reply. Test: crates/fleet/tests/audience.rs.

--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -145,15 +145,19 @@
         }
     }
 
-    /// Takes the gateways of the own region that take callers, and the number in all regions.
-    pub fn set_gateways(&mut self, mut own_region: Vec<VmName>, total: usize) {
+    /// Takes the gateways of the own region that take callers.
+    pub fn set_gateways(&mut self, mut own_region: Vec<VmName>) {
         if !own_region.contains(&self.settings.own) {
             own_region.push(self.settings.own.clone());
         }
-        self.gateway_total = total.max(own_region.len());
         self.gateways = own_region;
     }
 
+    /// Takes the number of gateways in all regions, which share common limits.
+    pub fn set_gateway_total(&mut self, total: usize) {
+        self.gateway_total = total;
+    }
+
     /// Takes what other regions say of their services.
     pub fn set_regions(&mut self, regions: Vec<RegionFacts>) {
         self.regions.set(regions);
@@ -320,7 +324,7 @@
 
     /// Takes one repeat out of the budget of `service`, where there is one left.
     pub fn take_repeat(&mut self, service: &ServiceName, now: MonotonicTime) -> bool {
-        let gateways = self.gateway_total;
+        let gateways = self.gateway_total.max(self.gateways.len());
         self.budget(service).take(gateways, now)
     }
 
--- a/crates/dispatch/tests/support/deployment.rs
+++ b/crates/dispatch/tests/support/deployment.rs
@@ -274,7 +274,8 @@
             let first = model.first_gateway(region);
             let names: Vec<VmName> =
                 (first..first + model.regions[region].gateways).map(gateway).collect();
-            play.gateways[index].set_gateways(names, total);
+            play.gateways[index].set_gateways(names);
+            play.gateways[index].set_gateway_total(total);
         }
         play.set_backends(0);
         play
--- a/crates/fleet/examples/sync_bytes.rs
+++ b/crates/fleet/examples/sync_bytes.rs
@@ -58,7 +58,7 @@
         backends: vec![standing.clone(); backends],
         departed: Vec::new(),
         gateways: Vec::new(),
-        ready_total: 370,
+        gateway_total: 370,
         regions: vec![RegionOffer { region: region.clone(), offer: offer.clone() }; regions],
         traffic: None,
         confirmed_ago: Some(Duration::from_millis(80)),
--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -378,9 +378,11 @@
         })
     }
 
-    /// The gateways that are ready.
-    pub fn ready_total(&self) -> usize {
-        self.gateways.values().filter(|e| e.is_ready()).count()
+    /// The gateways that are heard, also those that are starting or stopping: they share common
+    /// limits. Counted when they are ready, the first ones after a loss of power everywhere would
+    /// each take the parts of many.
+    pub fn gateway_total(&self) -> usize {
+        self.gateways.values().filter(|e| !e.is_silent).count()
     }
 
     /// The gateways that changed after `cursor`.
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -87,8 +87,8 @@
     pub departed: Vec<DepartedRun>,
     /// Gateways that changed: those of its region, and some of each other one.
     pub gateways: Vec<GatewayStanding>,
-    /// The gateways of all regions that are ready.
-    pub ready_total: u32,
+    /// How many gateways of all regions are heard.
+    pub gateway_total: u32,
     /// What all regions offer, as their gateways said last.
     pub regions: Vec<RegionOffer>,
     /// The traffic configuration, where the gateway's is older.
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -278,7 +278,7 @@
             backends,
             departed,
             gateways,
-            ready_total: u32::try_from(book.ready_total()).unwrap_or(u32::MAX),
+            gateway_total: u32::try_from(book.gateway_total()).unwrap_or(u32::MAX),
             regions: self.region_offers(),
             traffic: self.source.newer(request.traffic_index, request.version),
             confirmed_ago: self.source.confirmed_ago(),
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -144,8 +144,8 @@
     departed: BTreeMap<BackendName, (Incarnation, MonotonicTime)>,
     gateways: BTreeMap<VmName, Believed<GatewayRow>>,
     controls: BTreeSet<SocketAddr>,
-    /// How many gateways of all regions are ready, by control process.
-    ready_totals: BTreeMap<SocketAddr, u32>,
+    /// How many gateways of all regions are heard, by control process.
+    gateway_totals: BTreeMap<SocketAddr, u32>,
     regions: Vec<RegionOffer>,
 }
 
@@ -160,7 +160,7 @@
             departed: BTreeMap::new(),
             gateways: BTreeMap::new(),
             controls: BTreeSet::new(),
-            ready_totals: BTreeMap::new(),
+            gateway_totals: BTreeMap::new(),
             regions: Vec::new(),
         }
     }
@@ -194,10 +194,10 @@
         })
     }
 
-    /// How many gateways of all regions are ready, by the control process that hears most of
+    /// How many gateways of all regions are heard, by the control process that hears most of
     /// them: one that was just restarted has heard few.
-    pub fn ready_total(&self) -> usize {
-        self.ready_totals.values().max().map_or(0, |total| *total as usize)
+    pub fn gateway_total(&self) -> usize {
+        self.gateway_totals.values().max().map_or(0, |total| *total as usize)
     }
 
     /// The gateways known: those of the own region, and some of each other one.
@@ -271,7 +271,7 @@
         for standing in reply.gateways {
             self.merge_gateway(control, standing, now, &mut change);
         }
-        self.ready_totals.insert(control, reply.ready_total);
+        self.gateway_totals.insert(control, reply.gateway_total);
         if !reply.controls.is_empty() {
             self.controls = reply.controls.into_iter().collect();
         }
@@ -295,7 +295,7 @@
 
     /// Notes that `control` is no longer heard: what it said last is no longer vouched for.
     pub fn forget_voice(&mut self, control: SocketAddr, now: MonotonicTime) {
-        self.ready_totals.remove(&control);
+        self.gateway_totals.remove(&control);
         self.backends.values_mut().for_each(|b| b.drop_voice(control, now));
         self.gateways.values_mut().for_each(|g| g.drop_voice(control, now));
     }
--- a/crates/fleet/tests/audience.rs
+++ b/crates/fleet/tests/audience.rs
@@ -106,7 +106,7 @@
     assert_eq!(of_region(&news, "puget").len(), GATEWAYS);
     assert_eq!(of_region(&news, "columbia").len(), 8);
     assert_eq!(of_region(&news, "inland").len(), 8);
-    assert_eq!(book.ready_total(), 3 * GATEWAYS, "the shares of common limits go by all of them");
+    assert_eq!(book.gateway_total(), 3 * GATEWAYS, "the shares of common limits go by all of them");
 }
 
 #[test]
@@ -182,7 +182,7 @@
         backends,
         departed,
         gateways,
-        ready_total: 120,
+        gateway_total: 120,
         regions: Vec::new(),
         traffic: None,
         confirmed_ago: None,
@@ -197,5 +197,31 @@
         assert_eq!(view.neighbours(&own, 10, at(ms)), told);
     }
     assert_eq!(view.neighbours(&own, 50, at(20)).len(), GATEWAYS - 1, "all of a small region");
-    assert_eq!(view.ready_total(), 120);
+    assert_eq!(view.gateway_total(), 120);
+}
+
+#[test]
+fn common_limits_are_shared_among_all_gateways_that_are_heard() {
+    // Symptom: after a loss of power everywhere a service got more repeats than all gateways together
+    // may send. Sequence: gateways became ready one after the other, and each took its part of the
+    // allowance by the number of those that were ready by then. Cause: those about to be were not counted.
+    struct Case {
+        phase: GatewayPhase,
+        at_ms: u64,
+        total: usize,
+    }
+    let cases = [
+        Case { phase: GatewayPhase::Starting, at_ms: 10, total: 5 },
+        Case { phase: GatewayPhase::Ready, at_ms: 10, total: 5 },
+        Case { phase: GatewayPhase::Stopping, at_ms: 10, total: 5 },
+        Case { phase: GatewayPhase::Ready, at_ms: 5_000, total: 0 },
+    ];
+    for Case { phase, at_ms, total } in cases {
+        let mut book = FleetBook::new(FleetSettings::new(Duration::from_millis(1_200)), at(0));
+        for index in 0..5 {
+            book.pulse(&pulse("puget", index, phase), at(0));
+        }
+        book.tick(at(at_ms));
+        assert_eq!(book.gateway_total(), total, "{phase} after {at_ms} ms");
+    }
 }
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -112,7 +112,7 @@
         backends: Vec::new(),
         departed: Vec::new(),
         gateways: Vec::new(),
-        ready_total: 0,
+        gateway_total: 0,
         regions: Vec::new(),
         traffic: None,
         confirmed_ago: None,
--- a/crates/fleet/tests/memory.rs
+++ b/crates/fleet/tests/memory.rs
@@ -229,7 +229,7 @@
             backends,
             departed,
             gateways: Vec::new(),
-            ready_total: 0,
+            gateway_total: 0,
             regions: Vec::new(),
             traffic: None,
             confirmed_ago: None,
--- a/crates/node/src/proxy_node.rs
+++ b/crates/node/src/proxy_node.rs
@@ -174,7 +174,7 @@
                 scheduler.set_configuration(services, &traffic.evacuated, now);
             }
             scheduler.set_backends(facts.backends);
-            scheduler.set_gateways(facts.gateways, facts.gateway_total);
+            scheduler.set_gateways(facts.gateways);
         });
         self.refresh_regions();
         if facts.is_confirmed && self.fleet.phase() == GatewayPhase::Starting {
@@ -184,8 +184,13 @@
 
     /// Takes what other regions offer, and tells what the own one does.
     fn refresh_regions(&self) {
-        let regions = self.fleet.read(|view| view.regions().iter().map(region_facts).collect());
-        self.dispatcher.update(|scheduler, _| scheduler.set_regions(regions));
+        let (regions, total) = self
+            .fleet
+            .read(|view| (view.regions().iter().map(region_facts).collect(), view.gateway_total()));
+        self.dispatcher.update(|scheduler, _| {
+            scheduler.set_regions(regions);
+            scheduler.set_gateway_total(total);
+        });
         let offers = self.dispatcher.ask(|scheduler, now| scheduler.offers(now));
         self.fleet.set_offers(offers.into_iter().map(told_offer).collect());
     }
@@ -311,7 +316,6 @@
 struct Facts {
     backends: Vec<BackendFacts>,
     gateways: Vec<VmName>,
-    gateway_total: usize,
     is_confirmed: bool,
 }
 
@@ -326,7 +330,6 @@
         Self {
             backends: view.backends(now).filter(is_own).map(backend_facts).collect(),
             gateways: view.ready_gateways(region, now).into_iter().map(|g| g.profile.vm).collect(),
-            gateway_total: view.ready_total(),
             is_confirmed: view.confirmed().is_some() && view.traffic().is_some(),
         }
     }
