Say once what the change said twice: gateways in a book, believed prompts, what came lately; look at the queue once a refresh

Scheduler::begin copied a backend server's name with every piece of every answer, though it is needed for the first alone; a gateway's refresh looked at its queue twice; a plain request was predicted for nothing; hints copied the list of peers with each send.

Change: one piece of code each; deployment.rs (what is played) and play.rs (the play).

No assertion changed.

--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -159,7 +159,7 @@
     pub fn first_byte_ms(&self, cost: WorkCost, priority: u8, now: MonotonicTime) -> f64 {
         let stretch = self.unread.stretch(rank(priority), now);
         let work = self.ahead_ms(priority, now) + self.own_ms(cost);
-        self.base(priority, now) + work * stretch
+        self.base(rank(priority), now) + work * stretch
     }
 
     /// Milliseconds of work that goes before a request of this priority.
@@ -171,7 +171,6 @@
     /// Notes a send, of this gateway where `ticket` is given.
     pub fn send(&mut self, ticket: Option<TicketId>, sent: SentRequest, now: MonotonicTime) {
         let ahead_ms = self.ahead_ms(sent.priority, now);
-        let expected_ms = self.first_byte_ms(sent.cost, sent.priority, now);
         match ticket {
             Some(ticket) => {
                 self.sent.insert(ticket, SentWork { sent, has_begun: false, ahead_ms });
@@ -179,19 +178,21 @@
             None => self.others_since_report += 1,
         }
         let rank = rank(sent.priority);
-        match sent.cost.tokens {
-            Some(tokens) => self.unread.add(UnreadPrompt {
-                request: sent.request,
-                is_own: ticket.is_some(),
-                rank,
-                sent: sent.sent,
-                tokens,
-                cost_ms: self.read_ms(tokens),
-                ahead_ms,
-                due: sent.sent + Duration::from_secs_f64(expected_ms.max(0.0) / 1_000.0),
-            }),
-            None => self.add_plain(self.cost_ms(sent.cost), rank, now),
-        }
+        let Some(tokens) = sent.cost.tokens else {
+            self.add_plain(self.cost_ms(sent.cost), rank, now);
+            return;
+        };
+        let expected_ms = self.first_byte_ms(sent.cost, sent.priority, now);
+        self.unread.add(UnreadPrompt {
+            request: sent.request,
+            is_own: ticket.is_some(),
+            rank,
+            sent: sent.sent,
+            tokens,
+            cost_ms: self.read_ms(tokens),
+            ahead_ms,
+            due: sent.sent + Duration::from_secs_f64(expected_ms.max(0.0) / 1_000.0),
+        });
     }
 
     /// Whether something came from it lately.
@@ -261,7 +262,7 @@
             return;
         };
         let took = millis(came.since(prompt.sent));
-        let base = self.base(priority, came);
+        let base = self.base(rank, came);
         let own_ms = prompt.cost_ms * self.unread.pace();
         let known = (prompt.ahead_ms + own_ms) * self.unread.stretch(rank, prompt.sent);
         self.learn_base(took - known, rank, came);
@@ -298,14 +299,13 @@
 
     /// Kept apart by priority: less urgent work that waits long behind more urgent says nothing of
     /// how long the more urgent waits.
-    fn base(&self, priority: u8, now: MonotonicTime) -> f64 {
-        let (base_ms, at) = self.bases[rank(priority)];
+    fn base(&self, rank: usize, now: MonotonicTime) -> f64 {
+        let (base_ms, at) = self.bases[rank];
         faded(base_ms, now.since(at), BASE_HALF_LIFE)
     }
 
     fn learn_base(&mut self, beyond_ms: f64, rank: usize, now: MonotonicTime) {
-        let (base_ms, at) = self.bases[rank];
-        let base = faded(base_ms, now.since(at), BASE_HALF_LIFE);
+        let base = self.base(rank, now);
         let beyond = beyond_ms.clamp(0.0, MOST_BASE_MS);
         self.bases[rank] = (base + BASE_WEIGHT * (beyond - base), now);
     }
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -262,10 +262,11 @@
 
     /// Notes the first byte of an answer.
     pub fn begin(&mut self, ticket: TicketId, now: MonotonicTime) {
-        let Some((name, incarnation)) = self.sent.get(&ticket).cloned() else { return };
-        let Some(backend) = run_of(&mut self.backends, &name, incarnation) else { return };
+        let Some(backend) = self.sent_to(ticket) else { return };
+        // Called with every piece of an answer: what follows is for the first one alone.
         let Some(sent) = backend.load.begin(ticket, now) else { return };
         let load = backend.load.recent_report(TOLD_REPORT_AGE, now);
+        let (name, incarnation) = (backend.facts.name.clone(), backend.facts.incarnation);
         let news = RequestNews::Begun { ago_us: 0, load };
         self.note_own(name, incarnation, sent, news, now);
     }
--- a/crates/dispatch/src/unread.rs
+++ b/crates/dispatch/src/unread.rs
@@ -61,6 +61,13 @@
     pub(crate) due: MonotonicTime,
 }
 
+impl UnreadPrompt {
+    /// Whether it is believed to be there. Of an own one the end is always noticed.
+    fn is_believed(&self, now: MonotonicTime) -> bool {
+        self.is_own || now.since(self.sent) < PROMPT_AGE
+    }
+}
+
 /// A first byte.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FirstByte {
@@ -92,23 +99,31 @@
 
 impl UnreadQueue {
     pub(crate) fn add(&mut self, prompt: UnreadPrompt) {
-        self.prompts.retain(|p| p.is_own || prompt.sent.since(p.sent) < PROMPT_AGE);
+        self.prompts.retain(|p| p.is_believed(prompt.sent));
         if self.prompts.is_empty() {
             self.busy_since = prompt.sent;
         }
         self.prompts.push(prompt);
-        let (came_ms, at) = self.inflow[prompt.rank];
-        let came_ms = faded(came_ms, prompt.sent.since(at), INFLOW_HALF_LIFE) + prompt.cost_ms;
+        let came_ms = self.came_ms(prompt.rank, prompt.sent) + prompt.cost_ms;
+        let (_, at) = self.inflow[prompt.rank];
         self.inflow[prompt.rank] = (came_ms, at.max(prompt.sent));
     }
 
+    /// The reading of this rank that came lately, fading, milliseconds.
+    fn came_ms(&self, rank: usize, now: MonotonicTime) -> f64 {
+        let (came_ms, at) = self.inflow[rank];
+        faded(came_ms, now.since(at), INFLOW_HALF_LIFE)
+    }
+
+    /// The prompts that are believed to be there.
+    fn believed(&self, now: MonotonicTime) -> impl Iterator<Item = &UnreadPrompt> {
+        self.prompts.iter().filter(move |p| p.is_believed(now))
+    }
+
     /// How many times longer a prompt of this rank takes, since more urgent ones will come that
     /// are read before it.
     pub(crate) fn stretch(&self, rank: usize, now: MonotonicTime) -> f64 {
-        let came = |(came_ms, at): &(f64, MonotonicTime)| {
-            faded(*came_ms, now.since(*at), INFLOW_HALF_LIFE)
-        };
-        let came_ms: f64 = self.inflow[..rank].iter().map(came).sum();
+        let came_ms: f64 = (0..rank).map(|urgent| self.came_ms(urgent, now)).sum();
         // In a steady flow what is left of the past is its rate times this.
         let span_ms = INFLOW_HALF_LIFE.as_secs_f64() * 1_000.0 / std::f64::consts::LN_2;
         1.0 / (1.0 - (came_ms * self.pace() / span_ms).min(MOST_INFLOW))
@@ -116,8 +131,7 @@
 
     /// Milliseconds of reading that goes before a prompt of this rank.
     pub(crate) fn ahead_ms(&self, rank: usize, now: MonotonicTime) -> f64 {
-        let is_there = |p: &&UnreadPrompt| p.is_own || now.since(p.sent) < PROMPT_AGE;
-        let ahead = self.prompts.iter().filter(|p| p.rank <= rank).filter(is_there);
+        let ahead = self.believed(now).filter(|p| p.rank <= rank);
         let (mut sum_ms, mut first): (f64, Option<&UnreadPrompt>) = (0.0, None);
         for prompt in ahead {
             sum_ms += prompt.cost_ms;
@@ -133,8 +147,7 @@
     /// Whether first bytes are overdue by `overdue`: of an own prompt, or of several others. The
     /// word of a single one may have been lost.
     pub(crate) fn is_overdue(&self, overdue: Duration, now: MonotonicTime) -> bool {
-        let late = self.prompts.iter().filter(|p| now.since(p.due) > overdue);
-        let late = late.filter(|p| p.is_own || now.since(p.sent) < PROMPT_AGE);
+        let late = self.believed(now).filter(|p| now.since(p.due) > overdue);
         late.map(|p| if p.is_own { OVERDUE_PROMPTS } else { 1 }).sum::<u32>() >= OVERDUE_PROMPTS
     }
 
--- a/crates/dispatch/src/urgency.rs
+++ b/crates/dispatch/src/urgency.rs
@@ -62,10 +62,10 @@
         let with =
             |priority| Self { priority, expected_ms: load.first_byte_ms(cost, priority, now) };
         let usual = with(item.route.priority);
-        let left_ms = (item.arrived + item.route.objective).since(now).as_secs_f64() * 1_000.0;
         if cost.tokens.is_none() {
             return usual;
         }
+        let left_ms = (item.arrived + item.route.objective).since(now).as_secs_f64() * 1_000.0;
         let is_fair = |urgent: &Self| {
             let mut passed = urgent.priority..usual.priority;
             urgent.expected_ms <= WITHIN * left_ms
--- a/crates/dispatch/tests/support/engine.rs
+++ b/crates/dispatch/tests/support/engine.rs
@@ -105,7 +105,7 @@
     ) {
         self.orders += 1;
         let held = self.held_tokens(shape);
-        let unread = shape.prompt_tokens.saturating_sub(held.max(held + copied));
+        let unread = shape.prompt_tokens.saturating_sub(held + copied);
         self.waiting.push(Job {
             owner,
             priority,
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 pub(crate) mod deployment;
 pub(crate) mod engine;
+mod play;
 
 use {
     gullglade_dispatch::{
@@ -52,6 +53,11 @@
     BackendName::try_from(format!("i-{index}")).expect("a name")
 }
 
+/// The number in a name that [`backend`] made.
+pub(crate) fn backend_index(name: &BackendName) -> usize {
+    name.as_str()[2..].parse().expect("engines are numbered")
+}
+
 pub(crate) fn gateway(index: usize) -> VmName {
     VmName::try_from(format!("edge-{index}")).expect("a name")
 }
@@ -313,8 +319,7 @@
                             continue;
                         }
                     };
-                    let engine: usize =
-                        backend.as_str()[2..].parse().expect("engines are numbered");
+                    let engine = backend_index(&backend);
                     let subject = shape.parts[0].id;
                     let is_held = engines[engine].held.contains(&subject);
                     let is_read = engines.iter().any(|e| e.held.contains(&subject));
--- /dev/null
+++ b/crates/dispatch/tests/support/play.rs
@@ -0,0 +1,572 @@
+//! Plays a deployment millisecond by millisecond: callers arrive, gateways decide, engines work.
+
+use {
+    super::{
+        at, backend_index,
+        deployment::{Deployment, KindOutcome, Outcome},
+        engine::{EngineNews, ModelEngine, Owner},
+        gateway, item, region, service,
+    },
+    gullglade_dispatch::{
+        BackendHint, BackendReport, FirstByteTimes, PromptPart, PromptShape, RegionFacts,
+        Scheduler, Verdict, WorkOutcome,
+    },
+    gullglade_units::{RandomSource, RegionName, SeededRandom, VmName},
+    std::{
+        collections::{BTreeSet, HashMap},
+        time::Duration,
+    },
+};
+
+/// One way between two regions, and between a gateway and an engine, milliseconds.
+const REGION_MS: u64 = 56;
+const ENGINE_MS: u64 = 1;
+/// Hints are gathered for this long in a large region, and in a small one.
+const GATHER_MS: u64 = 20;
+const FEW_PEERS: usize = 8;
+/// How often control processes tell of other regions.
+const TELL_MS: u64 = 600;
+
+struct Caller {
+    kind: usize,
+    origin: usize,
+    asked_ms: u64,
+    shape: PromptShape,
+    answer: u32,
+    worth: f64,
+    is_large: bool,
+    first: Option<f64>,
+    last: f64,
+    has_paused: bool,
+    is_over: bool,
+    refusals: u32,
+    runs: u32,
+}
+
+/// Where a request is now: at which gateway under which ticket, and at which engine.
+enum Delivery {
+    Hints { to: usize, hints: Vec<BackendHint> },
+    Arrive { caller: usize, gateway: usize },
+    Forwarded { caller: usize, gateway: usize, from: usize },
+    Accepted { to: usize, region: usize, word: Option<FirstByteTimes> },
+    RefusedAway { caller: usize, to: usize, region: usize },
+    Event { caller: usize, at: f64 },
+    End { caller: usize },
+}
+
+/// A deployment while it is played.
+pub(super) struct Play<'a> {
+    model: &'a Deployment,
+    random: SeededRandom,
+    gateways: Vec<Scheduler>,
+    region_of: Vec<usize>,
+    engines: Vec<ModelEngine>,
+    engine_region: Vec<usize>,
+    /// Until when an engine is down, its run, and until when it is cold.
+    engine_state: Vec<(u64, u64, u64)>,
+    callers: Vec<Caller>,
+    owners: HashMap<Owner, (usize, bool, Option<usize>, f64)>,
+    deliveries: HashMap<u64, Vec<Delivery>>,
+    is_due: Vec<bool>,
+    flush_at: Vec<Option<u64>>,
+    read_parts: BTreeSet<u64>,
+    outcome: Outcome,
+}
+
+impl<'a> Play<'a> {
+    pub(super) fn new(model: &'a Deployment) -> Self {
+        let mut gateways = Vec::new();
+        let mut region_of = Vec::new();
+        let mut engine_region = Vec::new();
+        for (index, region) in model.regions.iter().enumerate() {
+            for _ in 0..region.gateways {
+                gateways.push(model.scheduler(gateways.len(), index));
+                region_of.push(index);
+            }
+            engine_region.extend(std::iter::repeat_n(index, region.engines));
+        }
+        let engines: Vec<_> =
+            engine_region.iter().map(|_| ModelEngine::new(model.engine)).collect();
+        let mut play = Self {
+            model,
+            random: SeededRandom::new(model.seed),
+            is_due: vec![false; gateways.len()],
+            flush_at: vec![None; gateways.len()],
+            engine_state: vec![(0, 0, 0); engines.len()],
+            gateways,
+            region_of,
+            engines,
+            engine_region,
+            callers: Vec::new(),
+            owners: HashMap::new(),
+            deliveries: HashMap::new(),
+            read_parts: BTreeSet::new(),
+            outcome: Outcome {
+                kinds: vec![KindOutcome::default(); model.kinds.len()],
+                read: 0.0,
+                read_again: 0.0,
+                windows: vec![(0.0, 0.0); model.seconds as usize / 2 + 1],
+                by_region: vec![(0.0, 0.0); model.regions.len()],
+                reading: Vec::new(),
+            },
+        };
+        let total = play.gateways.len();
+        for index in 0..total {
+            let region = play.region_of[index];
+            let first = model.first_gateway(region);
+            let names: Vec<VmName> =
+                (first..first + model.regions[region].gateways).map(gateway).collect();
+            play.gateways[index].set_gateways(names);
+            play.gateways[index].set_gateway_total(total);
+        }
+        play.set_backends(0);
+        play
+    }
+
+    fn set_backends(&mut self, ms: u64) {
+        for index in 0..self.gateways.len() {
+            let region = self.region_of[index];
+            let facts: Vec<_> = (0..self.engines.len())
+                .filter(|e| self.engine_region[*e] == region && self.engine_state[*e].0 <= ms)
+                .map(|e| self.model.engine_facts(e, self.engine_state[e].1, self.engine_state[e].2))
+                .collect();
+            self.gateways[index].set_backends(facts);
+            self.is_due[index] = true;
+        }
+    }
+
+    fn deliver(&mut self, ms: u64, delivery: Delivery) {
+        self.deliveries.entry(ms).or_default().push(delivery);
+    }
+
+    fn lognormal(&self, (mean, spread, most): (f64, f64, f64)) -> f64 {
+        let (u, v) = (self.random.unit().max(1e-12), self.random.unit());
+        let normal = (-2.0 * u.ln()).sqrt() * (std::f64::consts::TAU * v).cos();
+        (mean * (spread * normal - spread * spread / 2.0).exp()).min(most)
+    }
+
+    pub(super) fn play(mut self) -> Outcome {
+        let end = self.model.seconds * 1_000;
+        for ms in 0..end + 11_000 {
+            if ms < end {
+                self.arrivals(ms);
+            }
+            self.crashes(ms);
+            if ms % TELL_MS == 0 {
+                self.tell_regions(ms);
+            }
+            for delivery in self.deliveries.remove(&ms).unwrap_or_default() {
+                self.take(delivery, ms);
+            }
+            self.advance_engines(ms);
+            self.give_up(ms);
+            for index in 0..self.gateways.len() {
+                let is_woken = self.gateways[index].next_wake().is_some_and(|w| w <= at(ms));
+                if std::mem::take(&mut self.is_due[index]) || is_woken {
+                    self.poll(index, ms);
+                }
+                self.flush(index, ms);
+            }
+        }
+        self.outcome.read = self.engines.iter().map(|e| e.read_tokens).sum::<f64>() / 1e6;
+        for region in 0..self.model.regions.len() {
+            let mine = (0..self.engines.len()).filter(|e| self.engine_region[*e] == region);
+            let busy: f64 = mine.clone().map(|e| self.engines[e].busy_ms).sum();
+            self.outcome.reading.push(busy / (mine.count() as f64 * end as f64));
+        }
+        self.outcome
+    }
+
+    fn arrivals(&mut self, ms: u64) {
+        for index in 0..self.model.regions.len() {
+            let rates = &self.model.regions[index].per_second;
+            let rate = rates[(ms as usize / 1_000).min(rates.len() - 1)];
+            // Several in one millisecond where the rate is high.
+            let mut expected = rate / 1_000.0;
+            while expected > 0.0 {
+                if self.random.unit() < expected.min(1.0) {
+                    self.arrive(index, ms);
+                }
+                expected -= 1.0;
+            }
+        }
+    }
+
+    fn arrive(&mut self, origin: usize, ms: u64) {
+        let mut drawn = self.random.unit();
+        let mut kind = 0;
+        for (index, k) in self.model.kinds.iter().enumerate() {
+            kind = index;
+            if drawn < k.share {
+                break;
+            }
+            drawn -= k.share;
+        }
+        let model = &self.model.kinds[kind];
+        let mut parts = Vec::new();
+        for (level, (count, tokens)) in model.chain.iter().enumerate() {
+            let id = (kind as u64 * 10 + level as u64) * 1_000_000 + self.random.below(*count);
+            // Parts differ in length, always the same for one part.
+            let tokens = (tokens
+                * (0.4 + 1.2 * (id.wrapping_mul(2_654_435_761) % 1_000) as f64 / 1_000.0))
+                as u32;
+            parts.push(PromptPart { id, tokens });
+        }
+        let shared: u32 = parts.iter().map(|p| p.tokens).sum();
+        let own = self.lognormal(model.own).max(10.0) as u32;
+        let events = self.lognormal(model.events).max(1.0) as u32;
+        let answer = events * self.model.engine.tokens_per_event;
+        parts.push(PromptPart { id: 1_000_000_000 + self.callers.len() as u64, tokens: own });
+        let shape = PromptShape { parts, prompt_tokens: shared + own, answer_tokens: answer };
+        let size = |prompt: f64, answer: f64| prompt + 10.0 * answer;
+        let mean = size(
+            model.chain.iter().map(|(_, t)| t).sum::<f64>() + model.own.0,
+            model.events.0 * f64::from(self.model.engine.tokens_per_event),
+        );
+        let relative = size(f64::from(shape.prompt_tokens), f64::from(answer)) / mean;
+        let first = self.model.first_gateway(origin);
+        let count = self.model.regions[origin].gateways as u64;
+        let gateway = first + self.random.below(count) as usize;
+        let worth = (0.3 + 0.7 * relative).min(4.0);
+        let caller = self.callers.len();
+        self.callers.push(Caller {
+            kind,
+            origin,
+            asked_ms: ms,
+            shape,
+            answer,
+            worth,
+            is_large: relative > 2.0,
+            first: None,
+            last: ms as f64,
+            has_paused: false,
+            is_over: false,
+            refusals: 0,
+            runs: 0,
+        });
+        let outcome = &mut self.outcome.kinds[kind];
+        outcome.asked += 1;
+        outcome.owed += worth * model.worth;
+        if relative > 2.0 {
+            outcome.large_owed += worth * model.worth;
+        }
+        self.outcome.windows[ms as usize / 2_000].1 += worth * model.worth;
+        self.outcome.by_region[origin].1 += worth * model.worth;
+        self.deliver(ms + ENGINE_MS, Delivery::Arrive { caller, gateway });
+    }
+
+    fn submit(&mut self, caller: usize, gateway: usize, may_leave: bool, ms: u64) {
+        let asked = &self.callers[caller];
+        if asked.is_over {
+            return;
+        }
+        let kind = &self.model.kinds[asked.kind];
+        let mut work = item(&kind.route, Some(asked.shape.clone()), at(asked.asked_ms));
+        work.may_leave = may_leave;
+        work.is_repeat = asked.runs > 0;
+        let ticket = self.gateways[gateway].submit(work, at(ms));
+        self.owners.insert((gateway, ticket), (caller, !may_leave, None, 0.0));
+        self.is_due[gateway] = true;
+    }
+
+    fn tell_regions(&mut self, ms: u64) {
+        let mut told = Vec::new();
+        for (index, model) in self.model.regions.iter().enumerate() {
+            let first = self.model.first_gateway(index);
+            let offers: Vec<Vec<u32>> = (first..first + model.gateways)
+                .filter_map(|g| self.gateways[g].offer(&service("pool"), at(ms)))
+                .map(|o| o.first_byte.to_millis())
+                .collect();
+            if offers.is_empty() {
+                continue;
+            }
+            let mean: Vec<u32> = (0..offers[0].len())
+                .map(|p| offers.iter().map(|o| o[p]).sum::<u32>() / offers.len() as u32)
+                .collect();
+            told.push(RegionFacts {
+                region: region(model.name),
+                service: service("pool"),
+                backends: model.engines as u32,
+                first_byte: FirstByteTimes::from_millis(&mean),
+            });
+        }
+        for gateway in &mut self.gateways {
+            gateway.set_regions(told.clone());
+        }
+    }
+
+    fn crashes(&mut self, ms: u64) {
+        let Some(crash) = self.model.crash else { return };
+        if ms == crash.at_ms {
+            for index in (0..self.engines.len()).filter(|e| e % crash.every == 0) {
+                let lost = self.engines[index].crash();
+                self.engine_state[index] = (ms + crash.for_ms, ms, ms + crash.for_ms + 3_000);
+                for owner in lost {
+                    self.lose(owner, ms);
+                }
+            }
+        }
+        if ms == crash.at_ms + 600 || ms == crash.at_ms + crash.for_ms {
+            self.set_backends(ms);
+        }
+    }
+
+    fn lose(&mut self, owner: Owner, ms: u64) {
+        let Some((caller, is_forwarded, ..)) = self.owners.remove(&owner) else { return };
+        self.gateways[owner.0].end(owner.1, WorkOutcome::Broken, at(ms));
+        self.is_due[owner.0] = true;
+        let asked = &mut self.callers[caller];
+        asked.runs += 1;
+        if asked.runs >= 2 || !self.model.kinds[asked.kind].route.kind.may_repeat() {
+            self.finish(caller, false);
+        } else {
+            self.submit(caller, owner.0, !is_forwarded, ms);
+        }
+    }
+
+    fn region_index(&self, name: &RegionName) -> usize {
+        self.model.regions.iter().position(|r| region(r.name) == *name).expect("a region")
+    }
+
+    fn poll(&mut self, index: usize, ms: u64) {
+        for (ticket, verdict) in self.gateways[index].poll(at(ms)) {
+            let owner = (index, ticket);
+            let Some(&(caller, is_forwarded, ..)) = self.owners.get(&owner) else { continue };
+            match verdict {
+                Verdict::Send { backend, priority, expected_ms, copy, .. } => {
+                    let engine = backend_index(&backend);
+                    self.send(owner, engine, priority, expected_ms, copy.map(|c| c.from), ms);
+                }
+                Verdict::SendAway { region, .. } => {
+                    self.gateways[index].end(ticket, WorkOutcome::Cancelled, at(ms));
+                    self.owners.remove(&owner);
+                    let to = self.region_index(&region);
+                    let first = self.model.first_gateway(to);
+                    let some = (index as u64 * 7 + self.random.below(3))
+                        % self.model.regions[to].gateways as u64;
+                    let gateway = first + some as usize;
+                    self.outcome.kinds[self.callers[caller].kind].away += 1;
+                    self.deliver(
+                        ms + REGION_MS,
+                        Delivery::Forwarded { caller, gateway, from: index },
+                    );
+                }
+                Verdict::Refuse { .. } => {
+                    self.owners.remove(&owner);
+                    if is_forwarded {
+                        let region = self.region_of[index];
+                        let to = self.callers[caller].origin;
+                        let first = self.model.first_gateway(to);
+                        let count = self.model.regions[to].gateways;
+                        self.deliver(
+                            ms + REGION_MS,
+                            Delivery::RefusedAway { caller, to: first + caller % count, region },
+                        );
+                    } else {
+                        self.outcome.kinds[self.callers[caller].kind].refused += 1;
+                        self.callers[caller].is_over = true;
+                    }
+                }
+            }
+        }
+    }
+
+    fn send(
+        &mut self,
+        owner: Owner,
+        engine: usize,
+        priority: u8,
+        expected_ms: f64,
+        copy_from: Option<std::net::SocketAddr>,
+        ms: u64,
+    ) {
+        let Some(place) = self.owners.get_mut(&owner) else { return };
+        place.2 = Some(engine);
+        place.3 = ms as f64 + expected_ms;
+        let caller = place.0;
+        if self.engine_state[engine].0 > ms {
+            self.lose(owner, ms);
+            return;
+        }
+        let asked = &self.callers[caller];
+        let shape = asked.shape.clone();
+        let answer = asked.answer;
+        let held = self.engines[engine].held_tokens(&shape);
+        let source = copy_from.map(|from| match from {
+            std::net::SocketAddr::V4(v4) => usize::from(v4.ip().octets()[3]),
+            std::net::SocketAddr::V6(_) => engine,
+        });
+        let copied = source.map_or(0, |s| self.engines[s].held_tokens(&shape).saturating_sub(held));
+        let shared = shape.shared_tokens().saturating_sub(held + copied);
+        let was_read = shape.shared_parts().iter().all(|p| self.read_parts.contains(&p.id));
+        if was_read {
+            self.outcome.read_again += f64::from(shared) / 1e6;
+        }
+        self.read_parts.extend(shape.shared_parts().iter().map(|p| p.id));
+        let now = (ms + ENGINE_MS) as f64;
+        self.engines[engine].take(owner, priority, &shape, answer, copied, now);
+    }
+
+    fn advance_engines(&mut self, ms: u64) {
+        for index in 0..self.engines.len() {
+            for news in self.engines[index].advance(ms as f64) {
+                let (owner, is_end, happened) = match news {
+                    EngineNews::Event { owner, at } => (owner, false, at),
+                    EngineNews::End { owner, at } => (owner, true, at),
+                };
+                let Some(&(caller, is_forwarded, _, due)) = self.owners.get(&owner) else {
+                    continue;
+                };
+                let back = if is_forwarded { REGION_MS } else { 0 };
+                if is_end {
+                    self.gateways[owner.0].end(owner.1, WorkOutcome::Answered, at(ms));
+                    self.owners.remove(&owner);
+                    self.is_due[owner.0] = true;
+                    self.deliver(ms + ENGINE_MS + back, Delivery::End { caller });
+                    continue;
+                }
+                if self.callers[caller].first.is_none() && due > 0.0 {
+                    let kind = self.callers[caller].kind;
+                    self.outcome.kinds[kind].misses_ms.push(happened - due);
+                    let (running, waiting) = self.engines[index].load();
+                    let slots = self.model.engine.slots as u32;
+                    let report = BackendReport { running, waiting, slots };
+                    self.gateways[owner.0].report(owner.1, report, at(ms));
+                    if let Some(place) = self.owners.get_mut(&owner) {
+                        place.3 = 0.0;
+                    }
+                }
+                self.gateways[owner.0].begin(owner.1, at(ms));
+                self.deliver(
+                    ms + ENGINE_MS + back,
+                    Delivery::Event { caller, at: happened + (1 + back) as f64 },
+                );
+            }
+        }
+    }
+
+    fn take(&mut self, delivery: Delivery, ms: u64) {
+        match delivery {
+            Delivery::Hints { to, hints } => self.gateways[to].note_hints(hints, at(ms)),
+            Delivery::Arrive { caller, gateway } => self.submit(caller, gateway, true, ms),
+            Delivery::Forwarded { caller, gateway, from } => {
+                let word = self.gateways[gateway].offer(&service("pool"), at(ms));
+                let word = word.map(|w| w.first_byte);
+                let region = self.region_of[gateway];
+                self.deliver(ms + REGION_MS, Delivery::Accepted { to: from, region, word });
+                self.submit(caller, gateway, false, ms);
+            }
+            Delivery::Accepted { to, region: from, word } => {
+                let name = region(self.model.regions[from].name);
+                self.gateways[to].note_region_delay(&name, Duration::from_millis(2 * REGION_MS));
+                if let Some(word) = word {
+                    self.gateways[to].note_region_word(&name, &service("pool"), word, at(ms));
+                }
+            }
+            Delivery::RefusedAway { caller, to, region: from } => {
+                let name = region(self.model.regions[from].name);
+                let pause = Duration::from_millis(200);
+                self.gateways[to].pause_service(&name, &service("pool"), pause, at(ms));
+                self.callers[caller].refusals += 1;
+                if self.callers[caller].refusals < 4 {
+                    self.submit(caller, to, true, ms);
+                } else {
+                    self.outcome.kinds[self.callers[caller].kind].refused += 1;
+                    self.callers[caller].is_over = true;
+                }
+            }
+            Delivery::Event { caller, at } => {
+                let asked = &mut self.callers[caller];
+                if asked.first.is_none() {
+                    asked.first = Some(at);
+                } else if let Some(longest) = self.model.kinds[asked.kind].route.gap_objective {
+                    asked.has_paused |= at - asked.last > longest.as_secs_f64() * 1_000.0;
+                }
+                asked.last = at;
+            }
+            Delivery::End { caller } => self.finish(caller, true),
+        }
+    }
+
+    fn finish(&mut self, caller: usize, is_whole: bool) {
+        let asked = &mut self.callers[caller];
+        if std::mem::replace(&mut asked.is_over, true) {
+            return;
+        }
+        let kind = &self.model.kinds[asked.kind];
+        let outcome = &mut self.outcome.kinds[asked.kind];
+        let objective = kind.route.objective.as_secs_f64() * 1_000.0;
+        let is_late = asked.first.is_some_and(|at| at - asked.asked_ms as f64 > objective);
+        let earned = match (is_whole, is_late || asked.has_paused) {
+            (false, _) => {
+                outcome.failed += 1;
+                0.0
+            }
+            (true, true) => {
+                if is_late {
+                    outcome.late_first += 1
+                } else {
+                    outcome.late_pause += 1
+                }
+                asked.worth * kind.late_worth
+            }
+            (true, false) => {
+                outcome.in_time += 1;
+                asked.worth * kind.worth
+            }
+        };
+        outcome.earned += earned;
+        if asked.is_large {
+            outcome.large_earned += earned;
+        }
+        self.outcome.windows[asked.asked_ms as usize / 2_000].0 += earned;
+        self.outcome.by_region[asked.origin].0 += earned;
+    }
+
+    /// Callers leave at their deadline, and after a long pause.
+    fn give_up(&mut self, ms: u64) {
+        if !ms.is_multiple_of(50) {
+            return;
+        }
+        let gone: Vec<(Owner, usize, Option<usize>)> = self
+            .owners
+            .iter()
+            .filter(|(_, (caller, ..))| {
+                let asked = &self.callers[*caller];
+                let route = &self.model.kinds[asked.kind].route;
+                let deadline = asked.asked_ms + route.timeout.as_millis() as u64;
+                let patience = (route.objective.as_millis() as f64 * 4.0).max(2_000.0);
+                ms >= deadline || ms as f64 > asked.last + patience
+            })
+            .map(|(owner, (caller, _, engine, _))| (*owner, *caller, *engine))
+            .collect();
+        for (owner, caller, engine) in gone {
+            self.owners.remove(&owner);
+            if let Some(engine) = engine {
+                self.engines[engine].cancel(owner);
+            }
+            self.gateways[owner.0].withdraw(owner.1);
+            self.gateways[owner.0].end(owner.1, WorkOutcome::Cancelled, at(ms));
+            self.finish(caller, false);
+        }
+    }
+
+    fn flush(&mut self, index: usize, ms: u64) {
+        let region = self.region_of[index];
+        let count = self.model.regions[region].gateways;
+        if self.flush_at[index].is_none() && self.gateways[index].has_hints() {
+            let gather = if count > FEW_PEERS { GATHER_MS } else { 8 };
+            self.flush_at[index] = Some(ms + gather);
+        }
+        if self.flush_at[index].is_none_or(|due| due > ms) {
+            return;
+        }
+        self.flush_at[index] = None;
+        let hints = self.gateways[index].take_hints(at(ms + 1));
+        let first = self.model.first_gateway(region);
+        for to in (first..first + count).filter(|to| *to != index) {
+            let hints = hints.clone();
+            self.deliver(ms + 1, Delivery::Hints { to, hints });
+        }
+    }
+}
--- a/crates/fleet/src/audience.rs
+++ b/crates/fleet/src/audience.rs
@@ -49,28 +49,29 @@
     fn gateways(&self, book: &FleetBook, cursor: u64) -> Vec<GatewayStanding> {
         let mut told = Vec::new();
         let mut away: BTreeMap<&RegionName, (bool, Vec<_>)> = BTreeMap::new();
-        for (standing, changed) in book.gateway_changes() {
-            let is_news = changed > cursor;
-            if standing.profile.region == *self.region {
-                told.extend(is_news.then(|| standing.to_standing()));
+        for entry in book.gateways() {
+            let is_news = entry.changed > cursor;
+            let region = &entry.pulse.profile.region;
+            if region == self.region {
+                told.extend(is_news.then(|| entry.standing()));
                 continue;
             }
-            let (has_news, rows) = away.entry(&standing.profile.region).or_default();
+            let (has_news, entries) = away.entry(region).or_default();
             *has_news |= is_news;
-            rows.push(standing);
+            entries.push(entry);
         }
-        for (has_news, mut rows) in away.into_values() {
+        for (has_news, mut entries) in away.into_values() {
             if !has_news {
                 continue;
             }
-            rows.sort_by_cached_key(|row| {
-                Reverse(score(self.vm.as_str(), row.profile.vm.as_str()))
+            entries.sort_by_cached_key(|entry| {
+                Reverse(score(self.vm.as_str(), entry.pulse.profile.vm.as_str()))
             });
             // Those that are not ready any more are told too: the gateway may still count on them.
             let mut ready = 0;
-            for row in rows {
-                ready += usize::from(row.is_ready());
-                told.push(row.to_standing());
+            for entry in entries {
+                ready += usize::from(entry.is_ready());
+                told.push(entry.standing());
                 if ready == AWAY_GATEWAYS {
                     break;
                 }
--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        BackendRecord, BackendStanding, DepartedRun, FleetMemory, GatewayPhase, GatewayProfile,
-        GatewayPulse, GatewayStanding, RegionOffer, ServiceOffer,
+        BackendRecord, BackendStanding, DepartedRun, FleetMemory, GatewayPhase, GatewayPulse,
+        GatewayStanding, RegionOffer, ServiceOffer,
     },
     gullglade_units::{
         BackendName, Incarnation, MonotonicTime, RegionName, ServiceName, VmName, WallMillis,
@@ -57,30 +57,14 @@
     changed: u64,
 }
 
-struct GatewayEntry {
-    pulse: GatewayPulse,
+/// A gateway, as one control process hears it.
+pub(crate) struct GatewayEntry {
+    pub(crate) pulse: GatewayPulse,
     offers: Vec<ServiceOffer>,
     heard: MonotonicTime,
     is_silent: bool,
-    changed: u64,
-}
-
-/// A gateway as a book holds it.
-pub(crate) struct GatewayLine<'a> {
-    pub(crate) profile: &'a GatewayProfile,
-    phase: GatewayPhase,
-    is_silent: bool,
-}
-
-impl GatewayLine<'_> {
-    pub(crate) fn is_ready(&self) -> bool {
-        self.phase == GatewayPhase::Ready && !self.is_silent
-    }
-
-    pub(crate) fn to_standing(&self) -> GatewayStanding {
-        let Self { profile, phase, is_silent } = *self;
-        GatewayStanding { profile: profile.clone(), phase, is_silent }
-    }
+    /// The number of its last change.
+    pub(crate) changed: u64,
 }
 
 /// A goodbye. Final for the run that said it and those before.
@@ -369,13 +353,9 @@
         changed.map(|(name, d)| DepartedRun { name: name.clone(), last: d.last }).collect()
     }
 
-    /// All gateways, and when each of them changed last.
-    pub(crate) fn gateway_changes(&self) -> impl Iterator<Item = (GatewayLine<'_>, u64)> {
-        self.gateways.values().map(|entry| {
-            let GatewayPulse { profile, phase } = &entry.pulse;
-            let is_silent = entry.is_silent;
-            (GatewayLine { profile, phase: *phase, is_silent }, entry.changed)
-        })
+    /// All gateways, heard or silent.
+    pub(crate) fn gateways(&self) -> impl Iterator<Item = &GatewayEntry> {
+        self.gateways.values()
     }
 
     /// The gateways that are heard, also those that are starting or stopping: they share common
@@ -385,11 +365,6 @@
         self.gateways.values().filter(|e| !e.is_silent).count()
     }
 
-    /// The gateways that changed after `cursor`.
-    pub fn gateways_after(&self, cursor: u64) -> Vec<GatewayStanding> {
-        self.gateways.values().filter(|e| e.changed > cursor).map(GatewayEntry::standing).collect()
-    }
-
     /// The callers' addresses of the gateways that callers in `region` should use.
     ///
     /// Those of the region that are ready; where it has none, those of other regions that
@@ -454,11 +429,11 @@
 }
 
 impl GatewayEntry {
-    fn is_ready(&self) -> bool {
+    pub(crate) fn is_ready(&self) -> bool {
         self.pulse.phase == GatewayPhase::Ready && !self.is_silent
     }
 
-    fn standing(&self) -> GatewayStanding {
+    pub(crate) fn standing(&self) -> GatewayStanding {
         GatewayStanding {
             profile: self.pulse.profile.clone(),
             phase: self.pulse.phase,
--- a/crates/node/src/proxy_node.rs
+++ b/crates/node/src/proxy_node.rs
@@ -175,8 +175,9 @@
             }
             scheduler.set_backends(facts.backends);
             scheduler.set_gateways(facts.gateways);
+            self.take_regions(scheduler);
         });
-        self.refresh_regions();
+        self.tell_offers();
         if facts.is_confirmed && self.fleet.phase() == GatewayPhase::Starting {
             self.fleet.set_phase(GatewayPhase::Ready);
         }
@@ -184,13 +185,19 @@
 
     /// Takes what other regions offer, and tells what the own one does.
     fn refresh_regions(&self) {
+        self.dispatcher.update(|scheduler, _| self.take_regions(scheduler));
+        self.tell_offers();
+    }
+
+    fn take_regions(&self, scheduler: &mut Scheduler) {
         let (regions, total) = self
             .fleet
             .read(|view| (view.regions().iter().map(region_facts).collect(), view.gateway_total()));
-        self.dispatcher.update(|scheduler, _| {
-            scheduler.set_regions(regions);
-            scheduler.set_gateway_total(total);
-        });
+        scheduler.set_regions(regions);
+        scheduler.set_gateway_total(total);
+    }
+
+    fn tell_offers(&self) {
         let offers = self.dispatcher.ask(|scheduler, now| scheduler.offers(now));
         self.fleet.set_offers(offers.into_iter().map(told_offer).collect());
     }
--- a/crates/proxy/src/hints.rs
+++ b/crates/proxy/src/hints.rs
@@ -104,9 +104,9 @@
 
     fn send(&self, dispatcher: &Dispatcher) {
         let hints = dispatcher.ask(|scheduler, now| scheduler.take_hints(now));
-        let peers = self.peers.borrow().addresses.clone();
+        let peers = self.peers.borrow();
         for body in bodies(&hints) {
-            self.notices.notify(&peers, &body);
+            self.notices.notify(&peers.addresses, &body);
         }
     }
 }
