Sight: tell requests by a fingerprint, and each send under which a backend server's connection broke

Cause it serves: two hypotheses of the incident could not be told apart, since no line said whether two ids carry the same request, and a stream that broke before its first event left no line of the engine at all.

Change: a keyed 128-bit fingerprint of method, host, path, credentials and body, made only for a send that broke; request.cut_off names it with the engine's run and the time since the send. The key is derived from the peers' secret, so that all gateways agree.

--- a/crates/dispatch/src/verdict.rs
+++ b/crates/dispatch/src/verdict.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::RefusalReason,
-    gullglade_units::{BackendName, RegionName},
+    gullglade_units::{BackendName, Incarnation, RegionName},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -13,6 +13,8 @@
     Send {
         /// To this backend server.
         backend: BackendName,
+        /// This run of it.
+        incarnation: Incarnation,
         /// Which takes requests here.
         address: SocketAddr,
         /// With this priority, 0 the most urgent.
--- a/crates/node/src/proxy_node.rs
+++ b/crates/node/src/proxy_node.rs
@@ -38,6 +38,9 @@
 /// Of the time for a graceful stop, the part after which what is not finished is cut off.
 const FINISHING_SHARE: f64 = 0.96;
 
+/// What the key of the requests' fingerprints is made for.
+const PRINT_PURPOSE: &str = "request fingerprints";
+
 /// What a gateway process is told.
 #[derive(Clone)]
 pub struct ProxyNodeSettings {
@@ -104,6 +107,7 @@
             transport: Rc::clone(&core.pool) as _,
             notices: Rc::clone(&notices) as _,
             dialect,
+            print_key: settings.core.peer.derived_key(PRINT_PURPOSE).into(),
             events: Rc::clone(&events),
             metrics: Rc::clone(&core.metrics),
         });
--- a/crates/peer/src/config.rs
+++ b/crates/peer/src/config.rs
@@ -4,6 +4,8 @@
     crate::{PeerIdentity, PeerSecret, keepalive::WatchLimits},
     gullglade_event::{EventSink, NullSink},
     gullglade_units::ClusterName,
+    hmac::{Hmac, Mac},
+    sha2::Sha256,
     std::{rc::Rc, time::Duration},
 };
 
@@ -50,6 +52,18 @@
         }
     }
 
+    /// A key that all processes of the cluster share, made from their secret for one `purpose`. Keys
+    /// of other purposes, and the secret, cannot be told from it.
+    pub fn derived_key(&self, purpose: &str) -> [u8; 32] {
+        let mut mac = Hmac::<Sha256>::new_from_slice(self.secret.as_bytes())
+            .expect("HMAC takes keys of any length");
+        for part in ["gullglade key 1", purpose, self.cluster.as_str()] {
+            mac.update(part.as_bytes());
+            mac.update(&[0]);
+        }
+        mac.finalize().into_bytes().into()
+    }
+
     /// The most bytes of one message either way. Default 16 MiB.
     pub fn message_limit(mut self, bytes: usize) -> Self {
         self.message_limit = bytes;
--- /dev/null
+++ b/crates/proxy/src/call_print.rs
@@ -0,0 +1,47 @@
+//! The fingerprint of a caller's request, made when it is first asked for.
+
+use {
+    crate::CallerCall,
+    gullglade_poison::{PrintKey, RequestPrint, RequestView},
+    http::header::AUTHORIZATION,
+    std::{cell::OnceCell, rc::Rc},
+};
+
+/// The fingerprint of one request. Most requests are never asked for theirs, and hashing a body of
+/// 8 KB takes a tenth of the time that a gateway has for a request; none is hashed twice.
+pub(crate) struct CallPrint {
+    call: Rc<CallerCall>,
+    key: PrintKey,
+    made: OnceCell<RequestPrint>,
+}
+
+impl CallPrint {
+    /// That of `call`; `told`, where the gateway that sent it here has made it already.
+    pub(crate) fn new(
+        call: &Rc<CallerCall>,
+        key: PrintKey,
+        told: Option<RequestPrint>,
+    ) -> Rc<Self> {
+        let made = told.map_or_else(OnceCell::new, OnceCell::from);
+        Rc::new(Self { call: Rc::clone(call), key, made })
+    }
+
+    /// The request.
+    pub(crate) fn call(&self) -> &CallerCall {
+        &self.call
+    }
+
+    /// The fingerprint.
+    pub(crate) fn get(&self) -> RequestPrint {
+        *self.made.get_or_init(|| {
+            let call = &self.call;
+            self.key.print(&RequestView {
+                method: call.method.as_str(),
+                host: &call.host,
+                target: &call.target,
+                credentials: call.headers.get(AUTHORIZATION).map_or(&[], |value| value.as_bytes()),
+                body: &call.body,
+            })
+        })
+    }
+}
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -1,6 +1,7 @@
 //! The scheduler between the tasks of requests: they wait for its verdicts and tell it outcomes.
 
 use {
+    crate::send_watch::SendWatch,
     futures::channel::oneshot,
     gullglade_dispatch::{
         BackendReport, RefusalFacts, RefusalReason, Scheduler, TicketId, Verdict, WorkItem,
@@ -58,7 +59,7 @@
         let ticket = self.scheduler.borrow_mut().submit(item, self.context.clock.now());
         let (sender, verdict) = oneshot::channel();
         self.waiting.borrow_mut().insert(ticket, sender);
-        let sent = SentTicket { dispatcher: Rc::clone(self), ticket, is_over: false };
+        let sent = SentTicket { dispatcher: Rc::clone(self), ticket, watch: None, is_over: false };
         self.pump();
         // The sender is dropped only with its verdict, or with this dispatcher's last owner.
         let verdict = verdict.await.unwrap_or(Verdict::Refuse {
@@ -119,10 +120,17 @@
 pub(crate) struct SentTicket {
     dispatcher: Rc<Dispatcher>,
     ticket: TicketId,
+    watch: Option<SendWatch>,
     is_over: bool,
 }
 
 impl SentTicket {
+    /// The same, sent as `watch` says.
+    pub(crate) fn watched(mut self, watch: SendWatch) -> Self {
+        self.watch = Some(watch);
+        self
+    }
+
     /// The first byte of the answer has come.
     pub(crate) fn begin(&self) {
         self.dispatcher.ask(|scheduler, now| scheduler.begin(self.ticket, now));
@@ -148,6 +156,9 @@
         if std::mem::replace(&mut self.is_over, true) {
             return;
         }
+        if let Some(watch) = &self.watch {
+            watch.note(outcome, self.dispatcher.context.clock.now());
+        }
         self.dispatcher.waiting.borrow_mut().remove(&self.ticket);
         self.dispatcher.update(|scheduler, now| {
             scheduler.withdraw(self.ticket);
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -5,13 +5,15 @@
         CallerCall, Proxy,
         answer::AttemptAnswer,
         attempt::{Attempt, promises_not_run},
+        call_print::CallPrint,
         events::JourneyLog,
         forward::ForwardCall,
         outcome::{AttemptEnd, FinalWord, NotRunReason, UnknownReason},
+        send_watch::SendWatch,
     },
     gullglade_dispatch::{Verdict, WorkItem},
     gullglade_traffic::TrafficRoute,
-    gullglade_units::{BackendName, MonotonicTime, RegionName, ServiceName},
+    gullglade_units::{BackendName, Incarnation, MonotonicTime, RegionName, ServiceName},
     std::{rc::Rc, time::Duration},
 };
 
@@ -37,6 +39,7 @@
 pub(crate) struct Journey {
     pub(crate) proxy: Proxy,
     pub(crate) call: Rc<CallerCall>,
+    pub(crate) print: Rc<CallPrint>,
     pub(crate) item: WorkItem,
     pub(crate) log: JourneyLog,
     /// Attempts that may have run.
@@ -112,7 +115,8 @@
         let log = JourneyLog::new(proxy, &call, &item);
         let last_event = call.resume_after;
         let call = Rc::new(call);
-        Self { proxy: proxy.clone(), call, item, log, ran: 0, refused: 0, last_event }
+        let print = CallPrint::new(&call, proxy.print_key(), None);
+        Self { proxy: proxy.clone(), call, print, item, log, ran: 0, refused: 0, last_event }
     }
 
     pub(crate) fn now(&self) -> MonotonicTime {
@@ -169,7 +173,8 @@
                 self.log.refused(reason, retry_after, facts, &self.item);
                 Err(FinalWord::Refused(reason, retry_after))
             }
-            Verdict::Send { backend, address, priority, expected_ms, copy } => {
+            Verdict::Send { backend, incarnation, address, priority, expected_ms, copy } => {
+                let ticket = ticket.watched(self.watch(&backend, incarnation));
                 self.log.placed(&backend, expected_ms, copy);
                 let left = self.left();
                 let attempt = Attempt {
@@ -200,6 +205,16 @@
         }
     }
 
+    fn watch(&self, backend: &BackendName, incarnation: Incarnation) -> SendWatch {
+        SendWatch {
+            print: Rc::clone(&self.print),
+            backend: backend.clone(),
+            incarnation,
+            sent: self.now(),
+            events: Rc::clone(self.proxy.events()),
+        }
+    }
+
     /// How long the head of an answer is waited for. A request that may run only once, or not
     /// once more, is waited for to the end.
     fn patience(&self, expected_ms: f64, left: Duration) -> Duration {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -13,6 +13,7 @@
 mod answer;
 mod attempt;
 mod call;
+mod call_print;
 mod dialect;
 mod dispatcher;
 mod events;
@@ -23,6 +24,7 @@
 mod outcome;
 mod proxy;
 mod relay;
+mod send_watch;
 mod starting;
 
 pub use {
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -10,6 +10,7 @@
     gullglade_fleet::{FleetFollower, TrafficInForce},
     gullglade_http::{HttpClient, ReplyBody},
     gullglade_peer::{NoticeSender, PeerTransport},
+    gullglade_poison::PrintKey,
     gullglade_units::{MonotonicTime, ProcessContext, RegionName, decode},
     http::Response,
     std::{cell::Cell, rc::Rc, time::Duration},
@@ -31,6 +32,8 @@
     pub notices: Rc<dyn NoticeSender>,
     /// How backend servers are spoken to.
     pub dialect: Rc<dyn BackendDialect>,
+    /// Makes the fingerprints of requests, the same in all gateways.
+    pub print_key: PrintKey,
     /// The time line.
     pub events: Rc<dyn EventSink>,
     /// Counters and histograms.
@@ -199,6 +202,10 @@
         &self.shared.parts.dispatcher
     }
 
+    pub(crate) fn print_key(&self) -> PrintKey {
+        self.shared.parts.print_key
+    }
+
     pub(crate) fn attempts(&self) -> &AttemptParts {
         &self.shared.attempts
     }
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -22,6 +22,7 @@
         HandlerTable, NoticeSender, PeerIdentity,
         fake::{FakeLink, FakeNetwork, FakeNode, FakeTransport},
     },
+    gullglade_poison::PrintKey,
     gullglade_proxy::{CallId, CallerCall, Dispatcher, ForwardServer, Proxy, ProxyParts},
     gullglade_traffic::{ColdRules, RequestKind},
     gullglade_units::{
@@ -208,6 +209,7 @@
             transport,
             notices: Rc::clone(&notices) as _,
             dialect: Rc::new(PlainDialect),
+            print_key: PrintKey::from([1; 32]),
             events,
             metrics: Rc::new(MetricSet::new().expect("metrics")),
         });
--- a/crates/proxy/tests/support/servers.rs
+++ b/crates/proxy/tests/support/servers.rs
@@ -124,6 +124,11 @@
         })
     }
 
+    /// Drops the deeds that no request came for.
+    pub(crate) fn forget_deeds(&self) {
+        self.deeds.borrow_mut().clear();
+    }
+
     async fn act(
         &self,
         address: SocketAddr,
