Count a request once for the repeat budget: where its caller called, and not with each placement or handover

What was seen: a service got 11,025 arrivals beyond the first for 50,938 requests in 10 s while engines were silent; 10,378 were allowed.

Cause: each gateway may repeat a fixed part of the requests that came to it, which adds up to that part of all. Scheduler::submit noted a request again with each placement after an engine could not be reached, and the gateway of the region that it was handed to noted it as well.

Mend: WorkItem::is_new is set by the gateway that the caller called, for the first placement alone; only then is a request noted. It holds whatever the number of placements and handovers, since a request has one first placement.

--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -201,7 +201,7 @@
 
     /// Puts a request into the queue; [`poll`](Self::poll) says what becomes of it.
     pub fn submit(&mut self, item: WorkItem, now: MonotonicTime) -> TicketId {
-        if !item.is_repeat {
+        if item.is_new {
             self.budget(&item.service).note_request(now);
         }
         self.objectives.entry(item.service.clone()).or_default().note(&item);
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -67,8 +67,10 @@
     pub tried: Vec<BackendName>,
     /// Whether it may be sent to another region: not if it came from one.
     pub may_leave: bool,
-    /// Whether sending it counts as a repeat: it was sent before.
-    pub is_repeat: bool,
+    /// Whether it came in just now from its caller. Only then is it counted among the requests of
+    /// which a part may be repeated: counted again with each placement, or by the gateway of the
+    /// region that it is handed to, the parts of all gateways add up to more than is promised.
+    pub is_new: bool,
 }
 
 /// Why a request was turned away. It has not run.
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -133,7 +133,7 @@
         prompt,
         tried: Vec::new(),
         may_leave: true,
-        is_repeat: false,
+        is_new: true,
     }
 }
 
--- a/crates/dispatch/tests/support/play.rs
+++ b/crates/dispatch/tests/support/play.rs
@@ -263,7 +263,7 @@
         let kind = &self.model.kinds[asked.kind];
         let mut work = item(&kind.route, Some(asked.shape.clone()), at(asked.asked_ms));
         work.may_leave = may_leave;
-        work.is_repeat = asked.runs > 0;
+        work.is_new = asked.runs == 0;
         let ticket = self.gateways[gateway].submit(work, at(ms));
         self.owners.insert((gateway, ticket), (caller, !may_leave, None, 0.0));
         self.is_due[gateway] = true;
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -113,7 +113,7 @@
             prompt: call.prompt.clone(),
             tried: Vec::new(),
             may_leave,
-            is_repeat: false,
+            is_new: may_leave,
         };
         let log = JourneyLog::new(proxy, &call, &item);
         let last_event = call.resume_after;
@@ -171,7 +171,9 @@
     /// Waits for a place and makes one attempt there.
     async fn attempt(&mut self) -> Result<AttemptEnd, FinalWord> {
         self.check_hold()?;
-        let (ticket, verdict) = self.proxy.dispatcher().place(self.item.clone()).await;
+        let item = self.item.clone();
+        self.item.is_new = false;
+        let (ticket, verdict) = self.proxy.dispatcher().place(item).await;
         // The third end may have become known while it waited.
         self.check_hold()?;
         match verdict {
@@ -313,7 +315,6 @@
     }
 
     pub(crate) fn take_repeat(&mut self) -> bool {
-        self.item.is_repeat = true;
         let service = self.item.service.clone();
         self.proxy.dispatcher().ask(|scheduler, now| scheduler.take_repeat(&service, now))
     }
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -148,7 +148,7 @@
             }
             server.start(&handlers);
         }));
-        let mut bed = Self { world, events, link, gateways: Vec::new(), control: control };
+        let mut bed = Self { world, events, link, gateways: Vec::new(), control };
         let (west, east) = settings.backends;
         bed.add_gateway(&network, settings, 2, "west", west, east);
         bed.add_gateway(&network, settings, 3, "east", east, west);
