Count ends of a request that was sent again after each of them; what its callers get, at every gateway and over restarts

Cause, found by a test: two ends of one caller's call came 2 ms apart, the second of a repeat that was sent after the first. They counted as one, since ends close together do, and a third engine was ended where two stood already.

Change: only ends of sends that overlap count as one. Tests: callers get the same 502 with the time for which it is held back at each gateway and for each kind of route; a stream under which the third engine ends breaks off and is not resumed; a control process that starts with nothing is told again; one that lost its power recalls it from its disk.

--- a/crates/fleet/tests/memory.rs
+++ b/crates/fleet/tests/memory.rs
@@ -7,11 +7,13 @@
         BackendRecord, BackendStanding, FleetBook, FleetMemory, FleetServer, FleetSettings,
         FleetView, ServingState, SyncReply, TrafficSnapshot, TrafficSource,
     },
-    gullglade_poison::{AccountSettings, CrashLedger, CrashNews},
+    gullglade_poison::{
+        AccountSettings, BackendRun, CrashLedger, CrashNews, PrintKey, RequestView,
+    },
     gullglade_traffic::{RawTraffic, TrafficError, TrafficFormat},
     gullglade_units::{
-        BackendName, FailureDomain, Incarnation, LocalFuture, MonotonicTime, RegionName,
-        ServiceName, WallMillis, fake::FakeWorld,
+        BackendName, FailureDomain, Incarnation, LocalFuture, MonotonicTime, ProcessContext,
+        RegionName, ServiceName, WallMillis, fake::FakeWorld,
     },
     std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
 };
@@ -131,6 +133,50 @@
     }
 }
 
+fn ledger(context: &ProcessContext) -> Rc<CrashLedger> {
+    CrashLedger::new(
+        AccountSettings::default(),
+        Rc::clone(&context.clock),
+        Rc::<MemorySink>::default(),
+        Rc::new(MetricSet::new().expect("metrics")),
+    )
+}
+
+/// After a loss of power everywhere no process knew any more under which requests backend servers
+/// had ended, and each of them ended three more.
+#[test]
+fn requests_that_end_backend_servers_are_recalled() {
+    let (world, _) = FakeWorld::new(1);
+    let folder: Rc<MemoryFolder> = Rc::default();
+    let view =
+        RequestView { method: "POST", host: "h", target: "/", credentials: b"", body: b"question" };
+    let print = PrintKey::from([1; 32]).print(&view);
+    let start = || {
+        let process = world.process();
+        let (context, events) = (process.context().clone(), Rc::<MemorySink>::default());
+        let crashes = ledger(&context);
+        let settings = FleetSettings::new(INTERVAL);
+        let server =
+            FleetServer::new(settings, Rc::new(NoSource), Rc::clone(&crashes), context, events);
+        world.run_until(server.remember(Rc::clone(&folder) as _));
+        (process, server, crashes)
+    };
+    let (process, server, crashes) = start();
+    for number in 1..=3 {
+        let (backend, incarnation) = (name(&format!("i-{number}")), Incarnation(1));
+        crashes.note_cut_off(print, BackendRun { backend, incarnation }, world.now());
+        world.run_for(Duration::from_secs(1));
+    }
+    // Anything that is kept is kept with all of it.
+    server.announce(record("i-4", 1));
+    world.run_for(Duration::from_secs(1));
+    process.kill();
+    world.run_for(Duration::from_secs(30));
+    let (_process, _server, crashes) = start();
+    let hold = crashes.hold(&print).expect("it is held back");
+    assert_eq!(hold.ends, 3);
+}
+
 /// A control process over `folder` that hears `said` and ends; what it then recalls at its start.
 fn heard_after_restart(folder: &Rc<MemoryFolder>, said: &[BackendRecord], left: &[&str]) -> usize {
     let (world, _) = FakeWorld::new(1);
@@ -138,12 +184,7 @@
         let process = world.process();
         let (context, events) = (process.context().clone(), Rc::<MemorySink>::default());
         let settings = FleetSettings::new(INTERVAL);
-        let crashes = CrashLedger::new(
-            AccountSettings::default(),
-            Rc::clone(&context.clock),
-            Rc::clone(&events) as _,
-            Rc::new(MetricSet::new().expect("metrics")),
-        );
+        let crashes = ledger(&context);
         let server = FleetServer::new(settings, Rc::new(NoSource), crashes, context, events);
         world.run_until(server.remember(Rc::clone(folder) as _));
         (process, server)
--- a/crates/poison/src/account.rs
+++ b/crates/poison/src/account.rs
@@ -29,8 +29,8 @@
     /// A request is held back once so many backend servers have ended under it. Two may be chance:
     /// a caller that repeats at once is easily on two that fail in a row.
     pub bound: u32,
-    /// Ends this close together count as one: a failure domain that is lost takes all sends of a
-    /// request that many callers make at the same time.
+    /// Ends of overlapping sends this close together count as one: a failure domain that is lost
+    /// takes all sends of a request that many callers make at the same time.
     pub together: Duration,
     /// How long a request is held back at first. Long against the time in which a caller gives up
     /// repeating by itself, short against the time in which a wrong hold would be complained of.
--- a/crates/poison/src/lib.rs
+++ b/crates/poison/src/lib.rs
@@ -19,7 +19,7 @@
 //! - *What else ended beside it.* One end has one cause. What the request with the most ends
 //!   explains speaks against no other, so bystanders of a request that is held back are let go as
 //!   soon as that is known.
-//! - *Ends close together* count as one: a failure domain that is lost takes all sends of a request
+//! - *Overlapping sends that end close together* count as one: a failure domain that is lost takes all sends of a request
 //!   that many callers make at once.
 //! - *Whether the run ended at all.* A reset connection or a cut link looks like an end. A run that
 //!   answers a request sent a second later had not ended, and that is told, too.
--- a/crates/poison/src/record.rs
+++ b/crates/poison/src/record.rs
@@ -20,6 +20,12 @@
     pub(crate) end: SendEnd,
 }
 
+impl EndedSend {
+    fn sent(&self) -> AccountTime {
+        self.ended.before(Duration::from_millis(self.lasted_ms.into()))
+    }
+}
+
 /// What is known of one request.
 #[derive(Default)]
 pub(crate) struct CrashRecord {
@@ -75,8 +81,8 @@
         ends.saturating_sub(self.sends.len() - self.ends().count())
     }
 
-    /// How many ends speak against it: those that `counts` allows, ends close together as one, each
-    /// answer taking one back.
+    /// How many ends speak against it: those that `counts` allows, ends of sends that overlap and
+    /// end close together as one, each answer taking one back.
     pub(crate) fn weight(
         &self,
         settings: &AccountSettings,
@@ -88,7 +94,11 @@
             match &send.end {
                 SendEnd::Answered(_) => weight = weight.saturating_sub(1),
                 SendEnd::CutOff(run) if counts(run, send.ended) => {
-                    if last.is_none_or(|last| send.ended.since(last) >= settings.together) {
+                    // One that was sent after the other had ended did not end beside it.
+                    let is_apart = |last: AccountTime| {
+                        send.ended.since(last) >= settings.together || send.sent() >= last
+                    };
+                    if last.is_none_or(is_apart) {
                         weight += 1;
                         last = Some(send.ended);
                     }
--- a/crates/poison/src/time.rs
+++ b/crates/poison/src/time.rs
@@ -15,6 +15,11 @@
         Self(Self::from(now).0 - i64::from(ago_ms))
     }
 
+    /// The time that was so long before this.
+    pub(crate) fn before(self, duration: Duration) -> Self {
+        Self(self.0.saturating_sub(i64::try_from(duration.as_millis()).unwrap_or(i64::MAX)))
+    }
+
     /// The time from `earlier` to this, or zero where `earlier` is later.
     pub(crate) fn since(self, earlier: Self) -> Duration {
         Duration::from_millis(u64::try_from(self.0 - earlier.0).unwrap_or_default())
--- a/crates/poison/tests/account.rs
+++ b/crates/poison/tests/account.rs
@@ -80,9 +80,14 @@
         },
         Case {
             what: "a failure domain is lost with three sends of a request that many callers make",
-            notes: vec![CutOff(1, 1, 1_000), CutOff(1, 2, 1_050), CutOff(1, 3, 1_200)],
+            notes: vec![CutOff(1, 1, 1_000), CutOff(1, 2, 1_050), CutOff(1, 3, 1_090)],
             held: vec![],
         },
+        Case {
+            what: "sent at once again after each end",
+            notes: vec![CutOff(1, 1, 1_000), CutOff(1, 2, 1_120), CutOff(1, 3, 1_240)],
+            held: vec![1],
+        },
         Case {
             what: "answered in between",
             notes: vec![
--- a/crates/proxy/tests/poison.rs
+++ b/crates/proxy/tests/poison.rs
@@ -14,11 +14,12 @@
 /// has no backend server of its own.
 const GATEWAYS: usize = 3;
 
-/// Has the backend servers do `deed` with the next request, whichever gateway sends it.
+/// Has the backend servers do `deed` with the next request, whichever gateway sends it, and with
+/// its repeat.
 fn script_all(bed: &TestBed, deed: &Deed) {
     for index in 0..GATEWAYS {
         bed.backends(index).forget_deeds();
-        bed.script(index, std::slice::from_ref(deed));
+        bed.script(index, &[deed.clone(), deed.clone()]);
     }
 }
 
@@ -96,3 +97,84 @@
     let more = arrivals_of(&bed, &body).len() - before_window;
     assert!(more <= 3, "sent {more} times more, later than {WINDOW:?} after three had ended");
 }
+
+/// Ends three backend servers, each time through the first gateway, and waits until all know.
+fn end_three(bed: &TestBed) {
+    for attempt in 0..3 {
+        script_all(bed, &end_of_process(attempt));
+        bed.world.run_until(take(bed.gateway(0), poison(bed, attempt)));
+        bed.world.run_for(Duration::from_secs(1));
+    }
+    bed.world.run_for(Duration::from_secs(2));
+    script_all(bed, &Deed::Answer(Script::events(&["id: 1\n\n"]).without("id")));
+}
+
+/// Callers read 503 and 429 as the promise that a request has not run, and repeat at once what
+/// failed without a word. This one has run three times, and repeating it ends another engine.
+#[test]
+fn a_request_that_is_held_back_is_told_so_at_every_gateway() {
+    struct Case {
+        what: &'static str,
+        kind: RequestKind,
+    }
+    let cases = [
+        Case { what: "stream", kind: RequestKind::Stream { resumable: false } },
+        Case { what: "resumable stream", kind: RequestKind::Stream { resumable: true } },
+        Case { what: "idempotent", kind: RequestKind::Idempotent },
+        Case { what: "at most once", kind: RequestKind::AtMostOnce },
+    ];
+    for Case { what, kind } in cases {
+        let settings =
+            BedSettings { backends: (40, 0), has_neighbour: true, ..BedSettings::of(kind) };
+        let bed = TestBed::new(&settings);
+        end_three(&bed);
+        let lines_before = bed.events.count("request.held_back");
+        for index in 0..GATEWAYS {
+            let before = arrivals_of(&bed, &poison(&bed, 0).body).len();
+            let served = bed.world.run_until(take(bed.gateway(index), poison(&bed, 9)));
+            let told = format!("{what}, gateway {index}: {served:?}");
+            assert_eq!(served.status, 502, "{told}");
+            assert_eq!(served.headers["gullglade-run"], "run", "{told}");
+            let after: f64 =
+                served.headers["retry-after"].to_str().expect("text").parse().expect("s");
+            assert!(after > 60.0, "{told}");
+            assert!(served.body.contains("fingerprint"), "{told}");
+            assert_eq!(arrivals_of(&bed, &poison(&bed, 0).body).len(), before, "{told}");
+        }
+        let lines = bed.events.count("request.held_back") - lines_before;
+        assert_eq!(lines, GATEWAYS, "{what}: one line for each");
+    }
+}
+
+/// A stream that broke was resumed at another engine, which ended as well, while the count of the
+/// first gateway already stood at three.
+#[test]
+fn a_stream_under_which_the_third_backend_server_ends_breaks_off_and_is_not_resumed() {
+    let kind = RequestKind::Stream { resumable: true };
+    let bed = TestBed::new(&BedSettings { backends: (40, 0), ..BedSettings::of(kind) });
+    let breaks = |id: &str, event| Deed::Answer(Script::events(&[event]).header("id", id).broken());
+    // Both attempts of the first call end a backend server, and the first one of the second.
+    for (call, sends) in [(1, 2), (2, 1)] {
+        let id = format!("attempt-{call}");
+        bed.backends(0).forget_deeds();
+        bed.script(0, &[breaks(&id, "id: 1\n\n"), breaks(&id, "id: 2\n\n")]);
+        let before = bed.backends(0).arrivals.borrow().len();
+        let served = bed.world.run_until(take(bed.gateway(0), poison(&bed, call)));
+        assert!(served.is_broken, "call {call}: {served:?}");
+        let arrivals = bed.backends(0).arrivals.borrow().len() - before;
+        assert_eq!(arrivals, sends, "call {call}: {served:?}");
+        bed.world.run_for(Duration::from_secs(1));
+    }
+}
+
+/// The control process was started again with nothing, and a gateway that was just started had
+/// only it to ask. What gateways know they tell again.
+#[test]
+fn what_is_held_back_outlives_the_control_processes() {
+    let mut bed = bed();
+    end_three(&bed);
+    bed.restart_control();
+    bed.world.run_for(Duration::from_secs(4));
+    let news = bed.control_crashes().news_after(0, gullglade_poison::NewsScope::Suspects);
+    assert_eq!(news.reports.len(), 1, "{news:?}");
+}
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -100,8 +100,37 @@
     pub(crate) world: FakeWorld,
     pub(crate) events: Rc<MemorySink>,
     pub(crate) link: Rc<FakeLink>,
+    network: Rc<FakeNetwork>,
     gateways: Vec<BedGateway>,
     control: FakeProcess,
+    control_crashes: Rc<CrashLedger>,
+}
+
+fn start_control(
+    network: &FakeNetwork,
+    process: &FakeProcess,
+    events: &Rc<MemorySink>,
+    after: Duration,
+) -> Rc<CrashLedger> {
+    let (_, handlers) = join(network, process, 1, "west");
+    let context = process.context();
+    let events = Rc::clone(events) as Rc<dyn EventSink>;
+    let crashes = new_ledger(context, &events);
+    let server = FleetServer::new(
+        FleetSettings::new(Duration::from_secs(1)),
+        Rc::new(FixedSource),
+        Rc::clone(&crashes),
+        context.clone(),
+        events,
+    );
+    let clock = Rc::clone(&context.clock);
+    context.spawner.spawn(Box::pin(async move {
+        if !after.is_zero() {
+            clock.sleep(after).await;
+        }
+        server.start(&handlers);
+    }));
+    crashes
 }
 
 fn join(
@@ -130,25 +159,23 @@
     pub(crate) fn new(settings: &BedSettings) -> Self {
         let (world, _) = FakeWorld::new(1);
         let link = Rc::new(FakeLink::new(LINK));
-        let network = FakeNetwork::new(Rc::clone(&link) as _);
+        let network = Rc::new(FakeNetwork::new(Rc::clone(&link) as _));
         let events: Rc<MemorySink> = Rc::default();
         let control = world.process();
-        let (_, handlers) = join(&network, &control, 1, "west");
-        let server = FleetServer::new(
-            FleetSettings::new(Duration::from_secs(1)),
-            Rc::new(FixedSource),
-            new_ledger(control.context(), &(Rc::clone(&events) as _)),
-            control.context().clone(),
-            Rc::clone(&events) as _,
-        );
-        let (clock, control_after) = (control.context().clock.clone(), settings.control_after);
-        control.context().spawner.spawn(Box::pin(async move {
-            if !control_after.is_zero() {
-                clock.sleep(SETTLED + control_after).await;
-            }
-            server.start(&handlers);
-        }));
-        let mut bed = Self { world, events, link, gateways: Vec::new(), control };
+        let wait = match settings.control_after {
+            Duration::ZERO => Duration::ZERO,
+            after => SETTLED + after,
+        };
+        let control_crashes = start_control(&network, &control, &events, wait);
+        let mut bed = Self {
+            world,
+            events,
+            link,
+            network: Rc::clone(&network),
+            gateways: Vec::new(),
+            control,
+            control_crashes,
+        };
         let (west, east) = settings.backends;
         bed.add_gateway(&network, settings, 2, "west", west, east);
         bed.add_gateway(&network, settings, 3, "east", east, west);
@@ -221,6 +248,19 @@
         self.gateways.push(BedGateway { proxy, backends, notices, _process: process });
     }
 
+    /// Starts the control process again, with nothing that it knew.
+    pub(crate) fn restart_control(&mut self) {
+        self.control.kill();
+        self.control = self.world.process();
+        self.control_crashes =
+            start_control(&self.network, &self.control, &self.events, Duration::ZERO);
+    }
+
+    /// What the control process knows of requests that end backend servers.
+    pub(crate) fn control_crashes(&self) -> &CrashLedger {
+        &self.control_crashes
+    }
+
     /// The notices that a gateway has sent, by the order in which it was added.
     pub(crate) fn notices(&self, gateway: usize) -> Vec<SentNotice> {
         self.gateways[gateway].notices.0.borrow().clone()
