gladectl held: operators list the requests that are held back, and let one go

Cause it serves: a request that was held back though it is sound had to wait for ten minutes and more; nobody could see which ones are.

Change: control processes serve GET /v1/held and DELETE /v1/held/FINGERPRINT on their control address; what ended under the request before counts no more, here and, with the next news, at all gateways. gladectl held [--let-go FINGERPRINT] asks all that --at names.

Tests: the soak's programs with three impatient callers; the list names a fingerprint, and it is gone after it was let go.

--- a/crates/node/src/seeded_control.rs
+++ b/crates/node/src/seeded_control.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        StartError,
+        HeldRequests, StartError,
         core::{CoreSettings, NodeCore, http_server},
     },
     gullglade_control::{ControlConfig, ControlError, ControlNode, DataFolder},
@@ -30,6 +30,7 @@
     context: ProcessContext,
     control: ControlNode,
     fleet: Rc<FleetServer>,
+    crashes: Rc<CrashLedger>,
     events: Rc<dyn EventSink>,
     metrics: Rc<MetricSet>,
 }
@@ -62,11 +63,17 @@
             Rc::clone(&events),
             Rc::clone(&core.metrics),
         );
-        let fleet =
-            FleetServer::new(settings.fleet, source, crashes, context.clone(), Rc::clone(&events));
+        let fleet = FleetServer::new(
+            settings.fleet,
+            source,
+            Rc::clone(&crashes),
+            context.clone(),
+            Rc::clone(&events),
+        );
         fleet.remember(folder).await;
         fleet.start(&core.handlers);
-        let node = Rc::new(Self { control, fleet, events, metrics: core.metrics, context });
+        let node =
+            Rc::new(Self { control, fleet, crashes, events, metrics: core.metrics, context });
         node.context.spawner.spawn(Box::pin(core.server.run()));
         node.events.emit(EventDraft::new("node.started").field("peer", peer_address));
         Ok(node)
@@ -82,6 +89,11 @@
         &self.fleet
     }
 
+    /// The requests that are held back, as it counts.
+    pub fn held_requests(&self) -> HeldRequests {
+        HeldRequests::new(Rc::clone(&self.crashes))
+    }
+
     /// Its time line.
     pub fn events(&self) -> &Rc<dyn EventSink> {
         &self.events
--- a/crates/poison/src/ledger.rs
+++ b/crates/poison/src/ledger.rs
@@ -58,6 +58,19 @@
         self.account.borrow().hold(print, self.clock.now())
     }
 
+    /// All requests that are held back.
+    pub fn holds(&self) -> Vec<(RequestPrint, RequestHold)> {
+        self.account.borrow().holds(self.clock.now())
+    }
+
+    /// Forgets what is known of a request until now: an operator says that it is sound. False
+    /// where nothing is known of it.
+    pub fn let_go(&self, print: RequestPrint) -> bool {
+        let is_known = self.account.borrow_mut().let_go(print, self.clock.now());
+        self.tell();
+        is_known
+    }
+
     /// Notes that the connection to `run` broke while it had the request, sent there at `sent`; how
     /// many backend servers have ended under it.
     pub fn note_cut_off(&self, print: RequestPrint, run: BackendRun, sent: MonotonicTime) -> usize {
@@ -106,7 +119,7 @@
 
     /// Tells of what is held back now and was not before, and of what was let go.
     fn tell(&self) {
-        let holds = self.account.borrow().holds(self.clock.now());
+        let holds = self.holds();
         let now: BTreeSet<RequestPrint> = holds.iter().map(|(print, _)| *print).collect();
         let before = self.told.replace(now.clone());
         for (print, hold) in holds.iter().filter(|(print, _)| !before.contains(print)) {
--- a/crates/poison/src/lib.rs
+++ b/crates/poison/src/lib.rs
@@ -42,6 +42,6 @@
     account::{AccountSettings, CrashAccount, NewsScope, RequestHold},
     ledger::CrashLedger,
     news::{CrashNews, CrashReport, RunLife, SendEnd, SendReport},
-    print::{PrintKey, RequestPrint, RequestView},
+    print::{PrintError, PrintKey, RequestPrint, RequestView},
     run::BackendRun,
 };
--- a/crates/poison/src/print.rs
+++ b/crates/poison/src/print.rs
@@ -4,6 +4,7 @@
     gullglade_event::FieldValue,
     highway::{HighwayHash, HighwayHasher, Key},
     serde::{Deserialize, Serialize},
+    snafu::Snafu,
     std::fmt,
 };
 
@@ -42,6 +43,29 @@
     }
 }
 
+/// Why a text is not a fingerprint.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display(
+    "{text:?} is no fingerprint; give the 32 hexadecimal digits that a log line has after \
+     fingerprint="
+))]
+pub struct PrintError {
+    text: String,
+}
+
+impl TryFrom<&str> for RequestPrint {
+    type Error = PrintError;
+
+    fn try_from(text: &str) -> Result<Self, PrintError> {
+        let invalid = || PrintError { text: text.chars().take(64).collect() };
+        let is_hexadecimal = text.len() == 32 && text.bytes().all(|b| b.is_ascii_hexdigit());
+        let whole = u128::from_str_radix(text, 16).ok().filter(|_| is_hexadecimal);
+        let whole = whole.ok_or_else(invalid)?.to_be_bytes();
+        let word = |at: usize| whole[at..at + 8].iter().fold(0, |v, b| v << 8 | u64::from(*b));
+        Ok(Self([word(0), word(8)]))
+    }
+}
+
 impl fmt::Debug for RequestPrint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "RequestPrint({self})")
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -8,6 +8,7 @@
 mod drain;
 mod experiment;
 mod get;
+mod held;
 mod key;
 mod load;
 mod operator;
@@ -31,6 +32,8 @@
     Status(status::StatusCommand),
     /// `gladectl get`
     Get(get::GetCommand),
+    /// `gladectl held`
+    Held(held::HeldCommand),
     /// `gladectl control`
     Control(control::ControlCommand),
     /// `gladectl claims`
@@ -59,6 +62,7 @@
 pub fn tool_parser() -> OptionParser<ToolCommand> {
     let status = status::status_parser().map(ToolCommand::Status);
     let get = get::get_parser().map(ToolCommand::Get);
+    let held = held::held_parser().map(ToolCommand::Held);
     let control = control::control_parser().map(ToolCommand::Control);
     let apply = apply::apply_parser().map(ToolCommand::Apply);
     let claims = claims::claims_parser().map(ToolCommand::Claims);
@@ -73,6 +77,7 @@
     construct!([
         status,
         get,
+        held,
         control,
         apply,
         claims,
@@ -96,6 +101,7 @@
         match self {
             Self::Status(command) => command.run(),
             Self::Get(command) => command.run(),
+            Self::Held(command) => command.run(),
             Self::Control(command) => command.run(),
             Self::Claims(command) => command.run(),
             Self::Apply(command) => command.run(),
