--- a/crates/dispatch/src/facts.rs
+++ b/crates/dispatch/src/facts.rs
@@ -2,7 +2,8 @@
 
 use {
     gullglade_units::{
-        BackendName, FailureDomain, Incarnation, MonotonicTime, RegionName, ServiceName, VmName,
+        BackendName, BackendRun, FailureDomain, Incarnation, MonotonicTime, RegionName,
+        ServiceName, VmName,
     },
     std::{net::SocketAddr, time::Duration},
 };
@@ -48,3 +49,10 @@
     /// When it stops being cold.
     pub cold_until: MonotonicTime,
 }
+
+impl BackendFacts {
+    /// Which run of which backend server it is.
+    pub fn run(&self) -> BackendRun {
+        BackendRun { backend: self.name.clone(), incarnation: self.incarnation }
+    }
+}
--- a/crates/dispatch/src/hint.rs
+++ b/crates/dispatch/src/hint.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{BackendReport, PromptPart},
-    gullglade_units::{BackendName, Incarnation, MonotonicTime},
+    gullglade_units::{BackendRun, MonotonicTime},
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
@@ -11,10 +11,8 @@
 /// servers, and see little of each of them themselves.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendHint {
-    /// The backend server.
-    pub backend: BackendName,
-    /// Which run of it.
-    pub incarnation: Incarnation,
+    /// The run of a backend server.
+    pub run: BackendRun,
     /// The request's number among those of all gateways.
     pub request: u64,
     /// Its priority.
@@ -49,8 +47,7 @@
 /// A hint that is still to be told: its times are those of this process.
 #[derive(Clone, Debug)]
 pub(crate) struct OwnHint {
-    pub(crate) backend: BackendName,
-    pub(crate) incarnation: Incarnation,
+    pub(crate) run: BackendRun,
     pub(crate) request: u64,
     pub(crate) priority: u8,
     pub(crate) sent: MonotonicTime,
@@ -61,12 +58,12 @@
 impl OwnHint {
     /// As it is told at `now`.
     pub(crate) fn told(self, now: MonotonicTime) -> BackendHint {
-        let Self { backend, incarnation, request, priority, sent, happened, mut news } = self;
+        let Self { run, request, priority, sent, happened, mut news } = self;
         if let RequestNews::Begun { ago_us, .. } = &mut news {
             *ago_us = micros(now.since(happened));
         }
         let sent_ago_us = micros(now.since(sent));
-        BackendHint { backend, incarnation, request, priority, sent_ago_us, news }
+        BackendHint { run, request, priority, sent_ago_us, news }
     }
 }
 
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -28,7 +28,7 @@
     },
     gullglade_traffic::ServicePool,
     gullglade_units::{
-        BackendName, FailureDomain, Incarnation, MonotonicTime, RegionName, ServiceName, VmName,
+        BackendName, BackendRun, FailureDomain, MonotonicTime, RegionName, ServiceName, VmName,
         rendezvous,
     },
     look::ServiceLook,
@@ -75,9 +75,9 @@
     /// The part of its requests' numbers that is this gateway's own.
     request_base: u64,
     /// Runs of backend servers that are over, whatever is still announced of them.
-    ended: BTreeSet<(BackendName, Incarnation)>,
+    ended: BTreeSet<BackendRun>,
     /// Where the requests run that were sent.
-    sent: HashMap<TicketId, (BackendName, Incarnation)>,
+    sent: HashMap<TicketId, BackendRun>,
     next_ticket: u64,
     wake: Option<MonotonicTime>,
 }
@@ -124,9 +124,9 @@
     pub fn set_backends(&mut self, facts: impl IntoIterator<Item = BackendFacts>) {
         let mut old = std::mem::take(&mut self.backends);
         let (ended, facts): (Vec<_>, Vec<_>) =
-            facts.into_iter().partition(|f| self.ended.contains(&(f.name.clone(), f.incarnation)));
+            facts.into_iter().partition(|f| self.ended.contains(&f.run()));
         // What is announced no more need not be remembered.
-        self.ended = ended.into_iter().map(|f| (f.name, f.incarnation)).collect();
+        self.ended = ended.iter().map(BackendFacts::run).collect();
         for facts in facts {
             // Another run holds nothing of the one before, and is to be blamed for nothing of it.
             let known =
@@ -266,23 +266,22 @@
         // Called with every piece of an answer: what follows is for the first one alone.
         let Some(sent) = backend.load.begin(ticket, now) else { return };
         let load = backend.load.recent_report(TOLD_REPORT_AGE, now);
-        let (name, incarnation) = (backend.facts.name.clone(), backend.facts.incarnation);
+        let run = backend.facts.run();
         let news = RequestNews::Begun { ago_us: 0, load };
-        self.note_own(name, incarnation, sent, news, now);
+        self.note_own(run, sent, news, now);
     }
 
     /// Keeps something to be told to the region's other gateways.
     fn note_own(
         &mut self,
-        backend: BackendName,
-        incarnation: Incarnation,
+        run: BackendRun,
         request: SentRequest,
         news: RequestNews,
         now: MonotonicTime,
     ) {
         let SentRequest { request, priority, sent, .. } = request;
         let happened = now;
-        let hint = OwnHint { backend, incarnation, request, priority, sent, happened, news };
+        let hint = OwnHint { run, request, priority, sent, happened, news };
         self.hints.push(hint);
     }
 
@@ -295,20 +294,20 @@
 
     /// The run that a request was sent to, while it is the one that is known.
     fn sent_to(&mut self, ticket: TicketId) -> Option<&mut Backend> {
-        let (name, incarnation) = self.sent.get(&ticket)?;
-        run_of(&mut self.backends, name, *incarnation)
+        let run = self.sent.get(&ticket)?;
+        run_of(&mut self.backends, run)
     }
 
     /// Notes how a send ended.
     pub fn end(&mut self, ticket: TicketId, outcome: WorkOutcome, now: MonotonicTime) {
         let Some(run) = self.sent.remove(&ticket) else { return };
-        let Some(backend) = run_of(&mut self.backends, &run.0, run.1) else { return };
+        let Some(backend) = run_of(&mut self.backends, &run) else { return };
         let unbegun = backend.load.end(ticket);
         backend.health.note(outcome, now);
         match outcome {
             WorkOutcome::Misdirected => {
                 // The run that was meant is over, whatever its last announcement said.
-                self.backends.remove(&run.0);
+                self.backends.remove(&run.backend);
                 self.ended.insert(run.clone());
             }
             WorkOutcome::Shed => {
@@ -319,7 +318,7 @@
             _ => {}
         }
         if let Some(sent) = unbegun {
-            self.note_own(run.0, run.1, sent, RequestNews::Dropped, now);
+            self.note_own(run, sent, RequestNews::Dropped, now);
         }
     }
 
@@ -389,8 +388,8 @@
     }
 
     fn note_hint(&mut self, hint: BackendHint, now: MonotonicTime) {
-        let BackendHint { backend, incarnation, request, priority, sent_ago_us, news } = hint;
-        let Some(backend) = run_of(&mut self.backends, &backend, incarnation) else { return };
+        let BackendHint { run, request, priority, sent_ago_us, news } = hint;
+        let Some(backend) = run_of(&mut self.backends, &run) else { return };
         let sent = ago(now, sent_ago_us);
         match news {
             RequestNews::Sent { tokens, parts } => {
@@ -420,7 +419,8 @@
     }
 
     fn carry_out(&mut self, waiting: &Waiting, verdict: &Verdict, now: MonotonicTime) {
-        let Verdict::Send { backend: name, copy, priority, .. } = verdict else { return };
+        let Verdict::Send { run, copy, priority, .. } = verdict else { return };
+        let name = &run.backend;
         let engine = self.services.get(&waiting.item.service).and_then(|s| s.engine);
         let is_cold = self.backends.get(name).is_some_and(|b| self.is_cold(b, now));
         let Some(backend) = self.backends.get_mut(name) else { return };
@@ -442,10 +442,9 @@
         if let (Some(prompt), Some(engine)) = (&waiting.item.prompt, engine) {
             backend.cache.note(&prompt.parts, engine.memory_tokens, now);
         }
-        let incarnation = backend.facts.incarnation;
-        self.sent.insert(waiting.ticket, (name.clone(), incarnation));
+        self.sent.insert(waiting.ticket, run.clone());
         let news = RequestNews::Sent { tokens: cost.tokens, parts };
-        self.note_own(name.clone(), incarnation, sent, news, now);
+        self.note_own(run.clone(), sent, news, now);
     }
 
     /// The backend servers of a service that may be given work.
@@ -463,10 +462,10 @@
 /// The run of that name, where it is the one that is known.
 fn run_of<'a>(
     backends: &'a mut BTreeMap<BackendName, Backend>,
-    name: &BackendName,
-    incarnation: Incarnation,
+    run: &BackendRun,
 ) -> Option<&'a mut Backend> {
-    backends.get_mut(name).filter(|backend| backend.facts.incarnation == incarnation)
+    let backend = backends.get_mut(&run.backend)?;
+    (backend.facts.incarnation == run.incarnation).then_some(backend)
 }
 
 /// What the request would take of a backend server.
--- a/crates/dispatch/src/scheduler/deciding.rs
+++ b/crates/dispatch/src/scheduler/deciding.rs
@@ -58,9 +58,9 @@
         match local {
             Local::Place { backend, here, copy } => {
                 let facts = &self.backends.get(&backend)?.facts;
-                let (address, incarnation) = (facts.address, facts.incarnation);
+                let (address, run) = (facts.address, facts.run());
                 let HereTimes { expected_ms, priority, .. } = here;
-                Some(Verdict::Send { backend, incarnation, address, priority, expected_ms, copy })
+                Some(Verdict::Send { run, address, priority, expected_ms, copy })
             }
             Local::Later { here, again } => {
                 let wait = Duration::from_secs_f64((here.expected_ms + look.queued_ms()) / 1_000.0);
--- a/crates/dispatch/src/verdict.rs
+++ b/crates/dispatch/src/verdict.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::RefusalReason,
-    gullglade_units::{BackendName, Incarnation, RegionName},
+    gullglade_units::{BackendRun, RegionName},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -11,10 +11,8 @@
 pub enum Verdict {
     /// Send it.
     Send {
-        /// To this backend server.
-        backend: BackendName,
-        /// This run of it.
-        incarnation: Incarnation,
+        /// To this run of a backend server.
+        run: BackendRun,
         /// Which takes requests here.
         address: SocketAddr,
         /// With this priority, 0 the most urgent.
--- a/crates/dispatch/tests/copying.rs
+++ b/crates/dispatch/tests/copying.rs
@@ -37,14 +37,12 @@
 fn place(scheduler: &mut Scheduler, id: u64, now: MonotonicTime) -> (String, Option<PromptCopy>) {
     let ticket = scheduler.submit(work(id, now), now);
     let verdict = scheduler.poll(now).into_iter().find(|(t, _)| *t == ticket).map(|(_, v)| v);
-    let Some(Verdict::Send { backend, copy, expected_ms, .. }) = verdict else {
-        panic!("{verdict:?}")
-    };
+    let Some(Verdict::Send { run, copy, expected_ms, .. }) = verdict else { panic!("{verdict:?}") };
     // The first byte comes when it was expected, so that nothing else is learned from it.
     let first_byte = MonotonicTime(now.0 + Duration::from_secs_f64(expected_ms / 1_000.0));
     scheduler.begin(ticket, first_byte);
     scheduler.end(ticket, WorkOutcome::Answered, first_byte);
-    (backend.as_str().to_owned(), copy)
+    (run.backend.as_str().to_owned(), copy)
 }
 
 #[test]
--- a/crates/dispatch/tests/plain.rs
+++ b/crates/dispatch/tests/plain.rs
@@ -144,11 +144,11 @@
                     continue;
                 }
                 for (ticket, verdict) in schedulers[gateway].poll(now) {
-                    let Verdict::Send { backend, .. } = verdict else {
+                    let Verdict::Send { run, .. } = verdict else {
                         result.refused += 1;
                         continue;
                     };
-                    let server: usize = backend.as_str()[2..].parse().expect("a number");
+                    let server: usize = run.backend.as_str()[2..].parse().expect("a number");
                     let work_ms = 15 + random.below(31);
                     if !servers[server].take(work_ms, Place { gateway, ticket }) {
                         result.shed += 1;
--- a/crates/dispatch/tests/rules.rs
+++ b/crates/dispatch/tests/rules.rs
@@ -26,7 +26,7 @@
 
 fn sent_to(verdict: &Option<Verdict>) -> Option<&str> {
     match verdict {
-        Some(Verdict::Send { backend, .. }) => Some(backend.as_str()),
+        Some(Verdict::Send { run, .. }) => Some(run.backend.as_str()),
         _ => None,
     }
 }
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -14,8 +14,8 @@
     },
     gullglade_traffic::{ColdRules, EngineProfile, RequestKind, ServicePool, TrafficRoute},
     gullglade_units::{
-        BackendName, FailureDomain, Incarnation, MonotonicTime, RandomSource, RegionName,
-        SeededRandom, ServiceName, VmName,
+        BackendName, BackendRun, FailureDomain, Incarnation, MonotonicTime, RandomSource,
+        RegionName, SeededRandom, ServiceName, VmName,
     },
     std::{
         collections::{BTreeSet, HashMap},
@@ -152,8 +152,7 @@
 /// The word of another gateway that it just sent `tokens` of a prompt to engine `index`.
 pub(crate) fn sent_hint(index: usize, tokens: u32, parts: &[PromptPart]) -> BackendHint {
     BackendHint {
-        backend: backend(index),
-        incarnation: Incarnation(0),
+        run: BackendRun { backend: backend(index), incarnation: Incarnation(0) },
         request: 1_000_000 + index as u64,
         priority: 0,
         sent_ago_us: 0,
@@ -305,7 +304,7 @@
                     let result = &mut results[*class_index];
                     let held = Duration::from_millis(ms - asked_at);
                     let (backend, priority) = match verdict {
-                        Verdict::Send { backend, priority, .. } => (backend, priority),
+                        Verdict::Send { run, priority, .. } => (run.backend, priority),
                         Verdict::SendAway { .. } => {
                             let objective = self.classes[*class_index].route.objective;
                             let took = held + away_time(shape);
--- a/crates/dispatch/tests/support/play.rs
+++ b/crates/dispatch/tests/support/play.rs
@@ -333,8 +333,8 @@
             let owner = (index, ticket);
             let Some(&(caller, is_forwarded, ..)) = self.owners.get(&owner) else { continue };
             match verdict {
-                Verdict::Send { backend, priority, expected_ms, copy, .. } => {
-                    let engine = backend_index(&backend);
+                Verdict::Send { run, priority, expected_ms, copy, .. } => {
+                    let engine = backend_index(&run.backend);
                     self.send(owner, engine, priority, expected_ms, copy.map(|c| c.from), ms);
                 }
                 Verdict::SendAway { region, .. } => {
--- a/crates/fleet/tests/memory.rs
+++ b/crates/fleet/tests/memory.rs
@@ -7,13 +7,11 @@
         BackendRecord, BackendStanding, FleetBook, FleetMemory, FleetServer, FleetSettings,
         FleetView, ServingState, SyncReply, TrafficSnapshot, TrafficSource,
     },
-    gullglade_poison::{
-        AccountSettings, BackendRun, CrashLedger, CrashNews, PrintKey, RequestView,
-    },
+    gullglade_poison::{AccountSettings, CrashLedger, CrashNews, PrintKey, RequestView},
     gullglade_traffic::{RawTraffic, TrafficError, TrafficFormat},
     gullglade_units::{
-        BackendName, FailureDomain, Incarnation, LocalFuture, MonotonicTime, ProcessContext,
-        RegionName, ServiceName, WallMillis, fake::FakeWorld,
+        BackendName, BackendRun, FailureDomain, Incarnation, LocalFuture, MonotonicTime,
+        ProcessContext, RegionName, ServiceName, WallMillis, fake::FakeWorld,
     },
     std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
 };
--- a/crates/poison/src/account.rs
+++ b/crates/poison/src/account.rs
@@ -2,11 +2,11 @@
 
 use {
     crate::{
-        BackendRun, CrashNews, CrashReport, RequestPrint, RunLife, SendEnd, SendReport,
+        CrashNews, CrashReport, RequestPrint, RunLife, SendEnd, SendReport,
         record::{CrashRecord, EndedSend, hold_time},
         time::AccountTime,
     },
-    gullglade_units::MonotonicTime,
+    gullglade_units::{BackendRun, MonotonicTime},
     std::{
         cmp::Reverse,
         collections::{BTreeMap, BTreeSet},
@@ -217,7 +217,6 @@
     /// Forgets what is too old to matter.
     pub fn expire(&mut self, now: MonotonicTime) {
         let (settings, now) = (self.settings, AccountTime::from(now));
-        let before = self.records.len();
         let held = &self.held;
         self.records.retain(|print, record| {
             let ends = held.get(print).map_or(0, |h| h.ends);
@@ -226,12 +225,10 @@
             let kept = hold_time(&settings, ends) * if ends > 0 { 2 } else { 1 };
             record.last_end().max(record.let_go).is_some_and(|last| now.since(last) < kept)
         });
-        if self.records.len() < before {
-            let ends = self.records.values().flat_map(|record| record.ends());
-            self.ended = ends.map(|(run, _)| run.clone()).collect();
-            self.alive.retain(|run, _| self.ended.contains(run));
-            self.weigh();
-        }
+        let ends = self.records.values().flat_map(CrashRecord::ends);
+        self.ended = ends.map(|(run, _)| run.clone()).collect();
+        self.alive.retain(|run, _| self.ended.contains(run));
+        self.weigh();
     }
 
     fn add_own(&mut self, print: RequestPrint, send: EndedSend) {
--- a/crates/poison/src/ledger.rs
+++ b/crates/poison/src/ledger.rs
@@ -1,11 +1,9 @@
 //! The account of a running process: with a clock, log lines and metrics.
 
 use {
-    crate::{
-        AccountSettings, BackendRun, CrashAccount, CrashNews, NewsScope, RequestHold, RequestPrint,
-    },
+    crate::{AccountSettings, CrashAccount, CrashNews, NewsScope, RequestHold, RequestPrint},
     gullglade_event::{EventDraft, EventSink, Level, MetricSet},
-    gullglade_units::{Clock, MonotonicTime},
+    gullglade_units::{BackendRun, Clock, MonotonicTime},
     std::{
         cell::{Cell, RefCell},
         collections::BTreeSet,
--- a/crates/poison/src/lib.rs
+++ b/crates/poison/src/lib.rs
@@ -35,7 +35,6 @@
 mod news;
 mod print;
 mod record;
-mod run;
 mod time;
 
 pub use {
@@ -43,5 +42,4 @@
     ledger::CrashLedger,
     news::{CrashNews, CrashReport, RunLife, SendEnd, SendReport},
     print::{PrintError, PrintKey, RequestPrint, RequestView},
-    run::BackendRun,
 };
--- a/crates/poison/src/news.rs
+++ b/crates/poison/src/news.rs
@@ -1,7 +1,8 @@
 //! What gateways and control processes tell each other of requests that end backend servers.
 
 use {
-    crate::{BackendRun, RequestPrint},
+    crate::RequestPrint,
+    gullglade_units::BackendRun,
     serde::{Deserialize, Serialize},
 };
 
--- a/crates/poison/src/record.rs
+++ b/crates/poison/src/record.rs
@@ -1,7 +1,8 @@
 //! What is known of one request.
 
 use {
-    crate::{AccountSettings, BackendRun, SendEnd, time::AccountTime},
+    crate::{AccountSettings, SendEnd, time::AccountTime},
+    gullglade_units::BackendRun,
     std::time::Duration,
 };
 
--- a/crates/poison/tests/account.rs
+++ b/crates/poison/tests/account.rs
@@ -2,10 +2,9 @@
 
 use {
     gullglade_poison::{
-        AccountSettings, BackendRun, CrashAccount, CrashNews, NewsScope, PrintKey, RequestPrint,
-        RequestView,
+        AccountSettings, CrashAccount, CrashNews, NewsScope, PrintKey, RequestPrint, RequestView,
     },
-    gullglade_units::{BackendName, Incarnation, MonotonicTime},
+    gullglade_units::{BackendName, BackendRun, Incarnation, MonotonicTime},
     std::time::Duration,
 };
 
--- a/crates/poison/tests/schedules/world.rs
+++ b/crates/poison/tests/schedules/world.rs
@@ -2,9 +2,9 @@
 
 use {
     gullglade_poison::{
-        AccountSettings, BackendRun, CrashAccount, NewsScope, PrintKey, RequestPrint, RequestView,
+        AccountSettings, CrashAccount, NewsScope, PrintKey, RequestPrint, RequestView,
     },
-    gullglade_units::{BackendName, Incarnation, MonotonicTime},
+    gullglade_units::{BackendName, BackendRun, Incarnation, MonotonicTime},
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
     std::{
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -12,9 +12,9 @@
         send_watch::SendWatch,
     },
     gullglade_dispatch::{Verdict, WorkItem},
-    gullglade_poison::{BackendRun, RequestHold, RequestPrint},
+    gullglade_poison::{RequestHold, RequestPrint},
     gullglade_traffic::TrafficRoute,
-    gullglade_units::{BackendName, Incarnation, MonotonicTime, RegionName, ServiceName},
+    gullglade_units::{BackendName, BackendRun, MonotonicTime, RegionName, ServiceName},
     std::{rc::Rc, time::Duration},
 };
 
@@ -184,13 +184,13 @@
                 self.log.refused(reason, retry_after, facts, &self.item);
                 Err(FinalWord::Refused(reason, retry_after))
             }
-            Verdict::Send { backend, incarnation, address, priority, expected_ms, copy } => {
-                let ticket = ticket.watched(self.watch(&backend, incarnation));
-                self.log.placed(&backend, expected_ms, copy);
+            Verdict::Send { run, address, priority, expected_ms, copy } => {
+                let ticket = ticket.watched(self.watch(&run));
+                self.log.placed(&run.backend, expected_ms, copy);
                 let left = self.left();
                 let attempt = Attempt {
                     call: &self.call,
-                    backend: &backend,
+                    backend: &run.backend,
                     address,
                     left,
                     patience: self.patience(expected_ms, left),
@@ -200,7 +200,7 @@
                     is_once_only: !self.item.route.kind.may_repeat(),
                 };
                 let end = self.proxy.attempts().send(&attempt, ticket).await;
-                self.note_place(AttemptPlace::Here(backend), &end);
+                self.note_place(AttemptPlace::Here(run.backend), &end);
                 Ok(end)
             }
             Verdict::SendAway { region, here_ms } => {
@@ -233,10 +233,10 @@
         }
     }
 
-    fn watch(&self, backend: &BackendName, incarnation: Incarnation) -> SendWatch {
+    fn watch(&self, run: &BackendRun) -> SendWatch {
         SendWatch {
             print: Rc::clone(&self.print),
-            run: BackendRun { backend: backend.clone(), incarnation },
+            run: run.clone(),
             sent: self.now(),
             crashes: Rc::clone(self.proxy.crashes()),
             events: Rc::clone(self.proxy.events()),
--- a/crates/proxy/src/send_watch.rs
+++ b/crates/proxy/src/send_watch.rs
@@ -4,8 +4,8 @@
     crate::call_print::CallPrint,
     gullglade_dispatch::WorkOutcome,
     gullglade_event::{EventDraft, EventSink},
-    gullglade_poison::{BackendRun, CrashLedger},
-    gullglade_units::{MonotonicTime, rendezvous::score},
+    gullglade_poison::CrashLedger,
+    gullglade_units::{BackendRun, MonotonicTime, rendezvous::score},
     std::rc::Rc,
 };
 
--- a/crates/units/src/ids.rs
+++ b/crates/units/src/ids.rs
@@ -1,7 +1,7 @@
 //! Ids that programs make.
 
 use {
-    crate::{ProcessContext, RandomSource, RegionName, WallMillis},
+    crate::{BackendName, ProcessContext, RandomSource, RegionName, WallMillis},
     serde::{Deserialize, Serialize},
     snafu::Snafu,
     std::{fmt, str::FromStr},
@@ -73,6 +73,16 @@
     }
 }
 
+/// One run of a backend server, from its start to its end. What is known of an earlier run of its
+/// name says nothing of it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct BackendRun {
+    /// The backend server.
+    pub backend: BackendName,
+    /// Which run of it.
+    pub incarnation: Incarnation,
+}
+
 /// The most bytes of a key or change id.
 const MAX_KEY_BYTES: usize = 128;
 
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -20,7 +20,7 @@
 pub use codec::{CodecError, decode, encode};
 pub use context::{LocalFuture, ProcessContext, SystemSpawner, TaskSpawner};
 pub use hybrid::{HybridClock, HybridStamp, StampError};
-pub use ids::{ChangeId, Incarnation, KeyError, OrderKey, RequestId};
+pub use ids::{BackendRun, ChangeId, Incarnation, KeyError, OrderKey, RequestId};
 pub use names::{
     BackendName, ClusterName, FailureDomain, ModelName, NameError, RegionName, ServiceName, VmName,
     WorkspaceName,
