Settings say when a request is held back: how many ends, for how long, how many requests are remembered

Cause it serves: operators whose backend servers restart in milliseconds, or whose callers send thousands of different requests, could not change the three figures.

Change: GULLGLADE_HOLD_ENDS, GULLGLADE_HOLD_SECONDS and GULLGLADE_HOLD_REQUESTS, read at the start of each process and checked by poison::AccountSettings; a refused one names the range and the usual value. Without them nothing changes.

--- a/crates/node/src/proxy_node.rs
+++ b/crates/node/src/proxy_node.rs
@@ -53,6 +53,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Limits that all gateways share.
     pub scheduler: SchedulerSettings,
+    /// When requests are held back that end backend servers.
+    pub crashes: AccountSettings,
     /// Sends to backend servers.
     pub client: ClientConfig,
     /// The time for a graceful stop.
@@ -88,7 +90,7 @@
             NoticePort::bind(settings.core.peer_address, &settings.core.peer, context.clone())
                 .context(NoticeStart)?;
         let crashes = CrashLedger::new(
-            AccountSettings::default(),
+            settings.crashes,
             Rc::clone(&context.clock),
             Rc::clone(&events),
             Rc::clone(&core.metrics),
--- a/crates/node/src/seeded_control.rs
+++ b/crates/node/src/seeded_control.rs
@@ -23,6 +23,8 @@
     pub control: ControlConfig,
     /// The fleet.
     pub fleet: FleetSettings,
+    /// When requests are held back that end backend servers.
+    pub crashes: AccountSettings,
 }
 
 /// A running control process.
@@ -58,7 +60,7 @@
         control.serve(&core.handlers);
         let source = Rc::new(control.clone());
         let crashes = CrashLedger::new(
-            AccountSettings::default(),
+            settings.crashes,
             Rc::clone(&context.clock),
             Rc::clone(&events),
             Rc::clone(&core.metrics),
--- a/crates/poison/src/account.rs
+++ b/crates/poison/src/account.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        CrashNews, CrashReport, RequestPrint, RunLife, SendEnd, SendReport,
+        AccountSettings, CrashNews, CrashReport, RequestPrint, RunLife, SendEnd, SendReport,
         record::{CrashRecord, EndedSend, hold_time},
         time::AccountTime,
     },
@@ -23,33 +23,6 @@
 /// other processes tell of it is late by a link's delay and a pause of a process.
 const LIFE_MARGIN: Duration = Duration::from_secs(1);
 
-/// Settings of a [`CrashAccount`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct AccountSettings {
-    /// A request is held back once so many backend servers have ended under it. Two may be chance:
-    /// a caller that repeats at once is easily on two that fail in a row.
-    pub bound: u32,
-    /// Ends of overlapping sends this close together count as one: a failure domain that is lost
-    /// takes all sends of a request that many callers make at the same time.
-    pub together: Duration,
-    /// How long a request is held back at first. Long against the time in which a caller gives up
-    /// repeating by itself, short against the time in which a wrong hold would be complained of.
-    pub hold: Duration,
-    /// The most requests that are remembered, about 200 bytes each.
-    pub most_records: usize,
-}
-
-impl Default for AccountSettings {
-    fn default() -> Self {
-        Self {
-            bound: 3,
-            together: Duration::from_millis(300),
-            hold: Duration::from_secs(600),
-            most_records: 4_096,
-        }
-    }
-}
-
 /// A request that is held back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RequestHold {
--- a/crates/poison/src/lib.rs
+++ b/crates/poison/src/lib.rs
@@ -35,11 +35,13 @@
 mod news;
 mod print;
 mod record;
+mod settings;
 mod time;
 
 pub use {
-    account::{AccountSettings, CrashAccount, NewsScope, RequestHold},
+    account::{CrashAccount, NewsScope, RequestHold},
     ledger::CrashLedger,
     news::{CrashNews, CrashReport, RunLife, SendEnd, SendReport},
     print::{PrintError, PrintKey, RequestPrint, RequestView},
+    settings::{AccountError, AccountSettings, RawAccount},
 };
--- a/crates/poison/tests/account.rs
+++ b/crates/poison/tests/account.rs
@@ -2,7 +2,8 @@
 
 use {
     gullglade_poison::{
-        AccountSettings, CrashAccount, CrashNews, NewsScope, PrintKey, RequestPrint, RequestView,
+        AccountSettings, CrashAccount, CrashNews, NewsScope, PrintKey, RawAccount, RequestPrint,
+        RequestView,
     },
     gullglade_units::{BackendName, BackendRun, Incarnation, MonotonicTime},
     std::time::Duration,
@@ -194,7 +195,8 @@
 /// account grow.
 #[test]
 fn five_hundred_new_causes_a_second_for_a_minute_leave_what_is_held_back() {
-    let settings = AccountSettings { most_records: 512, ..AccountSettings::default() };
+    let raw = RawAccount { requests: Some(512), ..RawAccount::default() };
+    let settings = AccountSettings::try_from(raw).expect("good settings");
     let mut account = CrashAccount::new(settings);
     (1..=3).for_each(|n| note(&mut account, Note::CutOff(1, n, n * 1_000)));
     for number in 0..30_000 {
@@ -202,7 +204,7 @@
     }
     assert!(account.hold(&print(1), at(64_000)).is_some());
     let told = account.news_after(0, NewsScope::Own, at(64_000));
-    assert!(told.reports.len() <= settings.most_records, "{} remembered", told.reports.len());
+    assert!(told.reports.len() <= 512, "{} remembered", told.reports.len());
     assert!(account.knows(&print(30_999)), "the newest is remembered");
     // Forgotten is one end of three: it takes two more to be held back, and a third at most.
     (1..=3).for_each(|n| note(&mut account, Note::CutOff(1_000, 50_000 + n, 64_000 + n * 1_000)));
@@ -282,3 +284,35 @@
     assert!(!first.is_empty());
     orders.into_iter().for_each(|order| assert_eq!(held(order), first, "{order:?}"));
 }
+
+#[test]
+fn settings_are_checked() {
+    struct Case {
+        raw: RawAccount,
+        error: Option<&'static str>,
+    }
+    let raw = RawAccount::default();
+    let cases = [
+        Case { raw, error: None },
+        Case { raw: RawAccount { ends: Some(2), hold_seconds: Some(10), ..raw }, error: None },
+        Case {
+            raw: RawAccount { ends: Some(1), ..raw },
+            error: Some("ends=1 is not from 2 to 16"),
+        },
+        Case {
+            raw: RawAccount { hold_seconds: Some(0), ..raw },
+            error: Some("hold seconds=0 is not from 10 to 86400; leave it out for 600"),
+        },
+        Case {
+            raw: RawAccount { requests: Some(10), ..raw },
+            error: Some("requests=10 is not from 256 to 131072; leave it out for 4096"),
+        },
+    ];
+    for Case { raw, error } in cases {
+        let checked = AccountSettings::try_from(raw);
+        match error {
+            None => assert!(checked.is_ok(), "{raw:?}"),
+            Some(text) => assert!(checked.unwrap_err().to_string().starts_with(text), "{raw:?}"),
+        }
+    }
+}
