Weigh the account anew only on news: a piece of an answer from a run that had lost a link cost a pass over it

Cause, read in the diff: every piece of every answer of a run that was once thought ended weighed all records again, and the first look at each record computed what only those with three ends need.

The mended lines decide nothing else.

--- a/crates/fleet/src/memory.rs
+++ b/crates/fleet/src/memory.rs
@@ -1,4 +1,5 @@
-//! What a control process heard of backend servers and of requests that end them, kept on its disk for its next run.
+//! What a control process heard of backend servers and of requests that end them, kept on its disk
+//! for its next run.
 //!
 //! The load pattern: all control processes are restarted at once, after a loss of power, and with
 //! them all gateways. Backend servers run on and announce themselves every second or so, each to
--- a/crates/poison/src/account.rs
+++ b/crates/poison/src/account.rs
@@ -105,12 +105,13 @@
     }
 
     /// Notes that `run` answered a request sent at `sent`. One whose end is known by broken
-    /// connections alone may have lost a link and no more.
-    pub fn note_life(&mut self, run: &BackendRun, sent: MonotonicTime) {
-        if self.ended.contains(run) {
-            self.add_life(run.clone(), sent.into());
+    /// connections alone may have lost a link and no more. Whether it was news.
+    pub fn note_life(&mut self, run: &BackendRun, sent: MonotonicTime) -> bool {
+        let is_news = self.ended.contains(run) && self.add_life(run, sent.into());
+        if is_news {
             self.weigh();
         }
+        is_news
     }
 
     /// Forgets what is known of a request until now: an operator says that it is sound.
@@ -178,7 +179,7 @@
             self.merge_report(report, now);
         }
         for RunLife { run, sent_ago_ms } in news.alive {
-            self.add_life(run, AccountTime::ago(now, sent_ago_ms));
+            self.add_life(&run, AccountTime::ago(now, sent_ago_ms));
         }
         let is_news = self.last_change > before;
         if is_news {
@@ -238,21 +239,21 @@
         }
     }
 
-    fn add_life(&mut self, run: BackendRun, sent: AccountTime) {
-        // Said once for each second of life: more is no news.
-        let is_known =
-            self.alive.get(&run).is_some_and(|(known, _)| sent.since(*known) < LIFE_MARGIN);
-        if is_known {
-            return;
+    /// Whether it was news: said once for each second of life.
+    fn add_life(&mut self, run: &BackendRun, sent: AccountTime) -> bool {
+        let known = self.alive.get(run);
+        if known.is_some_and(|(known, _)| sent.since(*known) < LIFE_MARGIN) {
+            return false;
         }
         self.last_change += 1;
-        self.alive.insert(run, (sent, self.last_change));
+        self.alive.insert(run.clone(), (sent, self.last_change));
         if self.alive.len() > self.settings.most_records
             && let Some(oldest) = self.alive.iter().min_by_key(|(_, (at, _))| *at)
         {
             let oldest = oldest.0.clone();
             self.alive.remove(&oldest);
         }
+        true
     }
 
     /// Forgets the request that matters least where there are too many: of those with the fewest
@@ -287,6 +288,7 @@
         let mut suspects: Vec<(usize, &RequestPrint, &CrashRecord)> = self
             .records
             .iter()
+            .filter(|(_, record)| record.ends().count() >= bound)
             .map(|(print, record)| (record.surplus(|run, at| self.is_end(run, at)), print, record))
             .filter(|(surplus, ..)| *surplus >= bound)
             .collect();
--- a/crates/poison/src/ledger.rs
+++ b/crates/poison/src/ledger.rs
@@ -89,8 +89,7 @@
 
     /// Notes that `run` answered a request sent at `sent`.
     pub fn note_life(&self, run: &BackendRun, sent: MonotonicTime) {
-        if !self.is_empty() {
-            self.account.borrow_mut().note_life(run, sent);
+        if !self.is_empty() && self.account.borrow_mut().note_life(run, sent) {
             self.tell();
         }
     }
--- a/crates/poison/tests/account.rs
+++ b/crates/poison/tests/account.rs
@@ -51,7 +51,9 @@
             account.note_cut_off(print(request), run(of), sent, at(time));
         }
         Note::Answer(request, time) => account.note_answer(print(request), time, at(time)),
-        Note::Life(of, sent) => account.note_life(&run(of), at(sent)),
+        Note::Life(of, sent) => {
+            account.note_life(&run(of), at(sent));
+        }
         Note::LetGo(request, time) => {
             account.let_go(print(request), at(time));
         }
--- a/crates/proxy/src/call_print.rs
+++ b/crates/proxy/src/call_print.rs
@@ -7,8 +7,8 @@
     std::{cell::OnceCell, rc::Rc},
 };
 
-/// The fingerprint of one request. Most requests are never asked for theirs, and hashing a body of
-/// 8 KB takes a tenth of the time that a gateway has for a request; none is hashed twice.
+/// The fingerprint of one request. While nothing is suspect no request is asked for its own, and
+/// none is hashed twice, however often it is sent.
 pub(crate) struct CallPrint {
     call: Rc<CallerCall>,
     key: PrintKey,
