Tell each decision of the repeat budget, by reason and with its counts

An operators' report of repeats beyond their budget could not be explained: neither the log nor the metrics said which repeats a gateway allowed, why, or by which counts. Now a counter by service, reason and decision, and a line each with the gateway's own window and the number of gateways that it divides the allowance by.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -23,6 +23,19 @@
     repeats: VecDeque<MonotonicTime>,
 }
 
+/// What became of a request to a [`RepeatBudget`], and by which counts of its window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RepeatDecision {
+    /// Whether the repeat may be sent.
+    pub is_granted: bool,
+    /// Requests that came to this gateway.
+    pub requests: usize,
+    /// Repeats of this gateway before this one.
+    pub repeats: usize,
+    /// Gateways that share the allowance, as this one believes.
+    pub gateways: usize,
+}
+
 impl RepeatBudget {
     /// A budget in which repeats in any `window` are at most `ratio` of the requests, and `slack`
     /// more for all gateways together.
@@ -37,15 +50,16 @@
     }
 
     /// Takes one repeat, where there is one left for one of `gateways`.
-    pub fn take(&mut self, gateways: usize, now: MonotonicTime) -> bool {
+    pub fn take(&mut self, gateways: usize, now: MonotonicTime) -> RepeatDecision {
         self.expire(now);
         let own = self.ratio * self.requests.len() as f64;
         let shared = self.slack / gateways.max(1) as f64;
-        if (self.repeats.len() + 1) as f64 > USED_SHARE * (own + shared) {
-            return false;
+        let repeats = self.repeats.len();
+        let is_granted = (repeats + 1) as f64 <= USED_SHARE * (own + shared);
+        if is_granted {
+            self.repeats.push_back(now);
         }
-        self.repeats.push_back(now);
-        true
+        RepeatDecision { is_granted, requests: self.requests.len(), repeats, gateways }
     }
 
     fn expire(&mut self, now: MonotonicTime) {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -26,7 +26,7 @@
 mod work;
 
 pub use {
-    budget::RepeatBudget,
+    budget::{RepeatBudget, RepeatDecision},
     cache::CacheEstimate,
     cold::ColdGate,
     facts::{BackendFacts, SchedulerSettings},
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -20,8 +20,9 @@
 use {
     crate::{
         BackendFacts, BackendHint, BackendLoad, BackendReport, CacheEstimate, ColdGate,
-        FirstByteTimes, HealthRecord, PromptShape, RegionFacts, RepeatBudget, RequestNews,
-        SchedulerSettings, SentRequest, TicketId, Verdict, WorkCost, WorkItem, WorkOutcome,
+        FirstByteTimes, HealthRecord, PromptShape, RegionFacts, RepeatBudget, RepeatDecision,
+        RequestNews, SchedulerSettings, SentRequest, TicketId, Verdict, WorkCost, WorkItem,
+        WorkOutcome,
         hint::{OwnHint, ago},
         regions::RegionBook,
         urgency::ObjectiveBook,
@@ -323,7 +324,7 @@
     }
 
     /// Takes one repeat out of the budget of `service`, where there is one left.
-    pub fn take_repeat(&mut self, service: &ServiceName, now: MonotonicTime) -> bool {
+    pub fn take_repeat(&mut self, service: &ServiceName, now: MonotonicTime) -> RepeatDecision {
         let gateways = self.gateway_total.max(self.gateways.len());
         self.budget(service).take(gateways, now)
     }
--- a/crates/dispatch/tests/rules.rs
+++ b/crates/dispatch/tests/rules.rs
@@ -153,7 +153,7 @@
             for ms in (0..10_000).step_by(100) {
                 budget.note_request(at(ms));
                 requests += 1;
-                repeats += (0..5).filter(|_| budget.take(gateways, at(ms))).count();
+                repeats += (0..5).filter(|_| budget.take(gateways, at(ms)).is_granted).count();
             }
         }
         let allowed = 0.2 * f64::from(requests) + 50.0;
--- a/crates/event/src/metrics.rs
+++ b/crates/event/src/metrics.rs
@@ -102,6 +102,7 @@
     inter_token: HistogramVec,
     model_series: RefCell<HashMap<ModelName, Rc<ModelSeries>>>,
     away: IntCounterVec,
+    repeats: IntCounterVec,
     breaches: IntCounterVec,
     open_requests: IntGauge,
     configuration_index: IntGauge,
@@ -178,6 +179,13 @@
                 "Requests sent to another region: over requests_total this is the share sent away",
                 &["service", "region"],
             )?,
+            repeats: counters(
+                &registry,
+                "repeats_total",
+                "Requests that arrived at a backend server and were to be sent once more, by why \
+                 and by whether the service's budget allowed it",
+                &["service", "reason", "granted"],
+            )?,
             breaches: counters(
                 &registry,
                 "promise_breaches_total",
@@ -299,6 +307,13 @@
         self.totals.set(RequestTotals { away: totals.away + 1, ..totals });
     }
 
+    /// A request was to be sent once more; `granted`: the service's budget allowed it.
+    pub fn repeat(&self, service: &ServiceName, reason: &'static str, granted: bool) {
+        let service = self.services.admit(service.as_str());
+        let granted = if granted { "true" } else { "false" };
+        self.repeats.with_label_values(&[service, reason, granted]).inc();
+    }
+
     /// A check found a promise broken, or a peer about to break it.
     pub fn breached(&self, promise: Promise) {
         self.breaches.with_label_values(&[promise.label()]).inc();
--- a/crates/event/tests/event/metrics.rs
+++ b/crates/event/tests/event/metrics.rs
@@ -18,6 +18,8 @@
     series.first_token(Duration::from_millis(250));
     series.inter_token(Duration::from_millis(30));
     metrics.sent_away(&service, &RegionName::try_from("inland").unwrap());
+    metrics.repeat(&service, "shed", true);
+    metrics.repeat(&service, "shed", false);
     metrics.configuration_in_force(17);
     metrics.backends("serving", 12);
     metrics.open_requests().inc();
@@ -30,6 +32,8 @@
         r#"gullglade_time_to_first_token_seconds_bucket{model="ballast",le="0.3"} 1"#,
         r#"gullglade_inter_token_seconds_bucket{model="ballast",le="0.031"} 1"#,
         r#"gullglade_requests_away_total{region="inland",service="quotes"} 1"#,
+        r#"gullglade_repeats_total{granted="true",reason="shed",service="quotes"} 1"#,
+        r#"gullglade_repeats_total{granted="false",reason="shed",service="quotes"} 1"#,
         "gullglade_configuration_index 17",
         r#"gullglade_backends{state="serving"} 12"#,
         "gullglade_open_requests 1",
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -3,9 +3,9 @@
 use {
     crate::{
         CallId, CallerCall, Proxy,
-        outcome::{AttemptEnd, FinalWord, UnknownReason},
+        outcome::{AttemptEnd, FinalWord, RepeatReason, UnknownReason},
     },
-    gullglade_dispatch::{PromptCopy, RefusalFacts, RefusalReason, WorkItem},
+    gullglade_dispatch::{PromptCopy, RefusalFacts, RefusalReason, RepeatDecision, WorkItem},
     gullglade_event::{EventDraft, EventSink, Level, MetricSet, RequestOutcome},
     gullglade_units::{BackendName, Clock, ModelName, MonotonicTime, RegionName},
     http::StatusCode,
@@ -111,6 +111,19 @@
             .emit(failure(self.event("request.attempt_failed"), end).field("region", region));
     }
 
+    /// The budget of repeats was asked for one.
+    pub(crate) fn repeat(&self, reason: RepeatReason, decision: RepeatDecision) {
+        let RepeatDecision { is_granted, requests, repeats, gateways } = decision;
+        self.metrics.repeat(&self.service, reason.label(), is_granted);
+        let kind = match is_granted {
+            true => "request.repeat_granted",
+            false => "request.repeat_denied",
+        };
+        let event = self.event(kind).field("reason", reason.label());
+        let event = event.field("requests", requests).field("repeats", repeats);
+        self.events.emit(event.field("gateways", gateways));
+    }
+
     pub(crate) fn repeats_failure(&self, status: StatusCode) {
         let event = self.event("request.repeated").field("status", status.as_u16());
         self.events.emit(event.optional("backend", self.backend.as_ref()));
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -8,7 +8,7 @@
         call_print::CallPrint,
         events::JourneyLog,
         forward::ForwardCall,
-        outcome::{AttemptEnd, FinalWord, NotRunReason, UnknownReason},
+        outcome::{AttemptEnd, FinalWord, NotRunReason, RepeatReason, UnknownReason},
         quota::ChargeGuard,
         send_watch::SendWatch,
     },
@@ -342,7 +342,9 @@
         }
         self.refused += 1;
         let has_arrived = matches!(reason, NotRunReason::Shed | NotRunReason::Misdirected);
-        if self.refused < MOST_REFUSALS && (!has_arrived || self.take_repeat()) {
+        if self.refused < MOST_REFUSALS
+            && (!has_arrived || self.take_repeat(RepeatReason::NotRun(reason)))
+        {
             return Ok(());
         }
         if self.ran > 0 {
@@ -354,7 +356,7 @@
     /// Whether to try again what may have run.
     pub(crate) fn after_unknown(&mut self, reason: UnknownReason) -> Result<(), FinalWord> {
         self.ran += 1;
-        if self.may_run_again() && self.take_repeat() {
+        if self.may_run_again() && self.take_repeat(RepeatReason::Unknown(reason)) {
             return Ok(());
         }
         Err(self.unknown(reason))
@@ -371,9 +373,13 @@
         self.ran += 1;
     }
 
-    pub(crate) fn take_repeat(&mut self) -> bool {
-        let service = self.item.service.clone();
-        self.proxy.dispatcher().ask(|scheduler, now| scheduler.take_repeat(&service, now))
+    /// Takes a repeat out of the service's budget; false where none is left.
+    pub(crate) fn take_repeat(&mut self, reason: RepeatReason) -> bool {
+        let service = &self.item.service;
+        let decision =
+            self.proxy.dispatcher().ask(|scheduler, now| scheduler.take_repeat(service, now));
+        self.log.repeat(reason, decision);
+        decision.is_granted
     }
 
     fn unknown(&self, reason: UnknownReason) -> FinalWord {
--- a/crates/proxy/src/outcome.rs
+++ b/crates/proxy/src/outcome.rs
@@ -43,33 +43,67 @@
     LostAway,
 }
 
-impl fmt::Display for NotRunReason {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+impl NotRunReason {
+    fn label(self) -> &'static str {
+        match self {
             Self::Unreachable => "unreachable",
             Self::Shed => "shed",
             Self::Misdirected => "misdirected",
             Self::RefusedAway => "refused_away",
             Self::HeldBack { .. } => "held_back",
-        })
+        }
     }
 }
 
-impl fmt::Display for UnknownReason {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+impl UnknownReason {
+    fn label(self) -> &'static str {
+        match self {
             Self::Broken => "broken",
             Self::Garbled => "garbled",
             Self::Overdue => "overdue",
             Self::Incomplete => "incomplete",
             Self::LostAway => "lost_away",
-        })
+        }
+    }
+}
+
+impl fmt::Display for NotRunReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.label())
+    }
+}
+
+impl fmt::Display for UnknownReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.label())
     }
 }
 
 impl FieldValue for NotRunReason {}
 impl FieldValue for UnknownReason {}
 
+/// Why a request that has arrived at a backend server is to be sent once more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RepeatReason {
+    /// It did not run there.
+    NotRun(NotRunReason),
+    /// It may have run there, and no whole answer came.
+    Unknown(UnknownReason),
+    /// The answer was a failure of the backend server's own.
+    Failed,
+}
+
+impl RepeatReason {
+    /// Its label in the metrics and in the log.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            Self::NotRun(reason) => reason.label(),
+            Self::Unknown(reason) => reason.label(),
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// How one attempt ended.
 pub(crate) enum AttemptEnd {
     /// It certainly did not run.
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -4,7 +4,7 @@
     crate::{
         answer::{AnswerBody, AttemptAnswer},
         journey::Journey,
-        outcome::{FinalWord, UnknownReason},
+        outcome::{FinalWord, RepeatReason, UnknownReason},
     },
     bytes::{Bytes, BytesMut},
     futures::stream::unfold,
@@ -59,7 +59,7 @@
                 None => continue,
                 Some(reply) if is_failure => {
                     self.note_run();
-                    if !self.may_run_again() || !self.take_repeat() {
+                    if !self.may_run_again() || !self.take_repeat(RepeatReason::Failed) {
                         return Ok(reply);
                     }
                     self.log.repeats_failure(reply.status);
