--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod deployment;
 pub(crate) mod engine;
 mod play;
+pub(crate) mod repeat_play;
 
 use {
     gullglade_dispatch::{
