Repeats: divide what a window allows so that the parts of all runs add up

Cause: each gateway counted by itself, and the counts of several do not add up to one window. A run granted 0.14 of the requests of its own last window; the last windows of two runs lie apart, so 0.14 of the requests of 20 s came to lie in 10 s where gateways were killed or callers moved. Each run took a whole share of the allowance, also the one that replaced a run which had just used it, and the shares grew whenever fewer gateways were heard. The class: a common bound divided by what each process believes at the moment.

Mend: a run keeps its repeats since any moment within half of the ratio of its requests since a window before that moment. Summed over all runs that is the ratio of the mean of a window and the one before it, which is never more than the larger one, so it holds with no word between gateways. The allowance is divided by the most gateways ever known to a run, at least by the regions times the gateways of its own; a run takes none of it for its first window.

Checks and bounds are the same.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -2,25 +2,41 @@
 //!
 //! The load pattern: a service answers slowly or with errors, each gateway repeats, and the
 //! repeats keep the service down. All gateways together may repeat a fixed part of the requests
-//! of a window. Each keeps to that part of its own requests, which adds up, and takes an equal
-//! part of the fixed allowance on top.
+//! of a window, and have a fixed allowance on top. No gateway knows the counts of the others, and
+//! callers move between gateways as these come and go.
 
 use {
+    crate::AllowanceShare,
     gullglade_units::MonotonicTime,
     std::{collections::VecDeque, time::Duration},
 };
 
-/// Of each allowance this much is used: the counts of the gateways end a little apart in time.
-const USED_SHARE: f64 = 0.7;
+/// The used part of what is allowed. The rest covers requests and repeats that are counted at
+/// another moment than that at which they were sent or arrive.
+const USED_SHARE: f64 = 0.85;
 
-/// Repeats and requests of one service in the last window.
+/// Repeats and requests of one service at one run of a gateway.
+///
+/// Allowed in a window are `ratio` of the requests of that window or of the one before it,
+/// whichever are more, over all gateways. The last repeats of two gateways lie at different
+/// moments, so their own last windows do not add up to any one window. What does add up is the
+/// mean of a window and the one before it, which is never more than the larger of the two: a run
+/// keeps the repeats since any moment within half of `ratio` of its requests since one window
+/// before that moment.
 #[derive(Debug)]
 pub struct RepeatBudget {
     window: Duration,
     ratio: f64,
     slack: f64,
+    /// Those of the last window.
     requests: VecDeque<MonotonicTime>,
     repeats: VecDeque<MonotonicTime>,
+    request_count: u64,
+    repeat_count: u64,
+    /// For windows that begin with a repeat: when, and how many repeats came before, less those
+    /// that the requests of more than a window before allowed. Ascending; of windows that begin
+    /// earlier and have more room nothing is kept.
+    begins: VecDeque<(MonotonicTime, f64)>,
 }
 
 /// What became of a request to a [`RepeatBudget`], and by which counts of its window.
@@ -32,34 +48,57 @@
     pub requests: usize,
     /// Repeats of this gateway before this one.
     pub repeats: usize,
-    /// Gateways that share the allowance, as this one believes.
-    pub gateways: usize,
+    /// The parts into which the allowance is divided.
+    pub parts: usize,
 }
 
 impl RepeatBudget {
     /// A budget in which repeats in any `window` are at most `ratio` of the requests, and `slack`
     /// more for all gateways together.
     pub fn new(window: Duration, ratio: f64, slack: f64) -> Self {
-        Self { window, ratio, slack, requests: VecDeque::new(), repeats: VecDeque::new() }
+        Self {
+            window,
+            ratio,
+            slack,
+            requests: VecDeque::new(),
+            repeats: VecDeque::new(),
+            request_count: 0,
+            repeat_count: 0,
+            begins: VecDeque::new(),
+        }
     }
 
     /// Notes a request that came for the first time.
     pub fn note_request(&mut self, now: MonotonicTime) {
         self.expire(now);
         self.requests.push_back(now);
+        self.request_count += 1;
     }
 
-    /// Takes one repeat, where there is one left for one of `gateways`.
-    pub fn take(&mut self, gateways: usize, now: MonotonicTime) -> RepeatDecision {
+    /// Takes one repeat, where there is one left, with `share` of the common allowance.
+    pub fn take(&mut self, share: &AllowanceShare, now: MonotonicTime) -> RepeatDecision {
         self.expire(now);
-        let own = self.ratio * self.requests.len() as f64;
-        let shared = self.slack / gateways.max(1) as f64;
-        let repeats = self.repeats.len();
-        let is_granted = (repeats + 1) as f64 <= USED_SHARE * (own + shared);
+        let (requests, repeats) = (self.requests.len(), self.repeats.len());
+        let earlier = self.request_count - requests as u64;
+        let begin = self.repeat_count as f64 - self.earned(earlier);
+        let least = self.begins.front().map_or(begin, |(_, oldest)| oldest.min(begin));
+        let slack = USED_SHARE * share.part(self.slack, self.window, now);
+        let taken = (self.repeat_count + 1) as f64 - self.earned(self.request_count);
+        let is_granted = taken - least <= slack;
         if is_granted {
+            self.repeat_count += 1;
             self.repeats.push_back(now);
+            while self.begins.back().is_some_and(|(_, later)| *later >= begin) {
+                self.begins.pop_back();
+            }
+            self.begins.push_back((now, begin));
         }
-        RepeatDecision { is_granted, requests: self.requests.len(), repeats, gateways }
+        RepeatDecision { is_granted, requests, repeats, parts: share.parts() }
+    }
+
+    /// The repeats that so many requests allow, of those in a window and in the one before it.
+    fn earned(&self, requests: u64) -> f64 {
+        USED_SHARE * self.ratio / 2.0 * requests as f64
     }
 
     fn expire(&mut self, now: MonotonicTime) {
@@ -71,5 +110,8 @@
         while self.repeats.front().is_some_and(is_old) {
             self.repeats.pop_front();
         }
+        while self.begins.front().is_some_and(|(at, _)| is_old(at)) {
+            self.begins.pop_front();
+        }
     }
 }
--- a/crates/dispatch/src/facts.rs
+++ b/crates/dispatch/src/facts.rs
@@ -15,6 +15,8 @@
     pub own: VmName,
     /// This gateway's region.
     pub region: RegionName,
+    /// The regions of the deployment.
+    pub regions: usize,
     /// Repeats per request that all gateways together may send to a service.
     pub repeat_ratio: f64,
     /// Repeats beyond that in each window.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,7 +8,8 @@
 //! - [`BackendLoad`] predicts when a backend server would give the first byte.
 //! - [`CacheEstimate`] knows which prompt parts a model engine probably still holds.
 //! - [`HealthRecord`] believes outcomes, and lets a suspect back by trial.
-//! - [`ColdGate`] and [`RepeatBudget`] divide what all gateways together may do.
+//! - [`ColdGate`], [`RepeatBudget`] and [`AllowanceShare`] divide what all gateways together may
+//!   do.
 
 mod budget;
 mod cache;
@@ -20,6 +21,7 @@
 mod load;
 mod regions;
 mod scheduler;
+mod share;
 mod unread;
 mod urgency;
 mod verdict;
@@ -35,6 +37,7 @@
     load::{BackendLoad, BackendReport, SentRequest, WorkCost},
     regions::{FirstByteTimes, RegionFacts},
     scheduler::Scheduler,
+    share::AllowanceShare,
     verdict::{PromptCopy, RefusalFacts, Verdict},
     work::{PromptPart, PromptShape, RefusalReason, TicketId, WorkItem, WorkOutcome},
 };
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -19,10 +19,10 @@
 
 use {
     crate::{
-        BackendFacts, BackendHint, BackendLoad, BackendReport, CacheEstimate, ColdGate,
-        FirstByteTimes, HealthRecord, PromptShape, RegionFacts, RepeatBudget, RepeatDecision,
-        RequestNews, SchedulerSettings, SentRequest, TicketId, Verdict, WorkCost, WorkItem,
-        WorkOutcome,
+        AllowanceShare, BackendFacts, BackendHint, BackendLoad, BackendReport, CacheEstimate,
+        ColdGate, FirstByteTimes, HealthRecord, PromptShape, RegionFacts, RepeatBudget,
+        RepeatDecision, RequestNews, SchedulerSettings, SentRequest, TicketId, Verdict, WorkCost,
+        WorkItem, WorkOutcome,
         hint::{OwnHint, ago},
         regions::RegionBook,
         urgency::ObjectiveBook,
@@ -68,7 +68,8 @@
     /// Failure domains that were evacuated, and when that ended.
     returned: BTreeMap<FailureDomain, MonotonicTime>,
     gateways: Vec<VmName>,
-    gateway_total: usize,
+    /// Its part of what all gateways together may do.
+    share: AllowanceShare,
     budgets: HashMap<ServiceName, RepeatBudget>,
     waiting: Vec<Waiting>,
     /// What other gateways of the region have not yet been told of.
@@ -90,6 +91,7 @@
         Self {
             gateways: vec![settings.own.clone()],
             request_base,
+            share: AllowanceShare::new(settings.regions),
             settings,
             services: BTreeMap::new(),
             backends: BTreeMap::new(),
@@ -97,7 +99,6 @@
             objectives: HashMap::new(),
             evacuated: Rc::default(),
             returned: BTreeMap::new(),
-            gateway_total: 1,
             budgets: HashMap::new(),
             waiting: Vec::new(),
             hints: Vec::new(),
@@ -151,12 +152,13 @@
         if !own_region.contains(&self.settings.own) {
             own_region.push(self.settings.own.clone());
         }
+        self.share.note_region(own_region.len());
         self.gateways = own_region;
     }
 
     /// Takes the number of gateways in all regions, which share common limits.
     pub fn set_gateway_total(&mut self, total: usize) {
-        self.gateway_total = total;
+        self.share.note_total(total);
     }
 
     /// Takes what other regions say of their services.
@@ -220,6 +222,7 @@
     /// Decides about the requests that wait, as far as it can be decided now.
     pub fn poll(&mut self, now: MonotonicTime) -> Vec<(TicketId, Verdict)> {
         self.wake = None;
+        self.share.note_time(now);
         let mut verdicts = Vec::new();
         let mut queue = std::mem::take(&mut self.waiting);
         // At the worst of the load there is always more that is late than there is room. What can
@@ -325,8 +328,8 @@
 
     /// Takes one repeat out of the budget of `service`, where there is one left.
     pub fn take_repeat(&mut self, service: &ServiceName, now: MonotonicTime) -> RepeatDecision {
-        let gateways = self.gateway_total.max(self.gateways.len());
-        self.budget(service).take(gateways, now)
+        let share = self.share;
+        self.budget(service).take(&share, now)
     }
 
     /// Notes that the path to a region is broken: it gets no work for `pause`.
--- a/crates/dispatch/tests/support/deployment.rs
+++ b/crates/dispatch/tests/support/deployment.rs
@@ -114,6 +114,7 @@
         let settings = SchedulerSettings {
             own: gateway(index),
             region: region(self.regions[region_index].name),
+            regions: self.regions.len(),
             repeat_ratio: 0.2,
             repeat_slack: 230.0,
             repeat_window: Duration::from_secs(10),
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -67,6 +67,7 @@
     SchedulerSettings {
         own: gateway(index),
         region: region("puget"),
+        regions: 1,
         repeat_ratio: 0.2,
         repeat_slack: 50.0,
         repeat_window: Duration::from_secs(10),
--- a/crates/dispatch/tests/support/repeat_play.rs
+++ b/crates/dispatch/tests/support/repeat_play.rs
@@ -279,6 +279,7 @@
 fn new_run(index: usize, region_index: usize) -> Scheduler {
     let settings = SchedulerSettings {
         region: region(&format!("region-{region_index}")),
+        regions: REGIONS,
         repeat_ratio: RATIO,
         repeat_slack: SLACK,
         ..settings(index)
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -113,7 +113,7 @@
 
     /// The budget of repeats was asked for one.
     pub(crate) fn repeat(&self, reason: RepeatReason, decision: RepeatDecision) {
-        let RepeatDecision { is_granted, requests, repeats, gateways } = decision;
+        let RepeatDecision { is_granted, requests, repeats, parts } = decision;
         self.metrics.repeat(&self.service, reason.label(), is_granted);
         let kind = match is_granted {
             true => "request.repeat_granted",
@@ -121,7 +121,7 @@
         };
         let event = self.event(kind).field("reason", reason.label());
         let event = event.field("requests", requests).field("repeats", repeats);
-        self.events.emit(event.field("gateways", gateways));
+        self.events.emit(event.field("parts", parts));
     }
 
     pub(crate) fn repeats_failure(&self, status: StatusCode) {
