Repeats: take one out of the budget when it is sent, not when it is asked for

What callers saw: found while the report of repeats beyond their budget was traced, not seen by callers by itself. A repeat was counted when the failure came, and then waited in the queue for room, up to seconds; what had been granted in two windows could arrive in one. A bound that is counted at another place than the one where it applies.

Now a failure only looks whether the budget has a repeat left, so that a caller whose request can't be sent again is told at once; the repeat is taken when the queue gives the request its place, and a request whose repeat is gone by then ends as it would have before.

Evidence: the new test failed before (granted after 5 ms, sent after 502 ms) and passes.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -77,15 +77,9 @@
 
     /// Takes one repeat, where there is one left, with `share` of the common allowance.
     pub fn take(&mut self, share: &AllowanceShare, now: MonotonicTime) -> RepeatDecision {
-        self.expire(now);
-        let (requests, repeats) = (self.requests.len(), self.repeats.len());
-        let earlier = self.request_count - requests as u64;
-        let begin = self.repeat_count as f64 - self.earned(earlier);
-        let least = self.begins.front().map_or(begin, |(_, oldest)| oldest.min(begin));
-        let slack = USED_SHARE * share.part(self.slack, self.window, now);
-        let taken = (self.repeat_count + 1) as f64 - self.earned(self.request_count);
-        let is_granted = taken - least <= slack;
-        if is_granted {
+        let decision = self.look(share, now);
+        if decision.is_granted {
+            let begin = self.begin();
             self.repeat_count += 1;
             self.repeats.push_back(now);
             while self.begins.back().is_some_and(|(_, later)| *later >= begin) {
@@ -93,7 +87,28 @@
             }
             self.begins.push_back((now, begin));
         }
-        RepeatDecision { is_granted, requests, repeats, parts: share.parts() }
+        decision
+    }
+
+    /// Whether [`take`](Self::take) would grant a repeat now.
+    pub fn look(&mut self, share: &AllowanceShare, now: MonotonicTime) -> RepeatDecision {
+        self.expire(now);
+        let begin = self.begin();
+        let least = self.begins.front().map_or(begin, |(_, oldest)| oldest.min(begin));
+        let slack = USED_SHARE * share.part(self.slack, self.window, now);
+        let taken = (self.repeat_count + 1) as f64 - self.earned(self.request_count);
+        RepeatDecision {
+            is_granted: taken - least <= slack,
+            requests: self.requests.len(),
+            repeats: self.repeats.len(),
+            parts: share.parts(),
+        }
+    }
+
+    /// What is kept of a window that begins now.
+    fn begin(&self) -> f64 {
+        let earlier = self.request_count - self.requests.len() as u64;
+        self.repeat_count as f64 - self.earned(earlier)
     }
 
     /// The repeats that so many requests allow, of those in a window and in the one before it.
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -326,6 +326,12 @@
         }
     }
 
+    /// Whether the budget of `service` has a repeat left.
+    pub fn look_at_repeats(&mut self, service: &ServiceName, now: MonotonicTime) -> RepeatDecision {
+        let share = self.share;
+        self.budget(service).look(&share, now)
+    }
+
     /// Takes one repeat out of the budget of `service`, where there is one left.
     pub fn take_repeat(&mut self, service: &ServiceName, now: MonotonicTime) -> RepeatDecision {
         let share = self.share;
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -52,10 +52,19 @@
     ran: u32,
     /// Attempts that certainly did not.
     refused: u32,
+    /// A repeat that is to be taken out of the budget when there is a place for it.
+    pending: Option<PendingRepeat>,
     /// The last event that the caller has.
     pub(crate) last_event: Option<u64>,
 }
 
+/// A request that has arrived at a backend server and is to be sent once more.
+struct PendingRepeat {
+    reason: RepeatReason,
+    /// What its caller is told where the budget has no repeat left by the time there is a place.
+    otherwise: FinalWord,
+}
+
 /// A request with the way that it takes.
 struct RoutedWork {
     route: Rc<TrafficRoute>,
@@ -161,6 +170,7 @@
             charge: None,
             ran: 0,
             refused: 0,
+            pending: None,
             last_event,
         }
     }
@@ -229,8 +239,11 @@
         let (ticket, verdict) = self.proxy.dispatcher().place(item).await;
         // The third end may have become known while it waited.
         self.check_hold()?;
-        if let Some(charge) = self.charge.as_mut().filter(|_| verdict.is_sent()) {
-            charge.note_sent();
+        if verdict.is_sent() {
+            self.take_repeat()?;
+            if let Some(charge) = &mut self.charge {
+                charge.note_sent();
+            }
         }
         match verdict {
             Verdict::Refuse { reason, retry_after, facts } => {
@@ -342,24 +355,32 @@
         }
         self.refused += 1;
         let has_arrived = matches!(reason, NotRunReason::Shed | NotRunReason::Misdirected);
-        if self.refused < MOST_REFUSALS
-            && (!has_arrived || self.take_repeat(RepeatReason::NotRun(reason)))
-        {
-            return Ok(());
-        }
-        if self.ran > 0 {
-            return Err(self.unknown(UnknownReason::Broken));
+        let word = match self.ran {
+            0 => FinalWord::NotRun(reason, wait.unwrap_or(SHED_RETRY)),
+            _ => self.unknown(UnknownReason::Broken),
+        };
+        match self.refused < MOST_REFUSALS {
+            true if has_arrived => self.plan_repeat(RepeatReason::NotRun(reason), word),
+            true => Ok(()),
+            false => Err(word),
         }
-        Err(FinalWord::NotRun(reason, wait.unwrap_or(SHED_RETRY)))
     }
 
     /// Whether to try again what may have run.
     pub(crate) fn after_unknown(&mut self, reason: UnknownReason) -> Result<(), FinalWord> {
         self.ran += 1;
-        if self.may_run_again() && self.take_repeat(RepeatReason::Unknown(reason)) {
-            return Ok(());
+        let word = self.unknown(reason);
+        match self.may_run_again() {
+            true => self.plan_repeat(RepeatReason::Unknown(reason), word),
+            false => Err(word),
         }
-        Err(self.unknown(reason))
+    }
+
+    /// Whether to try again what a backend server failed at. Its answer is the caller's otherwise.
+    pub(crate) fn after_failure(&mut self) -> bool {
+        self.ran += 1;
+        let word = self.unknown(UnknownReason::Incomplete);
+        self.may_run_again() && self.plan_repeat(RepeatReason::Failed, word).is_ok()
     }
 
     /// Whether another run is allowed, the budget aside.
@@ -368,18 +389,28 @@
         route.kind.may_repeat() && self.ran < route.max_attempts && !self.left().is_zero()
     }
 
-    /// Notes a run that ended badly after its answer had begun.
-    pub(crate) fn note_run(&mut self) {
-        self.ran += 1;
+    /// Has the request sent once more, where the budget has a repeat left.
+    fn plan_repeat(&mut self, reason: RepeatReason, otherwise: FinalWord) -> Result<(), FinalWord> {
+        let service = &self.item.service;
+        let dispatcher = self.proxy.dispatcher();
+        let decision = dispatcher.ask(|scheduler, now| scheduler.look_at_repeats(service, now));
+        if !decision.is_granted {
+            self.log.repeat(reason, decision);
+            return Err(otherwise);
+        }
+        self.pending = Some(PendingRepeat { reason, otherwise });
+        Ok(())
     }
 
-    /// Takes a repeat out of the service's budget; false where none is left.
-    pub(crate) fn take_repeat(&mut self, reason: RepeatReason) -> bool {
+    /// Takes the repeat that is pending out of the service's budget, at the time at which it is
+    /// sent: it may have waited for its place for longer than a window has room for.
+    fn take_repeat(&mut self) -> Result<(), FinalWord> {
+        let Some(PendingRepeat { reason, otherwise }) = self.pending.take() else { return Ok(()) };
         let service = &self.item.service;
-        let decision =
-            self.proxy.dispatcher().ask(|scheduler, now| scheduler.take_repeat(service, now));
+        let dispatcher = self.proxy.dispatcher();
+        let decision = dispatcher.ask(|scheduler, now| scheduler.take_repeat(service, now));
         self.log.repeat(reason, decision);
-        decision.is_granted
+        if decision.is_granted { Ok(()) } else { Err(otherwise) }
     }
 
     fn unknown(&self, reason: UnknownReason) -> FinalWord {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -4,7 +4,7 @@
     crate::{
         answer::{AnswerBody, AttemptAnswer},
         journey::Journey,
-        outcome::{FinalWord, RepeatReason, UnknownReason},
+        outcome::{FinalWord, UnknownReason},
     },
     bytes::{Bytes, BytesMut},
     futures::stream::unfold,
@@ -58,8 +58,7 @@
             match self.whole(answer).await? {
                 None => continue,
                 Some(reply) if is_failure => {
-                    self.note_run();
-                    if !self.may_run_again() || !self.take_repeat(RepeatReason::Failed) {
+                    if !self.after_failure() {
                         return Ok(reply);
                     }
                     self.log.repeats_failure(reply.status);
--- a/crates/proxy/tests/budget.rs
+++ b/crates/proxy/tests/budget.rs
@@ -114,3 +114,40 @@
     let age = |at: &MonotonicTime| end.0.saturating_sub(ago).checked_sub(at.0);
     times.iter().filter(|at| age(at).is_some_and(|age| age < WINDOW)).count()
 }
+
+/// Repeats that were granted while engines were full counted in the window of the grant, and
+/// arrived in the next one together with what that window granted.
+#[test]
+fn a_repeat_that_waits_for_room_counts_when_it_is_sent() {
+    const PLACES: usize = 32;
+    const BUSY: Duration = Duration::from_millis(500);
+    let bed = TestBed::new(&BedSettings::of(RequestKind::AtMostOnce));
+    let shed = Script::signed(503, &[]).header("not-run", "1");
+    let slow = Script { after: BUSY, ..Script::signed(200, &["late"]) };
+    bed.script(0, &[Deed::Answer(shed)]);
+    bed.script(0, &vec![Deed::Answer(slow); 2 * PLACES]);
+    let calls = (0..PLACES + 1).map(|number| {
+        let call = CallerCall { body: format!("question {number}").into(), ..bed.call() };
+        take(bed.proxy(), call)
+    });
+    bed.world.run_until(join_all(calls));
+    let repeats = repeats(&bed);
+    let first = bed.backends(0).arrivals.borrow()[0].at;
+    let waited = repeats.first().expect("the failed request is sent once more").since(first);
+    assert!(waited >= BUSY / 2, "it waits for room: {waited:?}");
+    let granted = granted_ages(&bed);
+    let [age] = granted[..] else { panic!("one repeat is granted: {granted:?}") };
+    let apart = waited.max(age) - waited.min(age);
+    assert!(apart < BUSY / 10, "granted after {age:?}, sent after {waited:?}");
+}
+
+/// The ages of requests at which the budget granted them a repeat.
+fn granted_ages(bed: &TestBed) -> Vec<Duration> {
+    let lines = bed.events.lines();
+    let granted = lines.iter().filter(|line| line.starts_with("request.repeat_granted "));
+    let age = |line: &String| {
+        let millis = line.split(" age_ms=").nth(1)?.split(' ').next()?.parse::<f64>().ok()?;
+        Some(Duration::from_secs_f64(millis / 1_000.0))
+    };
+    granted.filter_map(age).collect()
+}
