Read the limit that backend servers state, and tell of it

The record of engines that got many times what they had said they take could not show whether any gateway knew of the limit. Nothing acts on it yet.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 mod fade;
 mod health;
 mod hint;
+mod limit;
 mod load;
 mod regions;
 mod scheduler;
@@ -34,6 +35,7 @@
     facts::{BackendFacts, SchedulerSettings},
     health::HealthRecord,
     hint::{BackendHint, RequestNews},
+    limit::{InvalidLimit, StatedLimit},
     load::{BackendLoad, BackendReport, SentRequest, WorkCost},
     regions::{FirstByteTimes, RegionFacts},
     scheduler::Scheduler,
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -21,9 +21,10 @@
     crate::{
         AllowanceShare, BackendFacts, BackendHint, BackendLoad, BackendReport, CacheEstimate,
         ColdGate, FirstByteTimes, HealthRecord, PromptShape, RegionFacts, RepeatBudget,
-        RepeatDecision, RequestNews, SchedulerSettings, SentRequest, TicketId, Verdict, WorkCost,
-        WorkItem, WorkOutcome,
+        RepeatDecision, RequestNews, SchedulerSettings, SentRequest, StatedLimit, TicketId,
+        Verdict, WorkCost, WorkItem, WorkOutcome,
         hint::{OwnHint, ago},
+        limit::LimitRecord,
         regions::RegionBook,
         urgency::ObjectiveBook,
     },
@@ -50,6 +51,7 @@
     cache: CacheEstimate,
     health: HealthRecord,
     cold: ColdGate,
+    limit: LimitRecord,
 }
 
 struct Waiting {
@@ -141,6 +143,7 @@
                     cache: CacheEstimate::default(),
                     health: HealthRecord::default(),
                     cold: ColdGate::default(),
+                    limit: LimitRecord::default(),
                 },
             };
             self.backends.insert(backend.facts.name.clone(), backend);
@@ -296,6 +299,17 @@
         }
     }
 
+    /// Notes the limit that a backend server stated with its answer to a request, or that it stated
+    /// none; whether that is another one than before.
+    pub fn note_limit(
+        &mut self,
+        ticket: TicketId,
+        limit: Option<StatedLimit>,
+        now: MonotonicTime,
+    ) -> bool {
+        self.sent_to(ticket).is_some_and(|backend| backend.limit.note(limit, now))
+    }
+
     /// The run that a request was sent to, while it is the one that is known.
     fn sent_to(&mut self, ticket: TicketId) -> Option<&mut Backend> {
         let run = self.sent.get(&ticket)?;
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -120,6 +120,11 @@
         if let Some(load) = word.load {
             ticket.report(load);
         }
+        // An answer of its own that states none lifts a limit; a refusal may have come of something
+        // in front of it.
+        if !word.is_other_run && (word.is_signed || word.limit.is_some()) {
+            ticket.note_limit(word.limit);
+        }
         if !self.is_for(attempt.call, &word, head.status) {
             ticket.finish(WorkOutcome::Garbled);
             return AttemptEnd::Unknown(UnknownReason::Garbled);
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::CallId,
-    gullglade_dispatch::BackendReport,
+    gullglade_dispatch::{BackendReport, StatedLimit},
     gullglade_units::{BackendName, WorkspaceName},
     http::{HeaderMap, HeaderValue, StatusCode},
     std::{net::SocketAddr, time::Duration},
@@ -26,7 +26,7 @@
 }
 
 /// What a backend server says of itself and of the request with the head of an answer.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct BackendWord {
     /// It states that it did not run the request and will not.
     pub is_not_run: bool,
@@ -38,6 +38,8 @@
     pub answers: Option<String>,
     /// Its load.
     pub load: Option<BackendReport>,
+    /// The limit that it states.
+    pub limit: Option<StatedLimit>,
 }
 
 /// How a deployment's backend servers are spoken to.
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -4,8 +4,8 @@
     crate::send_watch::SendWatch,
     futures::channel::oneshot,
     gullglade_dispatch::{
-        BackendReport, RefusalFacts, RefusalReason, Scheduler, TicketId, Verdict, WorkItem,
-        WorkOutcome,
+        BackendReport, RefusalFacts, RefusalReason, Scheduler, StatedLimit, TicketId, Verdict,
+        WorkItem, WorkOutcome,
     },
     gullglade_units::{MonotonicTime, ProcessContext},
     std::{
@@ -145,6 +145,14 @@
         self.dispatcher.ask(|scheduler, now| scheduler.report(self.ticket, report, now));
     }
 
+    /// The backend server stated a limit, or none.
+    pub(crate) fn note_limit(&self, limit: Option<StatedLimit>) {
+        let note = |scheduler: &mut Scheduler, now| scheduler.note_limit(self.ticket, limit, now);
+        if let Some(watch) = self.watch.as_ref().filter(|_| self.dispatcher.ask(note)) {
+            watch.limit_changed(limit);
+        }
+    }
+
     /// Whether something came lately from the backend server that it was sent to.
     pub(crate) fn is_at_work(&self) -> bool {
         self.dispatcher.ask(|scheduler, now| scheduler.is_at_work(self.ticket, now))
--- a/crates/proxy/src/send_watch.rs
+++ b/crates/proxy/src/send_watch.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::call_print::CallPrint,
-    gullglade_dispatch::WorkOutcome,
+    gullglade_dispatch::{StatedLimit, WorkOutcome},
     gullglade_event::{EventDraft, EventSink},
     gullglade_poison::CrashLedger,
     gullglade_units::{BackendRun, MonotonicTime, rendezvous::score},
@@ -24,6 +24,16 @@
         self.crashes.note_life(&self.run, self.sent);
     }
 
+    /// The backend server stated another limit than before, or none any more.
+    pub(crate) fn limit_changed(&self, limit: Option<StatedLimit>) {
+        let kind = match limit {
+            Some(_) => "backend.limited",
+            None => "backend.unlimited",
+        };
+        let event = EventDraft::new(kind).field("backend", &self.run.backend);
+        self.events.emit(event.optional("per_second", limit));
+    }
+
     /// The send has ended.
     pub(crate) fn end(&self, outcome: WorkOutcome, now: MonotonicTime) {
         match outcome {
--- a/crates/proxy/tests/support/servers.rs
+++ b/crates/proxy/tests/support/servers.rs
@@ -221,6 +221,7 @@
             is_signed: text("signed").is_some(),
             answers: text("id").map(str::to_owned),
             load: None::<BackendReport>,
+            limit: text("limit").and_then(|text| text.parse::<f64>().ok()?.try_into().ok()),
         }
     }
 
