--- /dev/null
+++ b/crates/dispatch/tests/support/limit_play.rs
@@ -0,0 +1,189 @@
+//! Gateways of one region before engines of which some state a limit for a while.
+
+use {
+    super::{at, backend_index, item, prompt, route, scheduler},
+    gullglade_dispatch::{Scheduler, StatedLimit, TicketId, Verdict, WorkOutcome},
+    gullglade_traffic::TrafficRoute,
+    gullglade_units::{RandomSource, SeededRandom},
+    std::{ops::Range, rc::Rc},
+};
+
+const STEP_MS: u64 = 10;
+/// Gateways of a large region tell their news to this many others.
+const AUDIENCE: usize = 8;
+/// From the first statement until the limit is held to.
+const GRACE_MS: u64 = 5_000;
+/// A gateway counts from this long after it first passed a statement on.
+const TOLD_MS: u64 = 500;
+const WINDOW_MS: u64 = 4_000;
+const ENGINES: usize = 4;
+
+#[derive(Clone, Debug)]
+pub(crate) struct LimitScenario {
+    pub(crate) gateways: usize,
+    /// Requests a second at each gateway.
+    pub(crate) per_second: f64,
+    /// The first so many engines state a limit.
+    pub(crate) limited: usize,
+    pub(crate) limit: f64,
+    /// When they state it.
+    pub(crate) stated: Range<u64>,
+    pub(crate) length_ms: u64,
+}
+
+/// What came of it.
+#[derive(Debug, Default)]
+pub(crate) struct LimitOutcome {
+    /// The most sends to one engine in a window, of gateways that had been told.
+    pub(crate) most: usize,
+    /// Sends to each engine while it stated a limit, from the end of the grace on.
+    pub(crate) while_limited: [usize; ENGINES],
+    /// When each engine last began to get work from every gateway after the limit was lifted.
+    pub(crate) back_ms: [Option<u64>; ENGINES],
+}
+
+struct Send {
+    at_ms: u64,
+    gateway: usize,
+    engine: usize,
+}
+
+struct Answer {
+    due_ms: u64,
+    gateway: usize,
+    engine: usize,
+    ticket: TicketId,
+}
+
+pub(crate) struct LimitPlay<'a> {
+    scenario: &'a LimitScenario,
+    random: SeededRandom,
+    route: Rc<TrafficRoute>,
+    gateways: Vec<Scheduler>,
+    answers: Vec<Answer>,
+    sends: Vec<Send>,
+    /// When each gateway first passed a statement of each engine on.
+    told: Vec<[Option<u64>; ENGINES]>,
+    now_ms: u64,
+}
+
+impl<'a> LimitPlay<'a> {
+    pub(crate) fn new(scenario: &'a LimitScenario, seed: u64) -> Self {
+        let count = scenario.gateways;
+        Self {
+            scenario,
+            random: SeededRandom::new(seed),
+            route: route(0, 1_200, 2_500),
+            gateways: (0..count).map(|index| scheduler(index, count, ENGINES, 0.0)).collect(),
+            answers: Vec::new(),
+            sends: Vec::new(),
+            told: vec![[None; ENGINES]; count],
+            now_ms: 0,
+        }
+    }
+
+    pub(crate) fn play(mut self) -> LimitOutcome {
+        while self.now_ms < self.scenario.length_ms {
+            self.take_requests();
+            self.take_answers();
+            self.tell_neighbours();
+            self.now_ms += STEP_MS;
+        }
+        self.outcome()
+    }
+
+    fn is_stating(&self, engine: usize) -> bool {
+        engine < self.scenario.limited && self.scenario.stated.contains(&self.now_ms)
+    }
+
+    fn take_requests(&mut self) {
+        let now = at(self.now_ms);
+        let chance = self.scenario.per_second * STEP_MS as f64 / 1_000.0;
+        for index in 0..self.gateways.len() {
+            let mut expected = chance;
+            while expected > 0.0 {
+                if self.random.unit() < expected {
+                    let number = self.random.below(1 << 40);
+                    let shape = prompt(number % 40, 200, 300, number);
+                    self.gateways[index].submit(item(&self.route, Some(shape), now), now);
+                }
+                expected -= 1.0;
+            }
+            for (ticket, verdict) in self.gateways[index].poll(now) {
+                self.carry_out(index, ticket, &verdict);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, gateway: usize, ticket: TicketId, verdict: &Verdict) {
+        let Verdict::Send { run, .. } = verdict else { return };
+        let engine = backend_index(&run.backend);
+        self.sends.push(Send { at_ms: self.now_ms, gateway, engine });
+        let due_ms = self.now_ms + 40 + self.random.below(200);
+        self.answers.push(Answer { due_ms, gateway, engine, ticket });
+    }
+
+    fn take_answers(&mut self) {
+        let now_ms = self.now_ms;
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.answers).into_iter().partition(|a| a.due_ms <= now_ms);
+        self.answers = later;
+        for Answer { gateway, engine, ticket, .. } in due {
+            let is_stating = self.is_stating(engine);
+            let limit = is_stating.then(|| StatedLimit::try_from(self.scenario.limit));
+            let limit = limit.map(|limit| limit.expect("a rate"));
+            let run = &mut self.gateways[gateway];
+            run.note_limit(ticket, limit, at(now_ms));
+            run.begin(ticket, at(now_ms));
+            run.end(ticket, WorkOutcome::Answered, at(now_ms));
+            if is_stating {
+                self.told[gateway][engine].get_or_insert(now_ms);
+            }
+        }
+    }
+
+    /// In a large region each gateway tells the ones after it, not all.
+    fn tell_neighbours(&mut self) {
+        let count = self.gateways.len();
+        for from in 0..count {
+            let hints = self.gateways[from].take_hints(at(self.now_ms));
+            if hints.is_empty() {
+                continue;
+            }
+            for step in 1..=AUDIENCE.min(count - 1) {
+                let to = (from + step * step) % count;
+                if to != from {
+                    self.gateways[to].note_hints(hints.clone(), at(self.now_ms));
+                }
+            }
+        }
+    }
+
+    fn outcome(&self) -> LimitOutcome {
+        let mut outcome = LimitOutcome::default();
+        let Range { start, end } = self.scenario.stated;
+        for engine in 0..self.scenario.limited {
+            let counted: Vec<u64> = self
+                .sends
+                .iter()
+                .filter(|s| s.engine == engine && (start + GRACE_MS..end).contains(&s.at_ms))
+                .filter(|s| self.told[s.gateway][engine].is_some_and(|t| t + TOLD_MS <= s.at_ms))
+                .map(|s| s.at_ms)
+                .collect();
+            let within = |from: &u64| {
+                let ends = counted.partition_point(|at| *at < from + WINDOW_MS);
+                ends - counted.partition_point(|at| at < from)
+            };
+            let most = counted.iter().map(within).max().unwrap_or_default();
+            outcome.most = outcome.most.max(most);
+            outcome.while_limited[engine] = counted.len();
+            let firsts = (0..self.gateways.len()).map(|gateway| {
+                let mut after = self.sends.iter().filter(|s| s.at_ms >= end);
+                after.find(|s| s.gateway == gateway && s.engine == engine).map(|s| s.at_ms - end)
+            });
+            outcome.back_ms[engine] =
+                firsts.collect::<Option<Vec<_>>>().and_then(|f| f.into_iter().max());
+        }
+        outcome
+    }
+}
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 pub(crate) mod deployment;
 pub(crate) mod engine;
+pub(crate) mod limit_play;
 mod play;
 pub(crate) mod repeat_play;
 
