Keep to the limit that a backend server states, over all gateways of its region

What the operators saw: engines in need that had stated 1 and 1.2 requests a second got 40 and 52 in 4 s. Callers saw nothing of it.

Cause: nobody acted on the statement; the engines got the same work as before. The class: what the other side says is passed on instead of being believed, as with a bound that is divided among gateways which have to agree on it.

Mend: the sends to one backend server go through the gate that cold ones have had, now with a bound of either kind; each gateway takes a part of it by its rank. The limit is told with the first bytes that gateways tell each other of anyway, so those that get no answer from the backend server keep to it, too, and learn when it is lifted. Who has no part and hears nothing tries once in a while, one gateway after the other. Such a backend server is not offered to other regions, and a request that could only wait for its turn beyond its time is turned away at once.

--- a/crates/dispatch/src/hint.rs
+++ b/crates/dispatch/src/hint.rs
@@ -1,7 +1,7 @@
 //! What gateways of a region tell each other of the backend servers that they share.
 
 use {
-    crate::{BackendReport, PromptPart},
+    crate::{BackendReport, PromptPart, StatedLimit},
     gullglade_units::{BackendRun, MonotonicTime},
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -9,7 +9,7 @@
 
 /// Something that other gateways of the region should know of: they send to the same backend
 /// servers, and see little of each of them themselves.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct BackendHint {
     /// The run of a backend server.
     pub run: BackendRun,
@@ -24,7 +24,7 @@
 }
 
 /// What happened to a request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RequestNews {
     /// It was sent.
     Sent {
@@ -39,6 +39,8 @@
         ago_us: u32,
         /// The load that the backend server stated with the answer.
         load: Option<BackendReport>,
+        /// The limit that it states.
+        limit: Option<StatedLimit>,
     },
     /// It ended without an answer.
     Dropped,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,18 +8,18 @@
 //! - [`BackendLoad`] predicts when a backend server would give the first byte.
 //! - [`CacheEstimate`] knows which prompt parts a model engine probably still holds.
 //! - [`HealthRecord`] believes outcomes, and lets a suspect back by trial.
-//! - [`ColdGate`], [`RepeatBudget`] and [`AllowanceShare`] divide what all gateways together may
+//! - [`RateBound`], [`RepeatBudget`] and [`AllowanceShare`] divide what all gateways together may
 //!   do.
 
 mod budget;
 mod cache;
-mod cold;
 mod facts;
 mod fade;
 mod health;
 mod hint;
 mod limit;
 mod load;
+mod rate;
 mod regions;
 mod scheduler;
 mod share;
@@ -31,12 +31,12 @@
 pub use {
     budget::{RepeatBudget, RepeatDecision},
     cache::CacheEstimate,
-    cold::ColdGate,
     facts::{BackendFacts, SchedulerSettings},
     health::HealthRecord,
     hint::{BackendHint, RequestNews},
     limit::{InvalidLimit, StatedLimit},
     load::{BackendLoad, BackendReport, SentRequest, WorkCost},
+    rate::{RateBound, RateGate},
     regions::{FirstByteTimes, RegionFacts},
     scheduler::Scheduler,
     share::AllowanceShare,
--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -4,9 +4,15 @@
     gullglade_event::FieldValue,
     gullglade_units::MonotonicTime,
     serde::{Deserialize, Serialize},
-    std::fmt,
+    std::{fmt, time::Duration},
 };
 
+/// A limit of which nothing was heard for this long may have been lifted.
+const TRIAL_PAUSE: Duration = Duration::from_secs(10);
+
+/// The time between the trials of two gateways.
+const TRIAL_SPACING: Duration = Duration::from_secs(4);
+
 /// The requests a second that a backend server takes from all gateways together.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
 #[serde(try_from = "f64", into = "f64")]
@@ -63,6 +69,18 @@
 }
 
 impl LimitRecord {
+    /// The limit in force.
+    pub(crate) fn limit(&self) -> Option<StatedLimit> {
+        self.limit
+    }
+
+    /// When a gateway may send though it has no part of the limit, to learn whether it is still
+    /// stated: once nothing was heard of it for long, one gateway after the other by `rank`.
+    pub(crate) fn trial(&self, rank: usize) -> MonotonicTime {
+        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+        self.came + TRIAL_PAUSE + TRIAL_SPACING.saturating_mul(rank)
+    }
+
     /// Takes what an answer that came at `came` says; whether that is another limit than before.
     pub(crate) fn note(&mut self, limit: Option<StatedLimit>, came: MonotonicTime) -> bool {
         if came < self.came {
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -20,7 +20,7 @@
 use {
     crate::{
         AllowanceShare, BackendFacts, BackendHint, BackendLoad, BackendReport, CacheEstimate,
-        ColdGate, FirstByteTimes, HealthRecord, PromptShape, RegionFacts, RepeatBudget,
+        FirstByteTimes, HealthRecord, PromptShape, RateGate, RegionFacts, RepeatBudget,
         RepeatDecision, RequestNews, SchedulerSettings, SentRequest, StatedLimit, TicketId,
         Verdict, WorkCost, WorkItem, WorkOutcome,
         hint::{OwnHint, ago},
@@ -50,7 +50,7 @@
     load: BackendLoad,
     cache: CacheEstimate,
     health: HealthRecord,
-    cold: ColdGate,
+    gate: RateGate,
     limit: LimitRecord,
 }
 
@@ -142,7 +142,7 @@
                     load: BackendLoad::default(),
                     cache: CacheEstimate::default(),
                     health: HealthRecord::default(),
-                    cold: ColdGate::default(),
+                    gate: RateGate::default(),
                     limit: LimitRecord::default(),
                 },
             };
@@ -180,7 +180,8 @@
     /// The same of one service; `None` where nobody could be given work of it.
     pub fn offer(&self, service: &ServiceName, now: MonotonicTime) -> Option<RegionFacts> {
         let is_trusted = |b: &Backend| !b.health.is_suspect(now) && !b.load.is_stalled(now);
-        let sound = |b: &&Backend| !b.facts.is_silent && is_trusted(b) && !self.is_cold(b, now);
+        let is_open = |b: &Backend| b.limit.limit().is_none() && !self.is_cold(b, now);
+        let sound = |b: &&Backend| !b.facts.is_silent && is_trusted(b) && is_open(b);
         let times: Vec<FirstByteTimes> = self
             .serving(service)
             .filter(sound)
@@ -273,8 +274,9 @@
         // Called with every piece of an answer: what follows is for the first one alone.
         let Some(sent) = backend.load.begin(ticket, now) else { return };
         let load = backend.load.recent_report(TOLD_REPORT_AGE, now);
+        let limit = backend.limit.limit();
         let run = backend.facts.run();
-        let news = RequestNews::Begun { ago_us: 0, load };
+        let news = RequestNews::Begun { ago_us: 0, load, limit };
         self.note_own(run, sent, news, now);
     }
 
@@ -425,8 +427,9 @@
                     backend.cache.note(&parts, engine.memory_tokens, now);
                 }
             }
-            RequestNews::Begun { ago_us, load } => {
+            RequestNews::Begun { ago_us, load, limit } => {
                 let came = ago(now, ago_us);
+                backend.limit.note(limit, came);
                 backend.load.note_first_byte(request, priority, sent, came);
                 if let Some(load) = load {
                     backend.load.note_report(load, came);
@@ -446,7 +449,6 @@
         let Verdict::Send { run, copy, priority, .. } = verdict else { return };
         let name = &run.backend;
         let engine = self.services.get(&waiting.item.service).and_then(|s| s.engine);
-        let is_cold = self.backends.get(name).is_some_and(|b| self.is_cold(b, now));
         let Some(backend) = self.backends.get_mut(name) else { return };
         let cost = work_cost(backend, &waiting.item);
         let cost = copy.map_or(cost, |copy| copy.reduce(cost));
@@ -460,9 +462,7 @@
         let parts = waiting.item.prompt.as_ref().map(PromptShape::shared_parts);
         let parts = parts.unwrap_or_default().to_vec();
         backend.health.note_send(now);
-        if is_cold {
-            backend.cold.note(now);
-        }
+        backend.gate.note(now);
         if let (Some(prompt), Some(engine)) = (&waiting.item.prompt, engine) {
             backend.cache.note(&prompt.parts, engine.memory_tokens, now);
         }
--- a/crates/dispatch/src/scheduler/placing.rs
+++ b/crates/dispatch/src/scheduler/placing.rs
@@ -9,7 +9,8 @@
         work_cost,
     },
     crate::{
-        ColdGate, PromptCopy, PromptShape, RegionFacts, SchedulerSettings, WorkCost, WorkItem,
+        PromptCopy, PromptShape, RateBound, RegionFacts, SchedulerSettings, WorkCost, WorkItem,
+        rate::rank,
         urgency::{ObjectiveBook, Urgency},
     },
     gullglade_units::{BackendName, MonotonicTime, RegionName, rendezvous},
@@ -79,7 +80,7 @@
 /// Suspects are looked at again after this.
 const SUSPECT_LOOK: Duration = Duration::from_millis(100);
 
-/// What is expected where all backend servers are cold and none may be sent to, milliseconds.
+/// What is expected where backend servers are cold and may not be sent to, milliseconds.
 const COLD_WAIT_MS: f64 = 300.0;
 
 /// What a look at the own region found.
@@ -165,10 +166,15 @@
         let objectives = self.objectives.get(&item.service).copied().unwrap_or_default();
         let mut best: Option<(Candidate, &BackendName)> = None;
         let mut wait_ms = f64::MAX;
+        let mut bound_ms = f64::MAX;
         let mut again = now + LOOK_INTERVAL;
         for backend in sound {
-            if let Some(room) = self.cold_wait(backend, now) {
+            if let Some(room) = self.rate_wait(backend, now) {
                 again = again.min(room);
+                bound_ms = bound_ms.min(match backend.limit.limit() {
+                    Some(_) => room.since(now).as_secs_f64() * 1_000.0,
+                    None => COLD_WAIT_MS,
+                });
                 continue;
             }
             let candidate = candidate(item, backend, &shared, &objectives, now);
@@ -183,7 +189,7 @@
                 Local::Place { backend: name.clone(), here, copy }
             }
             None => {
-                let wait_ms = if wait_ms == f64::MAX { COLD_WAIT_MS } else { wait_ms };
+                let wait_ms = if wait_ms == f64::MAX { bound_ms } else { wait_ms };
                 let wait_ms = wait_ms + LOOK_INTERVAL.as_secs_f64() * 1_000.0;
                 let full = FullLook { wait_ms, again };
                 look.note_full(item, full);
@@ -236,19 +242,37 @@
         now < backend.facts.cold_until || may_be_cold
     }
 
-    /// When a cold backend server may next be sent to, where it may not now.
+    /// When a backend server with a bound on its rate may next be sent to, where it may not now.
+    fn rate_wait(&self, backend: &Backend, now: MonotonicTime) -> Option<MonotonicTime> {
+        let waits = [self.cold_wait(backend, now), self.limit_wait(backend, now)];
+        waits.into_iter().flatten().max()
+    }
+
     fn cold_wait(&self, backend: &Backend, now: MonotonicTime) -> Option<MonotonicTime> {
         if !self.is_cold(backend, now) {
             return None;
         }
         let service = self.services.get(&backend.facts.service)?;
-        let SchedulerSettings { cold_over, cold_slack, own, .. } = &self.settings;
-        let rate = service.cold.requests_per_second * cold_over + cold_slack;
-        let part = ColdGate::part(rate, &backend.facts.name, own, &self.gateways);
-        let next = backend.cold.next_send(part).unwrap_or(now + COLD_LOOK);
+        let SchedulerSettings { cold_over, cold_slack, .. } = &self.settings;
+        let bound = RateBound::cold(service.cold.requests_per_second * cold_over + cold_slack);
+        let next = self.next_send(backend, &bound).unwrap_or(now + COLD_LOOK);
         (next > now).then_some(next)
     }
 
+    fn limit_wait(&self, backend: &Backend, now: MonotonicTime) -> Option<MonotonicTime> {
+        let bound = RateBound::stated(backend.limit.limit()?);
+        let next = self.next_send(backend, &bound).unwrap_or_else(|| {
+            backend.limit.trial(rank(&backend.facts.name, &self.settings.own, &self.gateways))
+        });
+        (next > now).then_some(next)
+    }
+
+    /// When this gateway's part of a bound leaves room for a send; `None` where it has no part.
+    fn next_send(&self, backend: &Backend, bound: &RateBound) -> Option<MonotonicTime> {
+        let part = bound.part(&backend.facts.name, &self.settings.own, &self.gateways);
+        backend.gate.next_send(part, bound)
+    }
+
     /// The region that would serve the request better than this one, if there is one.
     pub(super) fn better_region(
         &self,
--- a/crates/dispatch/tests/limits.rs
+++ b/crates/dispatch/tests/limits.rs
@@ -54,3 +54,43 @@
     }
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+/// Engines in need were given nothing at all, or stayed without work after they had recovered.
+#[test]
+fn an_engine_with_a_limit_gets_its_part_and_all_work_again_afterwards() {
+    struct Case {
+        what: &'static str,
+        gateways: usize,
+        per_second: f64,
+        limit: f64,
+        /// All gateways give it work again within this.
+        back_ms: u64,
+    }
+    let cases = [
+        Case { what: "small", gateways: 3, per_second: 14.0, limit: 2.0, back_ms: 3_000 },
+        Case { what: "one gateway", gateways: 1, per_second: 40.0, limit: 2.0, back_ms: 3_000 },
+        Case { what: "large", gateways: 22, per_second: 5.0, limit: 4.0, back_ms: 8_000 },
+        Case { what: "very large", gateways: 60, per_second: 3.0, limit: 4.0, back_ms: 12_000 },
+        Case { what: "nothing", gateways: 3, per_second: 14.0, limit: 0.0, back_ms: 30_000 },
+    ];
+    for Case { what, gateways, per_second, limit, back_ms } in cases {
+        let scenario = LimitScenario {
+            gateways,
+            per_second,
+            limited: 2,
+            limit,
+            stated: 4_000..29_000,
+            length_ms: 60_000,
+        };
+        for seed in 0..3 {
+            let LimitOutcome { while_limited, back_ms: back, .. } = play(&scenario, seed);
+            for engine in 0..2 {
+                let due = 0.5 * limit * 20.0;
+                let got = while_limited[engine];
+                assert!(got as f64 >= due, "{what}, seed {seed}: {got} of {due}");
+                let back = back[engine].unwrap_or(u64::MAX);
+                assert!(back <= back_ms, "{what}, seed {seed}: back after {back} ms");
+            }
+        }
+    }
+}
--- a/crates/dispatch/tests/rules.rs
+++ b/crates/dispatch/tests/rules.rs
@@ -413,7 +413,7 @@
         let (_, verdict) = place(&mut scheduler, at(0));
         assert_eq!(sent_to(&verdict), Some("i-0"), "{name}");
         if let Some(ms) = heard_ms {
-            let news = RequestNews::Begun { ago_us: 0, load: None };
+            let news = RequestNews::Begun { ago_us: 0, load: None, limit: None };
             scheduler.note_hints(vec![BackendHint { news, ..sent_hint(0, 0, &[]) }], at(ms));
         }
         // The other engine holds nothing of the prompt, so that a sound first one is preferred.
