--- /dev/null
+++ b/crates/dispatch/tests/cold.rs
@@ -0,0 +1,54 @@
+//! The rate of a cold backend server, over all gateways of its region.
+
+mod support;
+
+use support::cold_play::{ColdPlay, ColdScenario, PER_SECOND};
+
+/// What a cold engine bears in a second by the settings of the tests.
+const ALLOWED: f64 = PER_SECOND * 1.5 + 3.0;
+
+fn most_in_a_second(arrivals: &[u64]) -> usize {
+    let within = |from: &u64| {
+        let end = arrivals.partition_point(|at| *at < from + 1_000);
+        end - arrivals.partition_point(|at| at < from)
+    };
+    arrivals.iter().map(within).max().unwrap_or_default()
+}
+
+/// Cold engines got more than they bear while most gateways lost power: others took over the parts
+/// of dead ones within the second in which those still sent, and new runs began alone.
+#[test]
+fn a_cold_engine_is_spared_while_gateways_are_killed() {
+    struct Case {
+        what: &'static str,
+        gateways: usize,
+        kills: &'static [(u64, f64, u64)],
+    }
+    let cases = [
+        Case { what: "none", gateways: 8, kills: &[] },
+        Case { what: "most lose power", gateways: 3, kills: &[(6_000, 0.7, 1_000)] },
+        Case { what: "most lose power", gateways: 8, kills: &[(6_000, 0.7, 1_000)] },
+        Case { what: "most lose power", gateways: 30, kills: &[(6_000, 0.7, 1_000)] },
+        Case { what: "some are down for long", gateways: 30, kills: &[(6_000, 0.4, 5_000)] },
+        Case {
+            what: "killed in series",
+            gateways: 12,
+            kills: &[(5_000, 0.7, 300), (6_000, 0.7, 300), (7_200, 0.7, 500)],
+        },
+        Case { what: "all at once", gateways: 12, kills: &[(6_000, 1.0, 300)] },
+    ];
+    let mut broken = Vec::new();
+    for Case { what, gateways, kills } in cases {
+        let scenario = ColdScenario { gateways, kills: kills.to_vec(), length_ms: 12_000 };
+        for seed in 0..8 {
+            let arrivals = ColdPlay::new(&scenario, seed).play();
+            let most = most_in_a_second(&arrivals);
+            if most as f64 > ALLOWED {
+                broken
+                    .push(format!("{what}, {gateways} gateways, seed {seed}: {most} in a second"));
+            }
+            assert!(arrivals.len() >= 12, "{what}, {gateways} gateways: it gets its part");
+        }
+    }
+    assert!(broken.is_empty(), "{ALLOWED} allowed:\n{}", broken.join("\n"));
+}
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)] // Each test program uses a part of it.
 
+pub(crate) mod cold_play;
 pub(crate) mod deployment;
 pub(crate) mod engine;
 pub(crate) mod limit_play;
