Divide the rate of a backend server among all gateways that may still use a part

What callers saw: a cold engine that gets more than it bears crashes, with what it runs.

Cause: each gateway took its rank among those that were listed at the moment. Gateways learn of each other at different moments: one that was killed, or starts again and isn't ready, leaves the list within the second in which it still sent, and another one takes over its part; a run that begins is alone at first and takes all.

Mend: a gateway that is no longer listed counts on for as long as the others take to learn of it, and a run takes no part until it has known the fleet for as long. This holds for cold backend servers and for those that state a limit.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,6 +21,7 @@
 mod load;
 mod rate;
 mod regions;
+mod roster;
 mod scheduler;
 mod share;
 mod unread;
--- a/crates/dispatch/src/rate.rs
+++ b/crates/dispatch/src/rate.rs
@@ -9,8 +9,7 @@
 //!   gets the same work as before from every gateway that was not told.
 //!
 //! The gateways do not ask each other; each takes a fixed part of the rate by its rank among the
-//! gateways that may send, so that the parts never add up to more than the whole, as long as the
-//! gateways agree about who there is.
+//! gateways that may send, so that the parts never add up to more than the whole.
 
 use {
     crate::StatedLimit,
@@ -54,8 +53,13 @@
     }
 
     /// How many of the sends in each span are the part of the gateway `own`.
-    pub fn part(&self, backend: &BackendName, own: &VmName, gateways: &[VmName]) -> usize {
-        let count = gateways.len().max(1);
+    pub fn part<'a>(
+        &self,
+        backend: &BackendName,
+        own: &VmName,
+        gateways: impl Iterator<Item = &'a VmName> + Clone,
+    ) -> usize {
+        let count = gateways.clone().count().max(1);
         let rank = rank(backend, own, gateways);
         self.sends / count + usize::from(rank < self.sends % count)
     }
@@ -63,9 +67,14 @@
 
 /// The place of a gateway among all of them, which rank themselves alike, and in another order for
 /// each backend server.
-pub(crate) fn rank(backend: &BackendName, own: &VmName, gateways: &[VmName]) -> usize {
+pub(crate) fn rank<'a>(
+    backend: &BackendName,
+    own: &VmName,
+    gateways: impl Iterator<Item = &'a VmName>,
+) -> usize {
     let score_of = |gateway: &VmName| score(backend.as_str(), gateway.as_str());
-    gateways.iter().filter(|g| score_of(g) > score_of(own)).count()
+    let own = score_of(own);
+    gateways.filter(|gateway| score_of(gateway) > own).count()
 }
 
 /// Sends of this gateway to one backend server.
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -26,6 +26,7 @@
         hint::{OwnHint, ago},
         limit::LimitRecord,
         regions::RegionBook,
+        roster::GatewayRoster,
         urgency::ObjectiveBook,
     },
     gullglade_traffic::ServicePool,
@@ -69,7 +70,7 @@
     evacuated: Rc<BTreeSet<FailureDomain>>,
     /// Failure domains that were evacuated, and when that ended.
     returned: BTreeMap<FailureDomain, MonotonicTime>,
-    gateways: Vec<VmName>,
+    gateways: GatewayRoster,
     /// Its part of what all gateways together may do.
     share: AllowanceShare,
     budgets: HashMap<ServiceName, RepeatBudget>,
@@ -91,7 +92,7 @@
     pub fn new(settings: SchedulerSettings) -> Self {
         let request_base = rendezvous::score(settings.own.as_str(), "requests");
         Self {
-            gateways: vec![settings.own.clone()],
+            gateways: GatewayRoster::new(settings.own.clone()),
             request_base,
             share: AllowanceShare::new(settings.regions),
             settings,
@@ -151,17 +152,19 @@
     }
 
     /// Takes the gateways of the own region that take callers.
-    pub fn set_gateways(&mut self, mut own_region: Vec<VmName>) {
-        if !own_region.contains(&self.settings.own) {
-            own_region.push(self.settings.own.clone());
-        }
-        self.share.note_region(own_region.len());
-        self.gateways = own_region;
+    pub fn set_gateways(
+        &mut self,
+        own_region: impl IntoIterator<Item = VmName>,
+        now: MonotonicTime,
+    ) {
+        let own = self.settings.own.clone();
+        self.gateways.set(own_region.into_iter().chain([own]).collect(), now);
+        self.share.note_region(self.gateways.len());
     }
 
     /// Takes the number of gateways in all regions, which share common limits.
-    pub fn set_gateway_total(&mut self, total: usize) {
-        self.share.note_total(total);
+    pub fn set_gateway_total(&mut self, total: usize, now: MonotonicTime) {
+        self.share.note_total(total, now);
     }
 
     /// Takes what other regions say of their services.
@@ -226,7 +229,6 @@
     /// Decides about the requests that wait, as far as it can be decided now.
     pub fn poll(&mut self, now: MonotonicTime) -> Vec<(TicketId, Verdict)> {
         self.wake = None;
-        self.share.note_time(now);
         let mut verdicts = Vec::new();
         let mut queue = std::mem::take(&mut self.waiting);
         // At the worst of the load there is always more that is late than there is room. What can
--- a/crates/dispatch/src/scheduler/placing.rs
+++ b/crates/dispatch/src/scheduler/placing.rs
@@ -11,6 +11,7 @@
     crate::{
         PromptCopy, PromptShape, RateBound, RegionFacts, SchedulerSettings, WorkCost, WorkItem,
         rate::rank,
+        roster::HANDOVER,
         urgency::{ObjectiveBook, Urgency},
     },
     gullglade_units::{BackendName, MonotonicTime, RegionName, rendezvous},
@@ -255,21 +256,31 @@
         let service = self.services.get(&backend.facts.service)?;
         let SchedulerSettings { cold_over, cold_slack, .. } = &self.settings;
         let bound = RateBound::cold(service.cold.requests_per_second * cold_over + cold_slack);
-        let next = self.next_send(backend, &bound).unwrap_or(now + COLD_LOOK);
+        let next = self.next_send(backend, &bound, now).unwrap_or(now + COLD_LOOK);
         (next > now).then_some(next)
     }
 
     fn limit_wait(&self, backend: &Backend, now: MonotonicTime) -> Option<MonotonicTime> {
         let bound = RateBound::stated(backend.limit.limit()?);
-        let next = self.next_send(backend, &bound).unwrap_or_else(|| {
-            backend.limit.trial(rank(&backend.facts.name, &self.settings.own, &self.gateways))
+        let next = self.next_send(backend, &bound, now).unwrap_or_else(|| {
+            let holders = self.gateways.holders(now);
+            backend.limit.trial(rank(&backend.facts.name, &self.settings.own, holders))
         });
         (next > now).then_some(next)
     }
 
     /// When this gateway's part of a bound leaves room for a send; `None` where it has no part.
-    fn next_send(&self, backend: &Backend, bound: &RateBound) -> Option<MonotonicTime> {
-        let part = bound.part(&backend.facts.name, &self.settings.own, &self.gateways);
+    fn next_send(
+        &self,
+        backend: &Backend,
+        bound: &RateBound,
+        now: MonotonicTime,
+    ) -> Option<MonotonicTime> {
+        if !self.share.is_known_for(HANDOVER, now) {
+            return None;
+        }
+        let holders = self.gateways.holders(now);
+        let part = bound.part(&backend.facts.name, &self.settings.own, holders);
         backend.gate.next_send(part, bound)
     }
 
--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -20,14 +20,14 @@
 pub struct AllowanceShare {
     regions: usize,
     parts: usize,
-    is_told: bool,
+    /// When the number of gateways was first told.
     known_since: Option<MonotonicTime>,
 }
 
 impl AllowanceShare {
     /// The share of a run that has heard of no other gateway yet, in a deployment of `regions`.
     pub fn new(regions: usize) -> Self {
-        Self { regions: regions.max(1), parts: 1, is_told: false, known_since: None }
+        Self { regions: regions.max(1), parts: 1, known_since: None }
     }
 
     /// Takes the number of gateways of the own region.
@@ -36,14 +36,9 @@
     }
 
     /// Takes the number of gateways of all regions. None at all: nothing has been heard yet.
-    pub fn note_total(&mut self, gateways: usize) {
+    pub fn note_total(&mut self, gateways: usize, now: MonotonicTime) {
         self.parts = self.parts.max(gateways);
-        self.is_told |= gateways > 0;
-    }
-
-    /// Begins the wait for the first window, once the fleet is known.
-    pub fn note_time(&mut self, now: MonotonicTime) {
-        if self.is_told {
+        if gateways > 0 {
             self.known_since.get_or_insert(now);
         }
     }
@@ -53,13 +48,13 @@
         self.parts
     }
 
-    /// Whether a part of an allowance per `window` may be used.
-    pub fn is_open(&self, window: Duration, now: MonotonicTime) -> bool {
-        self.known_since.is_some_and(|since| now.since(since) >= window)
+    /// Whether the fleet has been known for so long.
+    pub fn is_known_for(&self, time: Duration, now: MonotonicTime) -> bool {
+        self.known_since.is_some_and(|since| now.since(since) >= time)
     }
 
     /// The own part of an allowance of `whole` per `window`.
     pub fn part(&self, whole: f64, window: Duration, now: MonotonicTime) -> f64 {
-        if self.is_open(window, now) { whole / self.parts as f64 } else { 0.0 }
+        if self.is_known_for(window, now) { whole / self.parts as f64 } else { 0.0 }
     }
 }
--- a/crates/dispatch/tests/rules.rs
+++ b/crates/dispatch/tests/rules.rs
@@ -49,7 +49,7 @@
                 cold.cold_until = at(60_000);
                 scheduler.set_backends([cold]);
                 let mut stall = 0;
-                for ms in (0..6_000).step_by(5) {
+                for ms in (0..9_000).step_by(5) {
                     if random.below(200) == 0 {
                         stall = ms + random.below(300);
                     }
@@ -79,11 +79,11 @@
     let domain = facts(0).domain;
     let evacuated = Rc::new(BTreeSet::from([domain]));
     scheduler.set_configuration([pool(3.3)], &evacuated, at(0));
-    let (_, verdict) = place(&mut scheduler, at(10));
+    let (_, verdict) = place(&mut scheduler, at(10_010));
     assert!(matches!(verdict, Some(Verdict::Refuse { reason: RefusalReason::NoBackend, .. })));
-    scheduler.set_configuration([pool(3.3)], &Rc::new(BTreeSet::new()), at(1_000));
+    scheduler.set_configuration([pool(3.3)], &Rc::new(BTreeSet::new()), at(11_000));
     let sends = (0..20).filter(|i| {
-        let (ticket, verdict) = place(&mut scheduler, at(1_000 + i));
+        let (ticket, verdict) = place(&mut scheduler, at(11_000 + i));
         scheduler.withdraw(ticket);
         sent_to(&verdict).is_some()
     });
@@ -151,8 +151,7 @@
         for _ in 0..gateways {
             let mut budget = RepeatBudget::new(WINDOW, 0.2, 50.0);
             let mut share = AllowanceShare::new(1);
-            share.note_total(gateways);
-            share.note_time(at(0));
+            share.note_total(gateways, at(0));
             for ms in (10_000..20_000).step_by(100) {
                 budget.note_request(at(ms));
                 requests += 1;
--- a/crates/dispatch/tests/support/cold_play.rs
+++ b/crates/dispatch/tests/support/cold_play.rs
@@ -37,8 +37,7 @@
     random: SeededRandom,
     gateways: Vec<PlayedGateway>,
     now_ms: u64,
-    /// When the engine got requests.
-    pub(crate) arrivals: Vec<u64>,
+    arrivals: Vec<u64>,
 }
 
 impl<'a> ColdPlay<'a> {
@@ -104,8 +103,8 @@
             let is_ready = gateway.changed_ms == 0 || now_ms >= gateway.changed_ms + 300;
             let Some(run) = gateway.run.as_mut().filter(|_| is_ready) else { continue };
             if gateway.told != list {
-                run.set_gateways(names(&list));
-                run.set_gateway_total(list.len());
+                run.set_gateways(names(&list), at(now_ms));
+                run.set_gateway_total(list.len(), at(now_ms));
                 gateway.told = list;
             }
         }
--- a/crates/dispatch/tests/support/play.rs
+++ b/crates/dispatch/tests/support/play.rs
@@ -116,8 +116,8 @@
             let first = model.first_gateway(region);
             let names: Vec<VmName> =
                 (first..first + model.regions[region].gateways).map(gateway).collect();
-            play.gateways[index].set_gateways(names);
-            play.gateways[index].set_gateway_total(total);
+            play.gateways[index].set_gateways(names, at(0));
+            play.gateways[index].set_gateway_total(total, at(0));
         }
         play.set_backends(0);
         play
--- a/crates/dispatch/tests/support/repeat_play.rs
+++ b/crates/dispatch/tests/support/repeat_play.rs
@@ -201,8 +201,8 @@
             let is_started = played.changed_ms == 0 || now_ms - played.changed_ms >= START_MS;
             let Some(run) = played.run.as_mut().filter(|_| is_started) else { continue };
             if played.told.replace((total, own.len())) != Some((total, own.len())) {
-                run.set_gateways(own.clone());
-                run.set_gateway_total(total);
+                run.set_gateways(own.clone(), at(now_ms));
+                run.set_gateway_total(total, at(now_ms));
             }
         }
     }
--- a/crates/node/src/proxy_node.rs
+++ b/crates/node/src/proxy_node.rs
@@ -200,8 +200,8 @@
                 scheduler.set_configuration(services, &traffic.evacuated, now);
             }
             scheduler.set_backends(facts.backends);
-            scheduler.set_gateways(facts.gateways);
-            self.take_regions(scheduler);
+            scheduler.set_gateways(facts.gateways, now);
+            self.take_regions(scheduler, now);
         });
         self.tell_offers();
         if let Some(age) = self.fleet.confirmed_ago() {
@@ -214,16 +214,16 @@
 
     /// Takes what other regions offer, and tells what the own one does.
     fn refresh_regions(&self) {
-        self.dispatcher.update(|scheduler, _| self.take_regions(scheduler));
+        self.dispatcher.update(|scheduler, now| self.take_regions(scheduler, now));
         self.tell_offers();
     }
 
-    fn take_regions(&self, scheduler: &mut Scheduler) {
+    fn take_regions(&self, scheduler: &mut Scheduler, now: MonotonicTime) {
         let (regions, total) = self
             .fleet
             .read(|view| (view.regions().iter().map(region_facts).collect(), view.gateway_total()));
         scheduler.set_regions(regions);
-        scheduler.set_gateway_total(total);
+        scheduler.set_gateway_total(total, now);
     }
 
     fn tell_offers(&self) {
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -476,9 +476,7 @@
         is_silent: false,
         cold_until: context.clock.now(),
     }));
-    scheduler.set_gateway_total(2);
-    // Its part of common allowances begins a window after it first looks at the fleet.
-    let _nothing_waits = scheduler.poll(context.clock.now());
+    scheduler.set_gateway_total(2, context.clock.now());
     let elsewhere = if place == "west" { "east" } else { "west" };
     scheduler.set_regions(vec![RegionFacts {
         region: region(elsewhere),
