--- a/crates/dispatch/src/scheduler/placing.rs
+++ b/crates/dispatch/src/scheduler/placing.rs
@@ -18,54 +18,37 @@
     std::time::Duration,
 };
 
-/// A model engine with more unread work than this ahead takes no more from here. Long enough to
-/// keep an engine busy between two looks at the queue, short against every objective.
+/// A model engine with more unread work than this ahead takes no more from here.
 const BACKLOG_LIMIT_MS: f64 = 500.0;
 
-/// A plain backend server with more work than this ahead takes no more from here. Its requests
-/// take tens of milliseconds, so it does not run dry before the next look at the queue.
+/// A plain backend server with more work than this ahead takes no more from here.
 const PLAIN_BACKLOG_MS: f64 = 100.0;
 
-/// A plain backend server gets up to this many times the requests that it runs at once. Where many
-/// gateways share one of few places, each knows late of places that have become free, and they
-/// stood idle while requests waited: at nine tenths of the load, 22 gateways before two backend
-/// servers of six places, the 95th percentile was 115 ms with 1 and 69 ms with 2.
+/// A plain backend server gets up to this many times the requests that it runs at once: gateways
+/// that share one of few places learn late that a place has become free, and it would stand idle.
 const PLAIN_FULLNESS: u32 = 2;
 
-/// Work stays where it would be begun within this, strain included, milliseconds. Leaving costs the
-/// way there and back, bytes between regions, and often a second reading of shared parts; where
-/// nothing waits it gains nothing.
+/// Work stays where it would be begun within this, strain included, milliseconds.
 const AWAY_WAIT_MS: f64 = 40.0;
 
-/// The own region must be worse by this much before work leaves it. Most of the difference is in
-/// the delay between regions, which is measured, so a few milliseconds are enough against work
-/// that goes back and forth.
-///
-/// Where a region is at its peak, what leaves early is served in time there, and what stays is
-/// served in time here; what leaves only once it is nearly late here is late there. At a fifth more
-/// than a region's engines can read, 0.93 of long prompts met their objective when work left after
-/// eight tenths of it, and 0.97 with this rule (replay in virtual time).
+/// The own region must be worse by this much before work leaves it, so that work does not go back
+/// and forth. What leaves only once it is nearly late here is late there.
 const AWAY_MARGIN_MS: f64 = 20.0;
 
 /// What a full backend server costs against an empty one when regions are compared, milliseconds.
-/// A first byte says nothing of what comes after it: an engine with all places taken reads and
-/// generates in turns, at a fifth of its speed, and work that leaves also relieves what runs there.
-/// 300 is the longest pause between events that callers take for fluent.
+/// A first byte says nothing of what comes after it: a full engine reads and generates in turns.
 const STRAIN_MS: f64 = 300.0;
 
 /// What reading counts in the choice, for each millisecond that it takes. An engine that reads
-/// delays every generation that runs there and every prompt behind it, up to a few dozen at a peak.
-/// Counted once, shared parts were read again wherever a queue was a little shorter: 18% of shared
-/// tokens in a replay of a peak, 4% with this figure.
+/// delays every generation that runs there and every prompt behind it.
 const READ_WEIGHT: f64 = 20.0;
 
 /// What a failed request costs in milliseconds, times a backend server's failure rate: it ranks
 /// one that fails often behind one that is slower by that much.
 const FAILURE_COST_MS: f64 = 400.0;
 
-/// The same for a request that may run only once: a failure is its end. A backend server that has
-/// just broken one answer in ten outcomes ranks behind one that is 400 ms slower, and is given
-/// what may be repeated meanwhile, which shows when it works again.
+/// The same for a request that may run only once: a failure is its end. What may be repeated goes
+/// there meanwhile, and shows when it works again.
 const LOSS_COST_MS: f64 = 4_000.0;
 
 /// What a full backend server costs against an empty one, milliseconds: generation slows down with
@@ -366,12 +349,8 @@
     Candidate { cost_ms, here, copy }
 }
 
-/// The engine that probably holds the shared parts of a prompt though this gateway knows of none:
-/// the first by a hash of the last shared part, which every gateway computes alike.
-///
-/// A gateway that was just started knows nothing of what engines hold, and after a loss of power
-/// none of the region's does. Each part was then read again wherever a queue was a little shorter,
-/// at the moment at which callers come back all at once.
+/// The engine that probably holds the shared parts of a prompt though this gateway knows of none,
+/// as after a restart: the first by a hash of the last shared part, which all gateways compute alike.
 fn likely_keeper<'a>(item: &WorkItem, sound: &[&'a Backend]) -> Option<&'a BackendName> {
     let shape = item.prompt.as_ref()?;
     let part = shape.shared_parts().last()?.id.to_string();
--- a/crates/dispatch/tests/rules.rs
+++ b/crates/dispatch/tests/rules.rs
@@ -33,10 +33,7 @@
 
 #[test]
 fn all_gateways_together_spare_a_cold_engine() {
-    // Symptom: a cold engine got nine requests in one second and crashed; it bears 7.9. Sequence:
-    // a failure domain returns, work waits at every gateway, and one that stood still between the
-    // decision and the write sends the end of one window right before the next one. Cause: each
-    // gateway spent its part of a window at once.
+    // A gateway that stood still sent the end of one window right before the whole of the next.
     const PER_SECOND: f64 = 3.3;
     const ALLOWED: usize = 7;
     for gateways in [1, 2, 4, 7, 12, 30] {
@@ -73,8 +70,7 @@
 
 #[test]
 fn engines_of_a_returned_failure_domain_count_as_cold_until_they_say_otherwise() {
-    // Symptom: a crash right after the end of an evacuation. Sequence: the domain is evacuated, its
-    // engines restart, it is taken back; they say that they are cold with their next announcement.
+    // Engines that restarted during an evacuation crashed before they announced that they are cold.
     let mut scheduler = scheduler(0, 1, 1, 3.3);
     let domain = facts(0).domain;
     let evacuated = Rc::new(BTreeSet::from([domain]));
@@ -92,9 +88,7 @@
 
 #[test]
 fn a_run_that_is_over_gets_nothing_more_though_it_is_still_announced() {
-    // Symptom: 193 requests in 20 s were sent to an address at which another run refused them.
-    // Sequence: an engine restarts at its address; the old run is announced until its silence is
-    // noticed; each refresh brought it back. Cause: what was learned from the refusal was dropped.
+    // Each refresh brought a run back that had been found to be over.
     let mut scheduler = scheduler(0, 1, 2, 0.0);
     let (ticket, verdict) = place(&mut scheduler, at(0));
     let first = sent_to(&verdict).expect("sent").to_owned();
@@ -258,10 +252,7 @@
 
 #[test]
 fn what_may_run_only_once_goes_where_nothing_broke_lately() {
-    // Symptom: from 10 to 20 s of a recorded day part of the short questions failed at once.
-    // Sequence: an engine breaks one answer in some; the next good answer clears its suspicion,
-    // and it gets its full share of requests that cannot be sent again. Cause: only the last
-    // outcome counted.
+    // An engine that breaks one answer in some got its full share of what can't be sent again.
     struct Case {
         name: &'static str,
         kind: RequestKind,
@@ -305,9 +296,7 @@
 
 #[test]
 fn a_run_that_starts_again_under_its_name_is_judged_anew() {
-    // Symptom: an engine that crashed and started again under its name gets no work, or too much.
-    // Sequence: work is sent to it and breaks; it is announced with a later incarnation; words on
-    // the earlier run still come. Cause: load, suspicion and held parts went by name alone.
+    // Load, suspicion and held parts of a run that had crashed were taken for the next one's.
     struct Case {
         what: &'static str,
         /// How the send to the earlier run ends, before or after the later one is announced.
@@ -359,9 +348,7 @@
 
 #[test]
 fn a_long_prompt_goes_in_front_of_urgent_ones_that_have_time() {
-    // Symptom: at a peak long prompts began after seconds, while short, urgent ones were answered in
-    // a fifth of their objective. Cause: an engine reads by priority, and priorities were the ranks
-    // of the routes alone.
+    // At a peak long prompts began after seconds, while urgent ones had time left.
     struct Case {
         name: &'static str,
         /// The objective of the urgent route, milliseconds.
@@ -391,9 +378,7 @@
 
 #[test]
 fn an_engine_that_stands_still_gets_no_work() {
-    // Symptom: requests died at an engine that had gone dark, and its gateway sent more. Sequence:
-    // the engine answers nobody any more, its connections stay open. Cause: work that is overdue
-    // there counted as done, so that the engine seemed idle.
+    // An engine that had gone dark seemed idle, and got more work.
     struct Case {
         name: &'static str,
         /// When the word of another gateway's first byte from that engine comes, if it does.
--- a/crates/event/tests/event/metrics.rs
+++ b/crates/event/tests/event/metrics.rs
@@ -45,9 +45,7 @@
 
 #[test]
 fn every_promise_is_exported_before_it_breaks() {
-    // Symptom: the first breach of a promise raises no alert.
-    // Sequence: a counter appears with the value 1 at the first breach.
-    // Cause: Prometheus sees no rise in a series that did not exist before.
+    // The first breach raised no alert: Prometheus sees no rise in a series that is new.
     let metrics = MetricSet::new().unwrap();
     let before = metrics.text().unwrap();
     for promise in Promise::ALL {
--- a/crates/proxy/tests/budget.rs
+++ b/crates/proxy/tests/budget.rs
@@ -18,12 +18,7 @@
 
 const IDEMPOTENT: RequestKind = RequestKind::Idempotent;
 
-/// While engines fell silent and callers repeated, a service got 11,025 arrivals beyond the first
-/// of each request in 10 s, for 50,938 requests of callers; 10,378 were allowed. Each gateway may
-/// repeat a fixed part of the requests that came to it, which adds up to that part of all. But a
-/// request was noted again with each placement after an engine could not be reached, and by the
-/// gateway of the other region that it was handed to; so the parts added up to a part of more
-/// requests than there were.
+/// A request counted again with each placement and handover, so that more repeats were allowed.
 #[test]
 fn repeats_are_a_part_of_what_callers_sent_however_often_it_is_placed_or_handed_over() {
     struct Case {
