A stated limit: a first byte tells how old the word on the limit is that goes with it

Found when the diff was read: a stream whose head had come before its engine stated a limit told the other gateways with its first byte that there is none, and lifted the limit there. The word now has the age of the answer that it came with, and a younger one stands. A limit lower than one request an hour is none at all, so that no span overflows.

Evidence: the new test failed before (sent though the limit is 0) and passes.

--- a/crates/dispatch/src/hint.rs
+++ b/crates/dispatch/src/hint.rs
@@ -1,7 +1,7 @@
 //! What gateways of a region tell each other of the backend servers that they share.
 
 use {
-    crate::{BackendReport, PromptPart, StatedLimit},
+    crate::{BackendReport, PromptPart, StatedLimit, limit::LimitRecord},
     gullglade_units::{BackendRun, MonotonicTime},
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -39,13 +39,29 @@
         ago_us: u32,
         /// The load that the backend server stated with the answer.
         load: Option<BackendReport>,
-        /// The limit that it states.
-        limit: Option<StatedLimit>,
+        /// What is known of its limit.
+        limit: LimitNews,
     },
     /// It ended without an answer.
     Dropped,
 }
 
+/// The limit of a backend server, as a gateway knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitNews {
+    /// The limit that it stated last, if it stated one.
+    pub limit: Option<StatedLimit>,
+    /// How long ago the answer came that said so, microseconds. That may be long before the first
+    /// byte with which it is told.
+    pub ago_us: u32,
+}
+
+impl LimitNews {
+    pub(crate) fn new(record: &LimitRecord, now: MonotonicTime) -> Self {
+        Self { limit: record.limit(), ago_us: micros(now.since(record.came())) }
+    }
+}
+
 /// A hint that is still to be told: its times are those of this process.
 #[derive(Clone, Debug)]
 pub(crate) struct OwnHint {
@@ -61,8 +77,9 @@
     /// As it is told at `now`.
     pub(crate) fn told(self, now: MonotonicTime) -> BackendHint {
         let Self { run, request, priority, sent, happened, mut news } = self;
-        if let RequestNews::Begun { ago_us, .. } = &mut news {
+        if let RequestNews::Begun { ago_us, limit, .. } = &mut news {
             *ago_us = micros(now.since(happened));
+            limit.ago_us = limit.ago_us.saturating_add(*ago_us);
         }
         let sent_ago_us = micros(now.since(sent));
         BackendHint { run, request, priority, sent_ago_us, news }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -34,7 +34,7 @@
     cache::CacheEstimate,
     facts::{BackendFacts, SchedulerSettings},
     health::HealthRecord,
-    hint::{BackendHint, RequestNews},
+    hint::{BackendHint, LimitNews, RequestNews},
     limit::{InvalidLimit, StatedLimit},
     load::{BackendLoad, BackendReport, SentRequest, WorkCost},
     rate::{RateBound, RateGate},
--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -74,6 +74,11 @@
         self.limit
     }
 
+    /// When the answer came that said so.
+    pub(crate) fn came(&self) -> MonotonicTime {
+        self.came
+    }
+
     /// When a gateway may send though it has no part of the limit, to learn whether it is still
     /// stated: once nothing was heard of it for long, one gateway after the other by `rank`.
     pub(crate) fn trial(&self, rank: usize) -> MonotonicTime {
--- a/crates/dispatch/src/rate.rs
+++ b/crates/dispatch/src/rate.rs
@@ -28,6 +28,9 @@
 /// part of a low limit.
 const LIMIT_SPAN: Duration = Duration::from_secs(4);
 
+/// A lower limit than one send in this span is none at all.
+const LONGEST_SPAN: Duration = Duration::from_secs(3_600);
+
 /// How many sends in any span a backend server may get from all gateways together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RateBound {
@@ -46,9 +49,9 @@
         let per_second = limit.per_second();
         let sends = (per_second * LIMIT_SPAN.as_secs_f64()).floor() as usize;
         let slow = Duration::try_from_secs_f64(1.0 / per_second);
-        match (sends, slow) {
-            (0, Ok(span)) => Self { sends: 1, span },
-            _ => Self { sends, span: LIMIT_SPAN },
+        match slow.ok().filter(|span| sends == 0 && *span <= LONGEST_SPAN) {
+            Some(span) => Self { sends: 1, span },
+            None => Self { sends, span: LIMIT_SPAN },
         }
     }
 
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -20,7 +20,7 @@
 use {
     crate::{
         AllowanceShare, BackendFacts, BackendHint, BackendLoad, BackendReport, CacheEstimate,
-        FirstByteTimes, HealthRecord, PromptShape, RateGate, RegionFacts, RepeatBudget,
+        FirstByteTimes, HealthRecord, LimitNews, PromptShape, RateGate, RegionFacts, RepeatBudget,
         RepeatDecision, RequestNews, SchedulerSettings, SentRequest, StatedLimit, TicketId,
         Verdict, WorkCost, WorkItem, WorkOutcome,
         hint::{OwnHint, ago},
@@ -276,7 +276,7 @@
         // Called with every piece of an answer: what follows is for the first one alone.
         let Some(sent) = backend.load.begin(ticket, now) else { return };
         let load = backend.load.recent_report(TOLD_REPORT_AGE, now);
-        let limit = backend.limit.limit();
+        let limit = LimitNews::new(&backend.limit, now);
         let run = backend.facts.run();
         let news = RequestNews::Begun { ago_us: 0, load, limit };
         self.note_own(run, sent, news, now);
@@ -431,7 +431,7 @@
             }
             RequestNews::Begun { ago_us, load, limit } => {
                 let came = ago(now, ago_us);
-                backend.limit.note(limit, came);
+                backend.limit.note(limit.limit, ago(now, limit.ago_us));
                 backend.load.note_first_byte(request, priority, sent, came);
                 if let Some(load) = load {
                     backend.load.note_report(load, came);
--- a/crates/dispatch/tests/limits.rs
+++ b/crates/dispatch/tests/limits.rs
@@ -2,7 +2,14 @@
 
 mod support;
 
-use support::limit_play::{LimitOutcome, LimitPlay, LimitScenario};
+use {
+    gullglade_dispatch::{Scheduler, StatedLimit, Verdict},
+    support::{
+        at, item,
+        limit_play::{LimitOutcome, LimitPlay, LimitScenario},
+        prompt, route,
+    },
+};
 
 /// The rule's bound on the sends in a window of four seconds.
 fn allowed(limit: f64) -> f64 {
@@ -94,3 +101,28 @@
         }
     }
 }
+
+/// A first byte lifted a limit, though the head of its answer had come before the limit was stated.
+#[test]
+fn an_answer_that_began_before_a_limit_was_stated_does_not_lift_it() {
+    let scheduler = |index| support::scheduler(index, 2, 1, 0.0);
+    let (mut early, mut told) = (scheduler(0), scheduler(1));
+    let place = |run: &mut Scheduler, ms: u64| {
+        let work = item(&route(0, 1_200, 2_500), Some(prompt(1, 100, 100, ms)), at(ms));
+        let ticket = run.submit(work, at(ms));
+        let verdicts = run.poll(at(ms));
+        run.withdraw(ticket);
+        verdicts
+            .iter()
+            .any(|(_, verdict)| matches!(verdict, Verdict::Send { .. }))
+            .then_some(ticket)
+    };
+    let first = place(&mut early, 10_000).expect("sent");
+    early.note_limit(first, None, at(10_050));
+    let second = place(&mut told, 10_010).expect("sent");
+    told.note_limit(second, StatedLimit::try_from(0.0).ok(), at(10_080));
+    early.begin(first, at(10_100));
+    let hints = early.take_hints(at(10_110));
+    told.note_hints(hints, at(10_120));
+    assert_eq!(place(&mut told, 10_200), None, "the limit holds");
+}
--- a/crates/dispatch/tests/rules.rs
+++ b/crates/dispatch/tests/rules.rs
@@ -4,8 +4,8 @@
 
 use {
     gullglade_dispatch::{
-        AllowanceShare, BackendFacts, BackendHint, FirstByteTimes, RefusalReason, RegionFacts,
-        RepeatBudget, RequestNews, Scheduler, TicketId, Verdict, WorkOutcome,
+        AllowanceShare, BackendFacts, BackendHint, FirstByteTimes, LimitNews, RefusalReason,
+        RegionFacts, RepeatBudget, RequestNews, Scheduler, TicketId, Verdict, WorkOutcome,
     },
     gullglade_traffic::{RequestKind, TrafficRoute},
     gullglade_units::{Incarnation, MonotonicTime, RandomSource, SeededRandom},
@@ -397,7 +397,8 @@
         let (_, verdict) = place(&mut scheduler, at(0));
         assert_eq!(sent_to(&verdict), Some("i-0"), "{name}");
         if let Some(ms) = heard_ms {
-            let news = RequestNews::Begun { ago_us: 0, load: None, limit: None };
+            let limit = LimitNews { limit: None, ago_us: 0 };
+            let news = RequestNews::Begun { ago_us: 0, load: None, limit };
             scheduler.note_hints(vec![BackendHint { news, ..sent_hint(0, 0, &[]) }], at(ms));
         }
         // The other engine holds nothing of the prompt, so that a sound first one is preferred.
