Dispatch tests: count sends in sliding windows in one place

Three plays counted what lies in a window by the same two searches. Tests cold, limits and repeats pass.

--- a/crates/dispatch/tests/cold.rs
+++ b/crates/dispatch/tests/cold.rs
@@ -2,19 +2,14 @@
 
 mod support;
 
-use support::cold_play::{ColdPlay, ColdScenario, PER_SECOND};
+use support::{
+    cold_play::{ColdPlay, ColdScenario, PER_SECOND},
+    most_within,
+};
 
 /// What a cold engine bears in a second by the settings of the tests.
 const ALLOWED: f64 = PER_SECOND * 1.5 + 3.0;
 
-fn most_in_a_second(arrivals: &[u64]) -> usize {
-    let within = |from: &u64| {
-        let end = arrivals.partition_point(|at| *at < from + 1_000);
-        end - arrivals.partition_point(|at| at < from)
-    };
-    arrivals.iter().map(within).max().unwrap_or_default()
-}
-
 /// Cold engines got more than they bear while most gateways lost power: others took over the parts
 /// of dead ones within the second in which those still sent, and new runs began alone.
 #[test]
@@ -42,7 +37,7 @@
         let scenario = ColdScenario { gateways, kills: kills.to_vec(), length_ms: 12_000 };
         for seed in 0..8 {
             let arrivals = ColdPlay::new(&scenario, seed).play();
-            let most = most_in_a_second(&arrivals);
+            let most = most_within(&arrivals, 1_000);
             if most as f64 > ALLOWED {
                 broken
                     .push(format!("{what}, {gateways} gateways, seed {seed}: {most} in a second"));
--- a/crates/dispatch/tests/support/limit_play.rs
+++ b/crates/dispatch/tests/support/limit_play.rs
@@ -1,7 +1,7 @@
 //! Gateways of one region before engines of which some state a limit for a while.
 
 use {
-    super::{at, backend_index, item, prompt, route, scheduler},
+    super::{at, backend_index, item, most_within, prompt, route, scheduler},
     gullglade_dispatch::{Scheduler, StatedLimit, TicketId, Verdict, WorkOutcome},
     gullglade_traffic::TrafficRoute,
     gullglade_units::{RandomSource, SeededRandom},
@@ -170,12 +170,7 @@
                 .filter(|s| self.told[s.gateway][engine].is_some_and(|t| t + TOLD_MS <= s.at_ms))
                 .map(|s| s.at_ms)
                 .collect();
-            let within = |from: &u64| {
-                let ends = counted.partition_point(|at| *at < from + WINDOW_MS);
-                ends - counted.partition_point(|at| at < from)
-            };
-            let most = counted.iter().map(within).max().unwrap_or_default();
-            outcome.most = outcome.most.max(most);
+            outcome.most = outcome.most.max(most_within(&counted, WINDOW_MS));
             outcome.while_limited[engine] = counted.len();
             let firsts = (0..self.gateways.len()).map(|gateway| {
                 let mut after = self.sends.iter().filter(|s| s.at_ms >= end);
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -44,6 +44,17 @@
     MonotonicTime(Duration::from_millis(millis))
 }
 
+/// How many of the ascending `times` lie in the window of `length` milliseconds from `from` on.
+pub(crate) fn count_within(times: &[u64], from: u64, length: u64) -> usize {
+    let end = times.partition_point(|at| *at < from + length);
+    end - times.partition_point(|at| *at < from)
+}
+
+/// The most of the ascending `times` in any window of `length` milliseconds.
+pub(crate) fn most_within(times: &[u64], length: u64) -> usize {
+    times.iter().map(|from| count_within(times, *from, length)).max().unwrap_or_default()
+}
+
 pub(crate) fn region(name: &str) -> RegionName {
     RegionName::try_from(name).expect("a name")
 }
--- a/crates/dispatch/tests/support/repeat_play.rs
+++ b/crates/dispatch/tests/support/repeat_play.rs
@@ -2,7 +2,7 @@
 //! between regions come and go; and the count of repeats that no window may exceed.
 
 use {
-    super::{at, gateway, item, pool, region, route, service, settings},
+    super::{at, count_within, gateway, item, pool, region, route, service, settings},
     gullglade_dispatch::{Scheduler, SchedulerSettings},
     gullglade_traffic::TrafficRoute,
     gullglade_units::{RandomSource, SeededRandom, VmName},
@@ -259,10 +259,7 @@
     /// Every window that begins with a repeat. Its requests are those of the window, of the one
     /// before it, or of the one half a window before it, whichever are most.
     fn worst_window(&self) -> Option<WorstWindow> {
-        let count = |times: &[u64], from: u64| {
-            let end = times.partition_point(|at| *at < from + WINDOW_MS);
-            end - times.partition_point(|at| *at < from)
-        };
+        let count = |times: &[u64], from| count_within(times, from, WINDOW_MS);
         let windows = self.repeats.iter().map(|&from_ms| {
             let begins = [from_ms, from_ms - WINDOW_MS / 2, from_ms.saturating_sub(WINDOW_MS)];
             let requests = begins.into_iter().map(|begin| count(&self.requests, begin)).max();
