Dispatch: find a gateway's place among those that share a rate once a look

The rank by hash was computed for the part of a rate, and again for the trial of a limit, with the list and the own name handed along. The roster, which holds both, gives rank and count in one pass. The bounds of rates are the crate's own now; nothing outside used them. No change of behaviour: all tests of the crate pass unchanged, clippy on it and the documentation too.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,8 +8,7 @@
 //! - [`BackendLoad`] predicts when a backend server would give the first byte.
 //! - [`CacheEstimate`] knows which prompt parts a model engine probably still holds.
 //! - [`HealthRecord`] believes outcomes, and lets a suspect back by trial.
-//! - [`RateBound`], [`RepeatBudget`] and [`AllowanceShare`] divide what all gateways together may
-//!   do.
+//! - [`RepeatBudget`] and [`AllowanceShare`] divide what all gateways together may do.
 
 mod budget;
 mod cache;
@@ -37,7 +36,6 @@
     hint::{BackendHint, LimitNews, RequestNews},
     limit::{InvalidLimit, StatedLimit},
     load::{BackendLoad, BackendReport, SentRequest, WorkCost},
-    rate::{RateBound, RateGate},
     regions::{FirstByteTimes, RegionFacts},
     scheduler::Scheduler,
     share::AllowanceShare,
--- a/crates/dispatch/src/rate.rs
+++ b/crates/dispatch/src/rate.rs
@@ -12,8 +12,8 @@
 //! gateways that may send, so that the parts never add up to more than the whole.
 
 use {
-    crate::StatedLimit,
-    gullglade_units::{BackendName, MonotonicTime, VmName, rendezvous::score},
+    crate::{StatedLimit, roster::GatewayPlace},
+    gullglade_units::MonotonicTime,
     std::time::Duration,
 };
 
@@ -24,8 +24,7 @@
 /// The part of a cold rate that is used. The rest covers gateways that do not yet know each other.
 const COLD_SHARE: f64 = 0.7;
 
-/// The span in which sends under a stated limit are counted. The longer, the more gateways have a
-/// part of a low limit.
+/// The span in which sends under a stated limit are counted.
 const LIMIT_SPAN: Duration = Duration::from_secs(4);
 
 /// A lower limit than one send in this span is none at all.
@@ -33,19 +32,19 @@
 
 /// How many sends in any span a backend server may get from all gateways together.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RateBound {
+pub(crate) struct RateBound {
     sends: usize,
     span: Duration,
 }
 
 impl RateBound {
     /// That of a cold backend server which bears so many requests a second.
-    pub fn cold(per_second: f64) -> Self {
+    pub(crate) fn cold(per_second: f64) -> Self {
         Self { sends: (per_second * COLD_SHARE).floor().max(1.0) as usize, span: COLD_SPAN }
     }
 
     /// That of a backend server which states a limit.
-    pub fn stated(limit: StatedLimit) -> Self {
+    pub(crate) fn stated(limit: StatedLimit) -> Self {
         let per_second = limit.per_second();
         let sends = (per_second * LIMIT_SPAN.as_secs_f64()).floor() as usize;
         let slow = Duration::try_from_secs_f64(1.0 / per_second);
@@ -55,51 +54,33 @@
         }
     }
 
-    /// How many of the sends in each span are the part of the gateway `own`.
-    pub fn part<'a>(
-        &self,
-        backend: &BackendName,
-        own: &VmName,
-        gateways: impl Iterator<Item = &'a VmName> + Clone,
-    ) -> usize {
-        let count = gateways.clone().count().max(1);
-        let rank = rank(backend, own, gateways);
+    /// How many of the sends in each span are the part of a gateway.
+    pub(crate) fn part(&self, place: GatewayPlace) -> usize {
+        let GatewayPlace { rank, count } = place;
         self.sends / count + usize::from(rank < self.sends % count)
     }
 }
 
-/// The place of a gateway among all of them, which rank themselves alike, and in another order for
-/// each backend server.
-pub(crate) fn rank<'a>(
-    backend: &BackendName,
-    own: &VmName,
-    gateways: impl Iterator<Item = &'a VmName>,
-) -> usize {
-    let score_of = |gateway: &VmName| score(backend.as_str(), gateway.as_str());
-    let own = score_of(own);
-    gateways.filter(|gateway| score_of(gateway) > own).count()
-}
-
 /// Sends of this gateway to one backend server.
 ///
 /// They are spaced evenly. A gateway that stands still between the decision and the write, as a
 /// batch-scheduled process under load does for tenths of a second, would otherwise put the whole
 /// of one span right before the whole of the next.
 #[derive(Debug, Default)]
-pub struct RateGate {
+pub(crate) struct RateGate {
     last: Option<MonotonicTime>,
 }
 
 impl RateGate {
     /// When the next send fits into `part` of the sends in each span of `bound`; `None` where no
     /// send ever does.
-    pub fn next_send(&self, part: usize, bound: &RateBound) -> Option<MonotonicTime> {
+    pub(crate) fn next_send(&self, part: usize, bound: &RateBound) -> Option<MonotonicTime> {
         let pace = bound.span.checked_div(u32::try_from(part).unwrap_or(u32::MAX))?;
         Some(self.last.map_or(MonotonicTime::default(), |last| last + pace))
     }
 
     /// Notes a send.
-    pub fn note(&mut self, now: MonotonicTime) {
+    pub(crate) fn note(&mut self, now: MonotonicTime) {
         self.last = Some(now);
     }
 }
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -1,7 +1,7 @@
 //! The gateways among which the rate of a backend server is divided.
 
 use {
-    gullglade_units::{MonotonicTime, VmName},
+    gullglade_units::{BackendName, MonotonicTime, VmName, rendezvous::score},
     std::{
         collections::{BTreeMap, BTreeSet},
         time::Duration,
@@ -12,6 +12,14 @@
 /// learn of each other, and the span in which sends are counted, together.
 pub(crate) const HANDOVER: Duration = Duration::from_secs(3);
 
+/// The place of a gateway among those that share a rate. They rank themselves alike, and in another
+/// order for each backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct GatewayPlace {
+    pub(crate) rank: usize,
+    pub(crate) count: usize,
+}
+
 /// The gateways of a region, as one of them knows, with those that were there a moment ago.
 ///
 /// Gateways learn of each other at different moments. The parts that they take stay within the
@@ -20,6 +28,8 @@
 /// until all others count it.
 #[derive(Debug)]
 pub(crate) struct GatewayRoster {
+    own: VmName,
+    /// Those that are listed, and this one in any case.
     listed: BTreeSet<VmName>,
     /// Those no longer listed, and since when.
     left: BTreeMap<VmName, MonotonicTime>,
@@ -28,11 +38,12 @@
 impl GatewayRoster {
     /// A gateway that knows of itself alone.
     pub(crate) fn new(own: VmName) -> Self {
-        Self { listed: BTreeSet::from([own]), left: BTreeMap::new() }
+        Self { listed: BTreeSet::from([own.clone()]), left: BTreeMap::new(), own }
     }
 
     /// Takes the gateways that are listed now.
-    pub(crate) fn set(&mut self, listed: BTreeSet<VmName>, now: MonotonicTime) {
+    pub(crate) fn set(&mut self, listed: impl IntoIterator<Item = VmName>, now: MonotonicTime) {
+        let listed: BTreeSet<VmName> = listed.into_iter().chain([self.own.clone()]).collect();
         self.left.retain(|name, at| !listed.contains(name) && now.since(*at) < HANDOVER);
         let gone = self.listed.difference(&listed).cloned();
         self.left.extend(gone.map(|name| (name, now)));
@@ -44,9 +55,17 @@
         self.listed.len()
     }
 
-    /// All that may use a part of a rate.
-    pub(crate) fn holders(&self, now: MonotonicTime) -> impl Iterator<Item = &VmName> + Clone + '_ {
-        let left = self.left.iter().filter(move |(_, at)| now.since(**at) < HANDOVER);
-        self.listed.iter().chain(left.map(|(name, _)| name))
+    /// The place of this gateway among all that may use a part of the rate of `backend`.
+    pub(crate) fn place(&self, backend: &BackendName, now: MonotonicTime) -> GatewayPlace {
+        let score_of = |gateway: &VmName| score(backend.as_str(), gateway.as_str());
+        let own = score_of(&self.own);
+        let left = self.left.iter().filter(|(_, at)| now.since(**at) < HANDOVER);
+        let holders = self.listed.iter().chain(left.map(|(name, _)| name));
+        let mut place = GatewayPlace { rank: 0, count: 0 };
+        for gateway in holders {
+            place.count += 1;
+            place.rank += usize::from(score_of(gateway) > own);
+        }
+        place
     }
 }
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -20,11 +20,12 @@
 use {
     crate::{
         AllowanceShare, BackendFacts, BackendHint, BackendLoad, BackendReport, CacheEstimate,
-        FirstByteTimes, HealthRecord, LimitNews, PromptShape, RateGate, RegionFacts, RepeatBudget,
+        FirstByteTimes, HealthRecord, LimitNews, PromptShape, RegionFacts, RepeatBudget,
         RepeatDecision, RequestNews, SchedulerSettings, SentRequest, StatedLimit, TicketId,
         Verdict, WorkCost, WorkItem, WorkOutcome,
         hint::{OwnHint, ago},
         limit::LimitRecord,
+        rate::RateGate,
         regions::RegionBook,
         roster::GatewayRoster,
         urgency::ObjectiveBook,
@@ -157,8 +158,7 @@
         own_region: impl IntoIterator<Item = VmName>,
         now: MonotonicTime,
     ) {
-        let own = self.settings.own.clone();
-        self.gateways.set(own_region.into_iter().chain([own]).collect(), now);
+        self.gateways.set(own_region, now);
         self.share.note_region(self.gateways.len());
     }
 
--- a/crates/dispatch/src/scheduler/placing.rs
+++ b/crates/dispatch/src/scheduler/placing.rs
@@ -9,9 +9,9 @@
         work_cost,
     },
     crate::{
-        PromptCopy, PromptShape, RateBound, RegionFacts, SchedulerSettings, WorkCost, WorkItem,
-        rate::rank,
-        roster::HANDOVER,
+        PromptCopy, PromptShape, RegionFacts, SchedulerSettings, WorkCost, WorkItem,
+        rate::RateBound,
+        roster::{GatewayPlace, HANDOVER},
         urgency::{ObjectiveBook, Urgency},
     },
     gullglade_units::{BackendName, MonotonicTime, RegionName, rendezvous},
@@ -239,16 +239,16 @@
         let service = self.services.get(&backend.facts.service)?;
         let SchedulerSettings { cold_over, cold_slack, .. } = &self.settings;
         let bound = RateBound::cold(service.cold.requests_per_second * cold_over + cold_slack);
-        let next = self.next_send(backend, &bound, now).unwrap_or(now + COLD_LOOK);
+        let place = self.gateways.place(&backend.facts.name, now);
+        let next = self.next_send(backend, &bound, place, now).unwrap_or(now + COLD_LOOK);
         (next > now).then_some(next)
     }
 
     fn limit_wait(&self, backend: &Backend, now: MonotonicTime) -> Option<MonotonicTime> {
         let bound = RateBound::stated(backend.limit.limit()?);
-        let next = self.next_send(backend, &bound, now).unwrap_or_else(|| {
-            let holders = self.gateways.holders(now);
-            backend.limit.trial(rank(&backend.facts.name, &self.settings.own, holders))
-        });
+        let place = self.gateways.place(&backend.facts.name, now);
+        let next = self.next_send(backend, &bound, place, now);
+        let next = next.unwrap_or_else(|| backend.limit.trial(place.rank));
         (next > now).then_some(next)
     }
 
@@ -257,14 +257,13 @@
         &self,
         backend: &Backend,
         bound: &RateBound,
+        place: GatewayPlace,
         now: MonotonicTime,
     ) -> Option<MonotonicTime> {
         if !self.share.is_known_for(HANDOVER, now) {
             return None;
         }
-        let holders = self.gateways.holders(now);
-        let part = bound.part(&backend.facts.name, &self.settings.own, holders);
-        backend.gate.next_send(part, bound)
+        backend.gate.next_send(bound.part(place), bound)
     }
 
     /// The region that would serve the request better than this one, if there is one.
