Statements of an answer: one checked type, handed on in one place, one record a run

What the head of an answer states of its backend server was read, handed on and kept field by field: the load by one call, the limit by another, each with a rule of its own for whose answer counts. One type for all of it, so that a new statement has one place to go.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 mod roster;
 mod scheduler;
 mod share;
+mod statement;
 mod unread;
 mod urgency;
 mod verdict;
@@ -39,6 +40,7 @@
     regions::{FirstByteTimes, RegionFacts},
     scheduler::Scheduler,
     share::AllowanceShare,
+    statement::{BackendStatements, StatementChange},
     verdict::{PromptCopy, RefusalFacts, Verdict},
     work::{PromptPart, PromptShape, RefusalReason, TicketId, WorkItem, WorkOutcome},
 };
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -19,15 +19,15 @@
 
 use {
     crate::{
-        AllowanceShare, BackendFacts, BackendHint, BackendLoad, BackendReport, CacheEstimate,
-        FirstByteTimes, HealthRecord, LimitNews, PromptShape, RegionFacts, RepeatBudget,
-        RepeatDecision, RequestNews, SchedulerSettings, SentRequest, StatedLimit, TicketId,
-        Verdict, WorkCost, WorkItem, WorkOutcome,
+        AllowanceShare, BackendFacts, BackendHint, BackendLoad, BackendReport, BackendStatements,
+        CacheEstimate, FirstByteTimes, HealthRecord, LimitNews, PromptShape, RegionFacts,
+        RepeatBudget, RepeatDecision, RequestNews, SchedulerSettings, SentRequest, StatementChange,
+        TicketId, Verdict, WorkCost, WorkItem, WorkOutcome,
         hint::{OwnHint, ago},
-        limit::LimitRecord,
         rate::RateGate,
         regions::RegionBook,
         roster::GatewayRoster,
+        statement::StatementRecord,
         urgency::ObjectiveBook,
     },
     gullglade_traffic::ServicePool,
@@ -53,7 +53,7 @@
     cache: CacheEstimate,
     health: HealthRecord,
     gate: RateGate,
-    limit: LimitRecord,
+    stated: StatementRecord,
 }
 
 struct Waiting {
@@ -145,7 +145,7 @@
                     cache: CacheEstimate::default(),
                     health: HealthRecord::default(),
                     gate: RateGate::default(),
-                    limit: LimitRecord::default(),
+                    stated: StatementRecord::default(),
                 },
             };
             self.backends.insert(backend.facts.name.clone(), backend);
@@ -183,7 +183,7 @@
     /// The same of one service; `None` where nobody could be given work of it.
     pub fn offer(&self, service: &ServiceName, now: MonotonicTime) -> Option<RegionFacts> {
         let is_trusted = |b: &Backend| !b.health.is_suspect(now) && !b.load.is_stalled(now);
-        let is_open = |b: &Backend| b.limit.limit().is_none() && !self.is_cold(b, now);
+        let is_open = |b: &Backend| b.stated.limit.limit().is_none() && !self.is_cold(b, now);
         let sound = |b: &&Backend| !b.facts.is_silent && is_trusted(b) && is_open(b);
         let times: Vec<FirstByteTimes> = self
             .serving(service)
@@ -276,7 +276,7 @@
         // Called with every piece of an answer: what follows is for the first one alone.
         let Some(sent) = backend.load.begin(ticket, now) else { return };
         let load = backend.load.recent_report(TOLD_REPORT_AGE, now);
-        let limit = LimitNews::new(&backend.limit, now);
+        let limit = LimitNews::new(&backend.stated.limit, now);
         let run = backend.facts.run();
         let news = RequestNews::Begun { ago_us: 0, load, limit };
         self.note_own(run, sent, news, now);
@@ -296,22 +296,18 @@
         self.hints.push(hint);
     }
 
-    /// Notes the load that a backend server stated with its answer to a request.
-    pub fn report(&mut self, ticket: TicketId, report: BackendReport, now: MonotonicTime) {
-        if let Some(backend) = self.sent_to(ticket) {
-            backend.load.note_report(report, now);
-        }
-    }
-
-    /// Notes the limit that a backend server stated with its answer to a request, or that it stated
-    /// none; whether that is another one than before.
-    pub fn note_limit(
+    /// Notes what a backend server stated with its answer to a request; what is new of it.
+    pub fn note_statements(
         &mut self,
         ticket: TicketId,
-        limit: Option<StatedLimit>,
+        statements: &BackendStatements,
         now: MonotonicTime,
-    ) -> bool {
-        self.sent_to(ticket).is_some_and(|backend| backend.limit.note(limit, now))
+    ) -> Vec<StatementChange> {
+        let Some(backend) = self.sent_to(ticket) else { return Vec::new() };
+        if let Some(load) = statements.load {
+            backend.load.note_report(load, now);
+        }
+        backend.stated.note(statements, now)
     }
 
     /// The run that a request was sent to, while it is the one that is known.
@@ -431,7 +427,7 @@
             }
             RequestNews::Begun { ago_us, load, limit } => {
                 let came = ago(now, ago_us);
-                backend.limit.note(limit.limit, ago(now, limit.ago_us));
+                backend.stated.limit.note(limit.limit, ago(now, limit.ago_us));
                 backend.load.note_first_byte(request, priority, sent, came);
                 if let Some(load) = load {
                     backend.load.note_report(load, came);
--- a/crates/dispatch/src/scheduler/placing.rs
+++ b/crates/dispatch/src/scheduler/placing.rs
@@ -155,7 +155,7 @@
         for backend in sound {
             if let Some(room) = self.rate_wait(backend, now) {
                 again = again.min(room);
-                bound_ms = bound_ms.min(match backend.limit.limit() {
+                bound_ms = bound_ms.min(match backend.stated.limit.limit() {
                     Some(_) => room.since(now).as_secs_f64() * 1_000.0,
                     None => COLD_WAIT_MS,
                 });
@@ -245,10 +245,10 @@
     }
 
     fn limit_wait(&self, backend: &Backend, now: MonotonicTime) -> Option<MonotonicTime> {
-        let bound = RateBound::stated(backend.limit.limit()?);
+        let bound = RateBound::stated(backend.stated.limit.limit()?);
         let place = self.gateways.place(&backend.facts.name, now);
         let next = self.next_send(backend, &bound, place, now);
-        let next = next.unwrap_or_else(|| backend.limit.trial(place.rank));
+        let next = next.unwrap_or_else(|| backend.stated.limit.trial(place.rank));
         (next > now).then_some(next)
     }
 
--- a/crates/dispatch/tests/limits.rs
+++ b/crates/dispatch/tests/limits.rs
@@ -7,7 +7,7 @@
     support::{
         at, item,
         limit_play::{LimitOutcome, LimitPlay, LimitScenario},
-        prompt, route,
+        prompt, route, stating_limit,
     },
 };
 
@@ -118,9 +118,10 @@
             .then_some(ticket)
     };
     let first = place(&mut early, 10_000).expect("sent");
-    early.note_limit(first, None, at(10_050));
+    early.note_statements(first, &stating_limit(None), at(10_050));
     let second = place(&mut told, 10_010).expect("sent");
-    told.note_limit(second, StatedLimit::try_from(0.0).ok(), at(10_080));
+    let none = StatedLimit::try_from(0.0).ok();
+    told.note_statements(second, &stating_limit(none), at(10_080));
     early.begin(first, at(10_100));
     let hints = early.take_hints(at(10_110));
     told.note_hints(hints, at(10_120));
--- a/crates/dispatch/tests/plain.rs
+++ b/crates/dispatch/tests/plain.rs
@@ -5,7 +5,8 @@
 
 use {
     gullglade_dispatch::{
-        BackendHint, BackendReport, Scheduler, TicketId, Verdict, WorkItem, WorkOutcome,
+        BackendHint, BackendReport, BackendStatements, Scheduler, TicketId, Verdict, WorkItem,
+        WorkOutcome,
     },
     gullglade_traffic::{RequestKind, ServicePool, TrafficRoute},
     gullglade_units::{RandomSource, SeededRandom},
@@ -60,9 +61,10 @@
         done
     }
 
-    fn report(&self) -> BackendReport {
+    fn statements(&self) -> BackendStatements {
         let (running, waiting) = (self.running.len() as u32, self.waiting.len() as u32);
-        BackendReport { running, waiting, slots: SLOTS }
+        let load = Some(BackendReport { running, waiting, slots: SLOTS });
+        BackendStatements { load, ..BackendStatements::default() }
     }
 }
 
@@ -131,7 +133,7 @@
             for server in &mut servers {
                 for Place { gateway, ticket } in server.advance(ms) {
                     let scheduler = &mut schedulers[gateway];
-                    scheduler.report(ticket, server.report(), now);
+                    scheduler.note_statements(ticket, &server.statements(), now);
                     scheduler.begin(ticket, now);
                     scheduler.end(ticket, WorkOutcome::Answered, now);
                     result.took.push(ms - asked[&(gateway, ticket)].0);
--- a/crates/dispatch/tests/support/limit_play.rs
+++ b/crates/dispatch/tests/support/limit_play.rs
@@ -1,7 +1,7 @@
 //! Gateways of one region before engines of which some state a limit for a while.
 
 use {
-    super::{at, backend_index, item, most_within, prompt, route, scheduler},
+    super::{at, backend_index, item, most_within, prompt, route, scheduler, stating_limit},
     gullglade_dispatch::{Scheduler, StatedLimit, TicketId, Verdict, WorkOutcome},
     gullglade_traffic::TrafficRoute,
     gullglade_units::{RandomSource, SeededRandom},
@@ -133,7 +133,7 @@
             let limit = is_stating.then(|| StatedLimit::try_from(self.scenario.limit));
             let limit = limit.map(|limit| limit.expect("a rate"));
             let run = &mut self.gateways[gateway];
-            run.note_limit(ticket, limit, at(now_ms));
+            run.note_statements(ticket, &stating_limit(limit), at(now_ms));
             run.begin(ticket, at(now_ms));
             run.end(ticket, WorkOutcome::Answered, at(now_ms));
             if is_stating {
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -12,8 +12,9 @@
 
 use {
     gullglade_dispatch::{
-        BackendFacts, BackendHint, FirstByteTimes, PromptPart, PromptShape, RegionFacts,
-        RequestNews, Scheduler, SchedulerSettings, TicketId, Verdict, WorkItem, WorkOutcome,
+        BackendFacts, BackendHint, BackendStatements, FirstByteTimes, PromptPart, PromptShape,
+        RegionFacts, RequestNews, Scheduler, SchedulerSettings, StatedLimit, TicketId, Verdict,
+        WorkItem, WorkOutcome,
     },
     gullglade_traffic::{ColdRules, EngineProfile, RequestKind, ServicePool, TrafficRoute},
     gullglade_units::{
@@ -177,6 +178,11 @@
     }
 }
 
+/// A signed answer that states this limit, or none.
+pub(crate) fn stating_limit(limit: Option<StatedLimit>) -> BackendStatements {
+    BackendStatements { is_signed: true, limit, ..BackendStatements::default() }
+}
+
 /// A scheduler of gateway `index` of `gateways`, before `engines` engines.
 pub(crate) fn scheduler(index: usize, gateways: usize, engines: usize, cold: f64) -> Scheduler {
     let mut scheduler = Scheduler::new(settings(index));
--- a/crates/dispatch/tests/support/play.rs
+++ b/crates/dispatch/tests/support/play.rs
@@ -8,8 +8,8 @@
         gateway, item, region, service,
     },
     gullglade_dispatch::{
-        BackendHint, BackendReport, FirstByteTimes, PromptPart, PromptShape, RegionFacts,
-        Scheduler, Verdict, WorkOutcome,
+        BackendHint, BackendReport, BackendStatements, FirstByteTimes, PromptPart, PromptShape,
+        RegionFacts, Scheduler, Verdict, WorkOutcome,
     },
     gullglade_units::{RandomSource, RegionName, SeededRandom, VmName},
     std::{
@@ -431,7 +431,9 @@
                     let (running, waiting) = self.engines[index].load();
                     let slots = self.model.engine.slots as u32;
                     let report = BackendReport { running, waiting, slots };
-                    self.gateways[owner.0].report(owner.1, report, at(ms));
+                    let stated =
+                        BackendStatements { load: Some(report), ..BackendStatements::default() };
+                    self.gateways[owner.0].note_statements(owner.1, &stated, at(ms));
                     if let Some(place) = self.owners.get_mut(&owner) {
                         place.3 = 0.0;
                     }
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -117,13 +117,9 @@
     fn judge(&self, attempt: &Attempt<'_>, reply: ClientReply, ticket: SentTicket) -> AttemptEnd {
         let ClientReply { head, body } = reply;
         let word = self.dialect.incoming(head.status, &head.headers);
-        if let Some(load) = word.load {
-            ticket.report(load);
-        }
-        // An answer of its own that states none lifts a limit; a refusal may have come of something
-        // in front of it.
-        if !word.is_other_run && (word.is_signed || word.limit.is_some()) {
-            ticket.note_limit(word.limit);
+        // Another run at the address says nothing of the one that was meant.
+        if !word.is_other_run {
+            ticket.note_statements(&word.stated);
         }
         if !self.is_for(attempt.call, &word, head.status) {
             ticket.finish(WorkOutcome::Garbled);
@@ -138,11 +134,11 @@
             return AttemptEnd::NotRun(NotRunReason::Shed, None);
         }
         let is_encoded = head.headers.contains_key(CONTENT_ENCODING);
-        if head.status.is_success() && (!word.is_signed || is_encoded) {
+        if head.status.is_success() && (!word.stated.is_signed || is_encoded) {
             ticket.finish(WorkOutcome::Garbled);
             return AttemptEnd::Unknown(UnknownReason::Garbled);
         }
-        if !word.is_signed && promises_not_run(head.status) {
+        if !word.stated.is_signed && promises_not_run(head.status) {
             ticket.finish(WorkOutcome::Failed);
             return AttemptEnd::Unknown(UnknownReason::Garbled);
         }
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::CallId,
-    gullglade_dispatch::{BackendReport, StatedLimit},
+    gullglade_dispatch::BackendStatements,
     gullglade_units::{BackendName, WorkspaceName},
     http::{HeaderMap, HeaderValue, StatusCode},
     std::{net::SocketAddr, time::Duration},
@@ -32,14 +32,10 @@
     pub is_not_run: bool,
     /// It is not the run of the backend server that was meant.
     pub is_other_run: bool,
-    /// The answer bears the backend server's signature.
-    pub is_signed: bool,
     /// The id of the request that the answer is for; `None` where it does not say.
     pub answers: Option<String>,
-    /// Its load.
-    pub load: Option<BackendReport>,
-    /// The limit that it states.
-    pub limit: Option<StatedLimit>,
+    /// What it states of itself.
+    pub stated: BackendStatements,
 }
 
 /// How a deployment's backend servers are spoken to.
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -4,8 +4,8 @@
     crate::send_watch::SendWatch,
     futures::channel::oneshot,
     gullglade_dispatch::{
-        BackendReport, RefusalFacts, RefusalReason, Scheduler, StatedLimit, TicketId, Verdict,
-        WorkItem, WorkOutcome,
+        BackendStatements, RefusalFacts, RefusalReason, Scheduler, TicketId, Verdict, WorkItem,
+        WorkOutcome,
     },
     gullglade_units::{MonotonicTime, ProcessContext},
     std::{
@@ -140,16 +140,13 @@
         }
     }
 
-    /// The backend server stated its load.
-    pub(crate) fn report(&self, report: BackendReport) {
-        self.dispatcher.ask(|scheduler, now| scheduler.report(self.ticket, report, now));
-    }
-
-    /// The backend server stated a limit, or none.
-    pub(crate) fn note_limit(&self, limit: Option<StatedLimit>) {
-        let note = |scheduler: &mut Scheduler, now| scheduler.note_limit(self.ticket, limit, now);
-        if let Some(watch) = self.watch.as_ref().filter(|_| self.dispatcher.ask(note)) {
-            watch.limit_changed(limit);
+    /// The backend server stated something of itself with the head of its answer.
+    pub(crate) fn note_statements(&self, stated: &BackendStatements) {
+        let ticket = self.ticket;
+        let changes =
+            self.dispatcher.ask(|scheduler, now| scheduler.note_statements(ticket, stated, now));
+        if let Some(watch) = &self.watch {
+            changes.into_iter().for_each(|change| watch.statement_changed(change));
         }
     }
 
--- a/crates/proxy/src/send_watch.rs
+++ b/crates/proxy/src/send_watch.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::call_print::CallPrint,
-    gullglade_dispatch::{StatedLimit, WorkOutcome},
+    gullglade_dispatch::{StatementChange, WorkOutcome},
     gullglade_event::{EventDraft, EventSink},
     gullglade_poison::CrashLedger,
     gullglade_units::{BackendRun, MonotonicTime, rendezvous::score},
@@ -24,14 +24,15 @@
         self.crashes.note_life(&self.run, self.sent);
     }
 
-    /// The backend server stated another limit than before, or none any more.
-    pub(crate) fn limit_changed(&self, limit: Option<StatedLimit>) {
-        let kind = match limit {
-            Some(_) => "backend.limited",
-            None => "backend.unlimited",
-        };
-        let event = EventDraft::new(kind).field("backend", &self.run.backend);
-        self.events.emit(event.optional("per_second", limit));
+    /// The backend server stated something else than before.
+    pub(crate) fn statement_changed(&self, change: StatementChange) {
+        let event = |kind| EventDraft::new(kind).field("backend", &self.run.backend);
+        self.events.emit(match change {
+            StatementChange::Limit(Some(limit)) => {
+                event("backend.limited").field("per_second", limit)
+            }
+            StatementChange::Limit(None) => event("backend.unlimited"),
+        });
     }
 
     /// The send has ended.
--- a/crates/proxy/tests/support/servers.rs
+++ b/crates/proxy/tests/support/servers.rs
@@ -3,7 +3,7 @@
 use {
     bytes::Bytes,
     futures::stream,
-    gullglade_dispatch::BackendReport,
+    gullglade_dispatch::BackendStatements,
     gullglade_http::{BodyError, ClientBody, ClientError, ClientReply, HttpClient},
     gullglade_proxy::{BackendDialect, BackendWord, SendOrder},
     gullglade_units::{LocalFuture, MonotonicTime, ProcessContext},
@@ -218,10 +218,12 @@
         BackendWord {
             is_not_run: text("not-run").is_some(),
             is_other_run: text("other-run").is_some(),
-            is_signed: text("signed").is_some(),
             answers: text("id").map(str::to_owned),
-            load: None::<BackendReport>,
-            limit: text("limit").and_then(|text| text.parse::<f64>().ok()?.try_into().ok()),
+            stated: BackendStatements {
+                is_signed: text("signed").is_some(),
+                limit: text("limit").and_then(|text| text.parse::<f64>().ok()?.try_into().ok()),
+                ..BackendStatements::default()
+            },
         }
     }
 
