--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 mod load;
 mod rate;
 mod regions;
+mod rest;
 mod roster;
 mod scheduler;
 mod share;
@@ -38,6 +39,7 @@
     limit::{InvalidLimit, StatedLimit},
     load::{BackendLoad, BackendReport, SentRequest, WorkCost},
     regions::{FirstByteTimes, RegionFacts},
+    rest::{InvalidRest, StatedRest},
     scheduler::Scheduler,
     share::AllowanceShare,
     statement::{BackendStatements, StatementChange},
--- a/crates/dispatch/src/statement.rs
+++ b/crates/dispatch/src/statement.rs
@@ -1,7 +1,7 @@
 //! What a backend server states of itself with the head of an answer, and what is kept of it.
 
 use {
-    crate::{BackendReport, StatedLimit, limit::LimitRecord},
+    crate::{BackendReport, StatedLimit, StatedRest, limit::LimitRecord, rest::RestRecord},
     gullglade_units::MonotonicTime,
 };
 
@@ -15,6 +15,8 @@
     pub load: Option<BackendReport>,
     /// The requests a second that it takes from all gateways together.
     pub limit: Option<StatedLimit>,
+    /// It wants nothing from this gateway for so long.
+    pub rest: Option<StatedRest>,
 }
 
 /// A statement that differs from what was known of the same run before.
@@ -22,12 +24,15 @@
 pub enum StatementChange {
     /// It states another limit, or none any more.
     Limit(Option<StatedLimit>),
+    /// It asks for rest, or for a longer one.
+    Rest(StatedRest),
 }
 
 /// What one run of a backend server has stated, beside its load.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StatementRecord {
     pub(crate) limit: LimitRecord,
+    pub(crate) rest: RestRecord,
 }
 
 impl StatementRecord {
@@ -38,10 +43,13 @@
         came: MonotonicTime,
     ) -> Vec<StatementChange> {
         let mut changes = Vec::new();
-        let BackendStatements { is_signed, limit, .. } = *statements;
+        let BackendStatements { is_signed, load: _, limit, rest } = *statements;
         if (is_signed || limit.is_some()) && self.limit.note(limit, came) {
             changes.push(StatementChange::Limit(limit));
         }
+        if let Some(rest) = rest.filter(|rest| self.rest.note(*rest, came)) {
+            changes.push(StatementChange::Rest(rest));
+        }
         changes
     }
 }
--- a/crates/proxy/src/send_watch.rs
+++ b/crates/proxy/src/send_watch.rs
@@ -32,6 +32,7 @@
                 event("backend.limited").field("per_second", limit)
             }
             StatementChange::Limit(None) => event("backend.unlimited"),
+            StatementChange::Rest(rest) => event("backend.rest_asked").field("rest_ms", rest),
         });
     }
 
--- a/crates/proxy/tests/support/servers.rs
+++ b/crates/proxy/tests/support/servers.rs
@@ -222,6 +222,7 @@
             stated: BackendStatements {
                 is_signed: text("signed").is_some(),
                 limit: text("limit").and_then(|text| text.parse::<f64>().ok()?.try_into().ok()),
+                rest: text("rest").and_then(|text| text.parse::<f64>().ok()?.try_into().ok()),
                 ..BackendStatements::default()
             },
         }
