--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod limit_play;
 mod play;
 pub(crate) mod repeat_play;
+pub(crate) mod rest_play;
 
 use {
     gullglade_dispatch::{
--- /dev/null
+++ b/crates/dispatch/tests/support/rest_play.rs
@@ -0,0 +1,360 @@
+//! Gateways of one region before engines that turn work away and ask for rest.
+
+use {
+    super::{at, backend_index, count_within, item, most_within, prompt, route, scheduler},
+    gullglade_dispatch::{
+        BackendHint, BackendStatements, Scheduler, StatedRest, TicketId, Verdict, WorkItem,
+        WorkOutcome,
+    },
+    gullglade_traffic::TrafficRoute,
+    gullglade_units::{RandomSource, SeededRandom},
+    std::{collections::HashMap, ops::Range, rc::Rc},
+};
+
+const STEP_MS: u64 = 5;
+const SLOTS: usize = 32;
+/// The most gateways that one tells its news to.
+const AUDIENCE: usize = 40;
+/// Sends that were on their way when the rest was asked for are not counted.
+const ON_THE_WAY_MS: u64 = 500;
+/// The most sends of one request.
+const MOST_SENDS: u32 = 4;
+/// From the end of a phase on, the span whose arrivals are looked at.
+const RETURN_MS: u64 = 1_000;
+
+/// A time in which an engine turns everything away.
+#[derive(Clone, Debug)]
+pub(crate) struct RestPhase {
+    pub(crate) engine: usize,
+    pub(crate) during: Range<u64>,
+    /// What it asks for with each rejection, if it does.
+    pub(crate) rest_ms: Option<u64>,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct RestScenario {
+    pub(crate) gateways: usize,
+    pub(crate) engines: usize,
+    /// Requests a second at each gateway.
+    pub(crate) per_second: f64,
+    /// How long a request may take.
+    pub(crate) timeout_ms: u64,
+    /// How long an engine works on one.
+    pub(crate) work_ms: u64,
+    pub(crate) phases: Vec<RestPhase>,
+    pub(crate) length_ms: u64,
+    /// The longest way to an engine.
+    pub(crate) link_ms: u64,
+    /// The part of the notices that get lost.
+    pub(crate) lost: f64,
+    /// Gateways that start again, and when.
+    pub(crate) restarts: Vec<(usize, u64)>,
+}
+
+impl RestScenario {
+    /// Three gateways and four engines of which two ask for three seconds of rest, for six.
+    pub(crate) fn small() -> Self {
+        let phase = |engine| RestPhase { engine, during: 4_000..10_000, rest_ms: Some(3_000) };
+        Self {
+            gateways: 3,
+            engines: 4,
+            per_second: 12.0,
+            timeout_ms: 2_500,
+            work_ms: 150,
+            phases: vec![phase(0), phase(1)],
+            length_ms: 16_000,
+            link_ms: 2,
+            lost: 0.0,
+            restarts: Vec::new(),
+        }
+    }
+}
+
+/// What came of it.
+#[derive(Debug, Default)]
+pub(crate) struct RestOutcome {
+    /// The most requests from one gateway to one engine in a rest that the engine had asked it
+    /// for, but for those on their way.
+    pub(crate) most_in_rest: usize,
+    pub(crate) asked: usize,
+    pub(crate) served: usize,
+    pub(crate) rejections: usize,
+    pub(crate) refused: usize,
+    /// The longest that a request was held before it was turned away.
+    pub(crate) longest_hold_ms: u64,
+    /// Of refusals while all engines turn everything away: the times after which to come back.
+    pub(crate) retries_ms: Vec<u64>,
+    /// The most arrivals in 50 ms at one engine in the second after a phase.
+    pub(crate) burst: usize,
+    /// Arrivals at the engines of phases in the second after the phase.
+    pub(crate) returned: usize,
+}
+
+struct Travel {
+    due_ms: u64,
+    gateway: usize,
+    run: u32,
+    engine: usize,
+    ticket: TicketId,
+    what: Step,
+}
+
+enum Step {
+    Arrive,
+    Answer(BackendStatements, WorkOutcome),
+}
+
+/// A rest that an engine asked a gateway for.
+struct Debt {
+    gateway: usize,
+    engine: usize,
+    during: Range<u64>,
+}
+
+struct Caller {
+    asked_ms: u64,
+    sends: u32,
+    work: WorkItem,
+}
+
+pub(crate) struct RestPlay<'a> {
+    scenario: &'a RestScenario,
+    random: SeededRandom,
+    route: Rc<TrafficRoute>,
+    gateways: Vec<Scheduler>,
+    /// How often each gateway has started.
+    runs: Vec<u32>,
+    callers: HashMap<(usize, TicketId), Caller>,
+    travels: Vec<Travel>,
+    running: Vec<usize>,
+    hints: Vec<(u64, usize, Vec<BackendHint>)>,
+    arrivals: Vec<(u64, usize, usize)>,
+    debts: Vec<Debt>,
+    outcome: RestOutcome,
+    now_ms: u64,
+}
+
+impl<'a> RestPlay<'a> {
+    pub(crate) fn new(scenario: &'a RestScenario, seed: u64) -> Self {
+        let RestScenario { gateways: count, engines, timeout_ms, .. } = *scenario;
+        Self {
+            scenario,
+            random: SeededRandom::new(seed),
+            route: route(0, 1_200, timeout_ms),
+            gateways: (0..count).map(|index| scheduler(index, count, engines, 0.0)).collect(),
+            runs: vec![0; count],
+            callers: HashMap::new(),
+            travels: Vec::new(),
+            running: vec![0; engines],
+            hints: Vec::new(),
+            arrivals: Vec::new(),
+            debts: Vec::new(),
+            outcome: RestOutcome::default(),
+            now_ms: 0,
+        }
+    }
+
+    pub(crate) fn play(mut self) -> RestOutcome {
+        while self.now_ms < self.scenario.length_ms {
+            self.restart_gateways();
+            self.take_requests();
+            self.take_travels();
+            for gateway in 0..self.gateways.len() {
+                self.decide(gateway);
+            }
+            self.tell_neighbours();
+            self.now_ms += STEP_MS;
+        }
+        self.finish()
+    }
+
+    fn phase(&self, engine: usize) -> Option<&RestPhase> {
+        let mut phases = self.scenario.phases.iter();
+        phases.find(|phase| phase.engine == engine && phase.during.contains(&self.now_ms))
+    }
+
+    fn is_nobody_taking(&self) -> bool {
+        (0..self.scenario.engines).all(|engine| self.phase(engine).is_some())
+    }
+
+    /// A gateway that starts again knows nothing, and owes nothing.
+    fn restart_gateways(&mut self) {
+        let RestScenario { gateways: count, engines, .. } = *self.scenario;
+        for (index, _) in self.scenario.restarts.iter().filter(|(_, ms)| *ms == self.now_ms) {
+            self.gateways[*index] = scheduler(*index, count, engines, 0.0);
+            self.runs[*index] += 1;
+            self.callers.retain(|(gateway, _), _| gateway != index);
+            self.debts.retain(|debt| debt.gateway != *index);
+        }
+    }
+
+    fn take_requests(&mut self) {
+        let now = at(self.now_ms);
+        for index in 0..self.gateways.len() {
+            let mut expected = self.scenario.per_second * STEP_MS as f64 / 1_000.0;
+            while expected > 0.0 {
+                if self.random.unit() < expected {
+                    let number = self.random.below(1 << 40);
+                    let work = item(&self.route, Some(prompt(number % 40, 200, 300, number)), now);
+                    self.outcome.asked += 1;
+                    self.submit(index, Caller { asked_ms: self.now_ms, sends: 0, work });
+                }
+                expected -= 1.0;
+            }
+        }
+    }
+
+    fn submit(&mut self, gateway: usize, caller: Caller) {
+        let ticket = self.gateways[gateway].submit(caller.work.clone(), at(self.now_ms));
+        self.callers.insert((gateway, ticket), caller);
+    }
+
+    fn decide(&mut self, gateway: usize) {
+        for (ticket, verdict) in self.gateways[gateway].poll(at(self.now_ms)) {
+            let Some(caller) = self.callers.get_mut(&(gateway, ticket)) else { continue };
+            match verdict {
+                Verdict::Send { run, .. } => {
+                    caller.sends += 1;
+                    let engine = backend_index(&run.backend);
+                    let due_ms = self.now_ms + self.way_ms();
+                    self.travel(due_ms, gateway, engine, ticket, Step::Arrive);
+                }
+                Verdict::SendAway { .. } => unreachable!("no other region is known"),
+                Verdict::Refuse { retry_after, .. } => {
+                    let held = self.now_ms - caller.asked_ms;
+                    self.callers.remove(&(gateway, ticket));
+                    self.outcome.refused += 1;
+                    self.outcome.longest_hold_ms = self.outcome.longest_hold_ms.max(held);
+                    if self.is_nobody_taking() {
+                        self.outcome.retries_ms.push(retry_after.as_millis() as u64);
+                    }
+                }
+            }
+        }
+    }
+
+    fn way_ms(&self) -> u64 {
+        1 + self.random.below(self.scenario.link_ms)
+    }
+
+    fn travel(&mut self, due_ms: u64, gateway: usize, engine: usize, ticket: TicketId, what: Step) {
+        let run = self.runs[gateway];
+        self.travels.push(Travel { due_ms, gateway, run, engine, ticket, what });
+    }
+
+    fn take_travels(&mut self) {
+        let now_ms = self.now_ms;
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.travels).into_iter().partition(|t| t.due_ms <= now_ms);
+        self.travels = later;
+        for travel in due {
+            match travel.what {
+                Step::Arrive => self.arrive(&travel),
+                Step::Answer(stated, outcome) => {
+                    let Travel { gateway, run, engine, ticket, .. } = travel;
+                    if outcome == WorkOutcome::Answered {
+                        self.running[engine] -= 1;
+                    }
+                    if run == self.runs[gateway] {
+                        self.answer(gateway, ticket, &stated, outcome);
+                    }
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, travel: &Travel) {
+        let Travel { gateway, engine, ticket, run, .. } = *travel;
+        self.arrivals.push((self.now_ms, gateway, engine));
+        let phase = self.phase(engine).cloned();
+        let (stated, outcome, work_ms) = match phase {
+            Some(RestPhase { rest_ms, .. }) => {
+                let rest = rest_ms.map(|ms| StatedRest::try_from(ms as f64 / 1_000.0));
+                let rest = rest.map(|rest| rest.expect("a time"));
+                if let Some(rest_ms) = rest_ms.filter(|_| run == self.runs[gateway]) {
+                    let during = self.now_ms + ON_THE_WAY_MS..self.now_ms + rest_ms;
+                    self.debts.push(Debt { gateway, engine, during });
+                }
+                let stated = BackendStatements { rest, ..BackendStatements::default() };
+                (stated, WorkOutcome::Shed, 0)
+            }
+            None if self.running[engine] >= SLOTS => {
+                (BackendStatements::default(), WorkOutcome::Shed, 0)
+            }
+            None => {
+                self.running[engine] += 1;
+                let stated = BackendStatements { is_signed: true, ..BackendStatements::default() };
+                (stated, WorkOutcome::Answered, self.scenario.work_ms)
+            }
+        };
+        let due_ms = self.now_ms + work_ms + self.way_ms();
+        let what = Step::Answer(stated, outcome);
+        self.travels.push(Travel { due_ms, gateway, run, engine, ticket, what });
+    }
+
+    fn answer(
+        &mut self,
+        gateway: usize,
+        ticket: TicketId,
+        stated: &BackendStatements,
+        outcome: WorkOutcome,
+    ) {
+        let now = at(self.now_ms);
+        let scheduler = &mut self.gateways[gateway];
+        scheduler.note_statements(ticket, stated, now);
+        if outcome == WorkOutcome::Answered {
+            scheduler.begin(ticket, now);
+        }
+        scheduler.end(ticket, outcome, now);
+        let Some(mut caller) = self.callers.remove(&(gateway, ticket)) else { return };
+        match outcome {
+            WorkOutcome::Answered => self.outcome.served += 1,
+            _ => {
+                self.outcome.rejections += 1;
+                caller.work.is_new = false;
+                if caller.sends < MOST_SENDS {
+                    self.submit(gateway, caller);
+                }
+            }
+        }
+    }
+
+    fn tell_neighbours(&mut self) {
+        let count = self.gateways.len();
+        for from in 0..count {
+            let hints = self.gateways[from].take_hints(at(self.now_ms));
+            if hints.is_empty() {
+                continue;
+            }
+            for step in 1..=AUDIENCE.min(count - 1) {
+                if self.random.unit() >= self.scenario.lost {
+                    let due_ms = self.now_ms + 10 + self.way_ms();
+                    self.hints.push((due_ms, (from + step) % count, hints.clone()));
+                }
+            }
+        }
+        let now_ms = self.now_ms;
+        for (_, to, hints) in self.hints.extract_if(.., |(due, ..)| *due <= now_ms) {
+            self.gateways[to].note_hints(hints, at(now_ms));
+        }
+    }
+
+    fn finish(mut self) -> RestOutcome {
+        let in_rest = |debt: &Debt| {
+            let arrivals = self.arrivals.iter();
+            let own = arrivals.filter(|(_, g, e)| (*g, *e) == (debt.gateway, debt.engine));
+            own.filter(|(ms, ..)| debt.during.contains(ms)).count()
+        };
+        self.outcome.most_in_rest = self.debts.iter().map(in_rest).max().unwrap_or_default();
+        for RestPhase { engine, during, .. } in &self.scenario.phases {
+            let there = self.arrivals.iter().filter(|(_, _, e)| e == engine);
+            let times: Vec<u64> = there.map(|(ms, ..)| *ms).collect();
+            let end = during.end;
+            let back = times.iter().copied().filter(|ms| (end..end + RETURN_MS).contains(ms));
+            let back: Vec<u64> = back.collect();
+            self.outcome.burst = self.outcome.burst.max(most_within(&back, 50));
+            self.outcome.returned += count_within(&times, end, RETURN_MS);
+        }
+        self.outcome
+    }
+}
--- /dev/null
+++ b/crates/proxy/tests/rest.rs
@@ -0,0 +1,41 @@
+//! Rest that backend servers ask for with their rejections.
+
+mod support;
+
+use {
+    futures::future::join_all,
+    gullglade_traffic::RequestKind,
+    std::time::Duration,
+    support::{BedSettings, Deed, Script, TestBed, take},
+};
+
+/// A rejection with a time to wait was like one without: the next requests went there again.
+#[test]
+fn a_rejection_with_a_time_to_wait_keeps_requests_away_until_it_is_over() {
+    const REST: Duration = Duration::from_secs(3);
+    const PAUSE: Duration = Duration::from_millis(100);
+    const ROUNDS: usize = 60;
+    // More than one of the two backend servers has places for.
+    const TOGETHER: usize = 24;
+    let bed = TestBed::new(&BedSettings::of(RequestKind::Idempotent));
+    let full = Script::signed(503, &[]).header("not-run", "1");
+    bed.script(0, &[Deed::Answer(full.header("rest", "3"))]);
+    bed.script(0, &vec![Deed::Answer(Script::signed(200, &["yes"])); ROUNDS * TOGETHER + 1]);
+    assert_eq!(bed.serve(bed.call()).status, 200);
+    for _ in 0..ROUNDS {
+        let calls = (0..TOGETHER).map(|_| take(bed.proxy(), bed.call()));
+        let served = bed.world.run_until(join_all(calls));
+        assert!(served.iter().all(|served| served.status == 200));
+        bed.world.run_for(PAUSE);
+    }
+    let lines = bed.events.lines();
+    let told = lines.iter().filter(|line| line.starts_with("backend.rest_asked ")).count();
+    assert_eq!(told, 1);
+    let arrivals = bed.backends(0).arrivals.borrow();
+    let (resting, began) = (arrivals[0].address, arrivals[0].at);
+    let there = arrivals.iter().skip(1).filter(|arrival| arrival.address == resting);
+    let after: Vec<Duration> = there.map(|arrival| arrival.at.since(began)).collect();
+    let first = after.first().expect("work again after its rest");
+    assert!(*first >= REST, "sent there after {first:?}");
+    assert!(*first < REST + Duration::from_secs(1), "work again soon: {first:?}");
+}
