Give backend servers the rest that they ask for

Cause: a 503 was noted as "not run" and its Retry-After dropped, so a rejection changed the load estimate alone, and that halves every 200 ms: an engine that rejects within a millisecond looks idle and draws work. Ruled out: sends that were already on their way, and work of other regions that waited.

Change: the rest is a debt of the run, kept beside its limit (and kept where announcements of the run fail to arrive). The scheduler places nothing there until it ends, copies nothing from there, offers other regions nothing of what rests; requests that still wait for a connection to it are taken back and placed elsewhere. Gateways come back one after the other, with one request first. Others of the region are told: that binds them to nothing and ranks the engine last.

--- a/crates/dispatch/src/hint.rs
+++ b/crates/dispatch/src/hint.rs
@@ -1,7 +1,7 @@
 //! What gateways of a region tell each other of the backend servers that they share.
 
 use {
-    crate::{BackendReport, PromptPart, StatedLimit, limit::LimitRecord},
+    crate::{BackendReport, PromptPart, StatedLimit, StatementChange, limit::LimitRecord},
     gullglade_units::{BackendRun, MonotonicTime},
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -44,6 +44,11 @@
     },
     /// It ended without an answer.
     Dropped,
+    /// The backend server turned it away and asked the gateway that had sent it for rest.
+    Resting {
+        /// How long that still lasts, microseconds.
+        left_us: u32,
+    },
 }
 
 /// The limit of a backend server, as a gateway knows it.
@@ -77,15 +82,30 @@
     /// As it is told at `now`.
     pub(crate) fn told(self, now: MonotonicTime) -> BackendHint {
         let Self { run, request, priority, sent, happened, mut news } = self;
-        if let RequestNews::Begun { ago_us, limit, .. } = &mut news {
-            *ago_us = micros(now.since(happened));
-            limit.ago_us = limit.ago_us.saturating_add(*ago_us);
+        let age_us = micros(now.since(happened));
+        match &mut news {
+            RequestNews::Begun { ago_us, limit, .. } => {
+                *ago_us = age_us;
+                limit.ago_us = limit.ago_us.saturating_add(age_us);
+            }
+            RequestNews::Resting { left_us } => *left_us = left_us.saturating_sub(age_us),
+            RequestNews::Sent { .. } | RequestNews::Dropped => {}
         }
         let sent_ago_us = micros(now.since(sent));
         BackendHint { run, request, priority, sent_ago_us, news }
     }
 }
 
+/// What others are told of a statement at once. A limit goes along with the first byte instead.
+pub(crate) fn statement_news(change: &StatementChange) -> Option<RequestNews> {
+    match change {
+        StatementChange::Limit(_) => None,
+        StatementChange::Rest(rest) => {
+            Some(RequestNews::Resting { left_us: micros(rest.duration()) })
+        }
+    }
+}
+
 /// The time that was so many microseconds ago.
 pub(crate) fn ago(now: MonotonicTime, micros: u32) -> MonotonicTime {
     MonotonicTime(now.0.saturating_sub(Duration::from_micros(micros.into())))
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -269,6 +269,11 @@
         self.learn_rate(&prompt, took, base);
     }
 
+    /// An own request that is there.
+    pub(crate) fn sent(&self, ticket: TicketId) -> Option<SentRequest> {
+        self.sent.get(&ticket).map(|work| work.sent)
+    }
+
     /// Notes the end of an own send; its request where its answer had not begun.
     pub fn end(&mut self, ticket: TicketId) -> Option<SentRequest> {
         let work = self.sent.remove(&ticket).filter(|work| !work.has_begun)?;
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -23,11 +23,11 @@
         CacheEstimate, FirstByteTimes, HealthRecord, LimitNews, PromptShape, RegionFacts,
         RepeatBudget, RepeatDecision, RequestNews, SchedulerSettings, SentRequest, StatementChange,
         TicketId, Verdict, WorkCost, WorkItem, WorkOutcome,
-        hint::{OwnHint, ago},
+        hint::{OwnHint, ago, statement_news},
         rate::RateGate,
         regions::RegionBook,
         roster::GatewayRoster,
-        statement::StatementRecord,
+        statement::{PartedStatements, StatementRecord},
         urgency::ObjectiveBook,
     },
     gullglade_traffic::ServicePool,
@@ -82,6 +82,7 @@
     request_base: u64,
     /// Runs of backend servers that are over, whatever is still announced of them.
     ended: BTreeSet<BackendRun>,
+    parted: PartedStatements,
     /// Where the requests run that were sent.
     sent: HashMap<TicketId, BackendRun>,
     next_ticket: u64,
@@ -107,6 +108,7 @@
             waiting: Vec::new(),
             hints: Vec::new(),
             ended: BTreeSet::new(),
+            parted: PartedStatements::default(),
             sent: HashMap::new(),
             next_ticket: 0,
             wake: None,
@@ -127,7 +129,11 @@
     }
 
     /// Takes the backend servers of the own region as they are believed to be.
-    pub fn set_backends(&mut self, facts: impl IntoIterator<Item = BackendFacts>) {
+    pub fn set_backends(
+        &mut self,
+        facts: impl IntoIterator<Item = BackendFacts>,
+        now: MonotonicTime,
+    ) {
         let mut old = std::mem::take(&mut self.backends);
         let (ended, facts): (Vec<_>, Vec<_>) =
             facts.into_iter().partition(|f| self.ended.contains(&f.run()));
@@ -135,21 +141,29 @@
         self.ended = ended.iter().map(BackendFacts::run).collect();
         for facts in facts {
             // Another run holds nothing of the one before, and is to be blamed for nothing of it.
-            let known =
-                old.remove(&facts.name).filter(|b| b.facts.incarnation == facts.incarnation);
+            let known = match old.get(&facts.name) {
+                Some(backend) if backend.facts.incarnation == facts.incarnation => {
+                    old.remove(&facts.name)
+                }
+                _ => None,
+            };
             let backend = match known {
                 Some(backend) => Backend { facts, ..backend },
                 None => Backend {
+                    stated: self.parted.take(&facts.run()),
                     facts,
                     load: BackendLoad::default(),
                     cache: CacheEstimate::default(),
                     health: HealthRecord::default(),
                     gate: RateGate::default(),
-                    stated: StatementRecord::default(),
                 },
             };
             self.backends.insert(backend.facts.name.clone(), backend);
         }
+        for backend in old.into_values() {
+            self.parted.keep(backend.facts.run(), backend.stated, now);
+        }
+        self.parted.forget_old(now);
     }
 
     /// Takes the gateways of the own region that take callers.
@@ -183,7 +197,9 @@
     /// The same of one service; `None` where nobody could be given work of it.
     pub fn offer(&self, service: &ServiceName, now: MonotonicTime) -> Option<RegionFacts> {
         let is_trusted = |b: &Backend| !b.health.is_suspect(now) && !b.load.is_stalled(now);
-        let is_open = |b: &Backend| b.stated.limit.limit().is_none() && !self.is_cold(b, now);
+        let is_held =
+            |b: &Backend| b.stated.limit.limit().is_some() || b.stated.rest.is_resting(now);
+        let is_open = |b: &Backend| !is_held(b) && !self.is_cold(b, now);
         let sound = |b: &&Backend| !b.facts.is_silent && is_trusted(b) && is_open(b);
         let times: Vec<FirstByteTimes> = self
             .serving(service)
@@ -275,6 +291,7 @@
         let Some(backend) = self.sent_to(ticket) else { return };
         // Called with every piece of an answer: what follows is for the first one alone.
         let Some(sent) = backend.load.begin(ticket, now) else { return };
+        backend.stated.rest.note_accepted(now);
         let load = backend.load.recent_report(TOLD_REPORT_AGE, now);
         let limit = LimitNews::new(&backend.stated.limit, now);
         let run = backend.facts.run();
@@ -303,11 +320,27 @@
         statements: &BackendStatements,
         now: MonotonicTime,
     ) -> Vec<StatementChange> {
-        let Some(backend) = self.sent_to(ticket) else { return Vec::new() };
+        let Some(run) = self.sent.get(&ticket) else { return Vec::new() };
+        let Some(backend) = run_of(&mut self.backends, run) else {
+            return self.parted.note(run, statements, now);
+        };
         if let Some(load) = statements.load {
             backend.load.note_report(load, now);
         }
-        backend.stated.note(statements, now)
+        let changes = backend.stated.note(statements, now);
+        let (run, sent) = (backend.facts.run(), backend.load.sent(ticket));
+        if let Some(sent) = sent {
+            for news in changes.iter().filter_map(statement_news) {
+                self.note_own(run.clone(), sent, news, now);
+            }
+        }
+        changes
+    }
+
+    /// The requests that were sent to `run` and have not ended.
+    pub fn sent_to_run(&self, run: &BackendRun) -> Vec<TicketId> {
+        let there = self.sent.iter().filter(|(_, sent_to)| *sent_to == run);
+        there.map(|(ticket, _)| *ticket).collect()
     }
 
     /// The run that a request was sent to, while it is the one that is known.
@@ -434,6 +467,10 @@
                 }
             }
             RequestNews::Dropped => backend.load.note_dropped(request),
+            RequestNews::Resting { left_us } => {
+                let until = now + Duration::from_micros(left_us.into());
+                backend.stated.rest.note_told(until, now);
+            }
         }
     }
 
@@ -461,6 +498,7 @@
         let parts = parts.unwrap_or_default().to_vec();
         backend.health.note_send(now);
         backend.gate.note(now);
+        backend.stated.rest.note_send(now);
         if let (Some(prompt), Some(engine)) = (&waiting.item.prompt, engine) {
             backend.cache.note(&prompt.parts, engine.memory_tokens, now);
         }
--- a/crates/dispatch/src/scheduler/placing.rs
+++ b/crates/dispatch/src/scheduler/placing.rs
@@ -64,6 +64,14 @@
 /// Suspects are looked at again after this.
 const SUSPECT_LOOK: Duration = Duration::from_millis(100);
 
+/// What a backend server that asked another gateway for rest costs in the choice, milliseconds: it
+/// gets work where nobody else has room.
+const TOLD_REST_COST_MS: f64 = 1_000.0;
+
+/// After a rest work is taken up again gradually: who waits for its end waits for so much longer,
+/// milliseconds.
+const RETURN_MS: f64 = 300.0;
+
 /// What is expected where backend servers are cold and may not be sent to, milliseconds.
 const COLD_WAIT_MS: f64 = 300.0;
 
@@ -78,6 +86,8 @@
     Later {
         here: HereTimes,
         again: MonotonicTime,
+        /// The first end of a rest, where all that may take it have asked for one.
+        rest_ends: Option<MonotonicTime>,
     },
     Suspects {
         again: MonotonicTime,
@@ -146,19 +156,20 @@
         now: MonotonicTime,
     ) -> Local {
         let sound: Vec<&Backend> = sound.collect();
-        let shared = self.shared_parts(item, &sound);
+        let is_awake = |backend: &&Backend| backend.stated.rest.until(now).is_none();
+        let awake: Vec<&Backend> = sound.iter().copied().filter(is_awake).collect();
+        let shared = self.shared_parts(item, &awake);
         let objectives = self.objectives.get(&item.service).copied().unwrap_or_default();
         let mut best: Option<(Candidate, &BackendName)> = None;
         let mut wait_ms = f64::MAX;
         let mut bound_ms = f64::MAX;
         let mut again = now + LOOK_INTERVAL;
+        let rests = sound.iter().filter_map(|backend| backend.stated.rest.until(now));
+        let rest_ends = rests.min().filter(|_| awake.is_empty());
         for backend in sound {
-            if let Some(room) = self.rate_wait(backend, now) {
-                again = again.min(room);
-                bound_ms = bound_ms.min(match backend.stated.limit.limit() {
-                    Some(_) => room.since(now).as_secs_f64() * 1_000.0,
-                    None => COLD_WAIT_MS,
-                });
+            if let Some(SendHold { until, wait_ms }) = self.send_hold(backend, now) {
+                again = again.min(until);
+                bound_ms = bound_ms.min(wait_ms);
                 continue;
             }
             let candidate = candidate(item, backend, &shared, &objectives, now);
@@ -175,7 +186,7 @@
             None => {
                 let wait_ms = if wait_ms == f64::MAX { bound_ms } else { wait_ms };
                 let wait_ms = wait_ms + LOOK_INTERVAL.as_secs_f64() * 1_000.0;
-                let full = FullLook { wait_ms, again };
+                let full = FullLook { wait_ms, again, rest_ends };
                 look.note_full(item, full);
                 later(full, look, item)
             }
@@ -226,10 +237,26 @@
         now < backend.facts.cold_until || may_be_cold
     }
 
-    /// When a backend server with a bound on its rate may next be sent to, where it may not now.
-    fn rate_wait(&self, backend: &Backend, now: MonotonicTime) -> Option<MonotonicTime> {
-        let waits = [self.cold_wait(backend, now), self.limit_wait(backend, now)];
-        waits.into_iter().flatten().max()
+    /// What keeps a backend server from being sent to now, though it serves.
+    fn send_hold(&self, backend: &Backend, now: MonotonicTime) -> Option<SendHold> {
+        let hold = |until: MonotonicTime, more_ms: f64| {
+            let wait_ms = until.since(now).as_secs_f64() * 1_000.0 + more_ms;
+            SendHold { until, wait_ms }
+        };
+        let holds = [
+            self.cold_wait(backend, now).map(|until| SendHold { until, wait_ms: COLD_WAIT_MS }),
+            self.limit_wait(backend, now).map(|until| hold(until, 0.0)),
+            self.rest_wait(backend, now).map(|until| hold(until, RETURN_MS)),
+        ];
+        holds.into_iter().flatten().max_by_key(|hold| hold.until)
+    }
+
+    fn rest_wait(&self, backend: &Backend, now: MonotonicTime) -> Option<MonotonicTime> {
+        let rest = &backend.stated.rest;
+        if !rest.is_open() {
+            return None;
+        }
+        rest.wait(self.gateways.place(&backend.facts.name, now), now)
     }
 
     fn cold_wait(&self, backend: &Backend, now: MonotonicTime) -> Option<MonotonicTime> {
@@ -295,6 +322,13 @@
     }
 }
 
+/// A backend server may not be sent to now.
+struct SendHold {
+    until: MonotonicTime,
+    /// What a request is expected to wait for it, milliseconds.
+    wait_ms: f64,
+}
+
 /// Where the shared parts of a prompt are.
 struct SharedParts<'a> {
     /// Who probably holds them, where nobody is known to.
@@ -341,7 +375,9 @@
         true => FAILURE_COST_MS,
         false => LOSS_COST_MS,
     };
+    let told_rest_ms = if backend.stated.rest.is_told(now) { TOLD_REST_COST_MS } else { 0.0 };
     let cost_ms = expected_ms
+        + told_rest_ms
         + READ_WEIGHT * read_tokens.map_or(0.0, |tokens| backend.load.read_ms(tokens))
         + CROWD_COST_MS * fullness(backend, now)
         + failure_cost_ms * backend.health.failure_rate(now);
@@ -363,7 +399,7 @@
 
 /// What is known where all backend servers are full.
 fn later(full: FullLook, look: &ServiceLook, item: &WorkItem) -> Local {
-    let FullLook { wait_ms, again } = full;
+    let FullLook { wait_ms, again, rest_ends } = full;
     let here = HereTimes {
         priority: item.priority(),
         expected_ms: wait_ms + look.own_ms(item),
@@ -371,7 +407,7 @@
         strain_ms: STRAIN_MS,
         away_own_ms: look.whole_ms(item),
     };
-    Local::Later { here, again }
+    Local::Later { here, again, rest_ends }
 }
 
 /// What the requests that are at a backend server cost one more, beside the work ahead of it.
--- a/crates/dispatch/src/statement.rs
+++ b/crates/dispatch/src/statement.rs
@@ -2,9 +2,14 @@
 
 use {
     crate::{BackendReport, StatedLimit, StatedRest, limit::LimitRecord, rest::RestRecord},
-    gullglade_units::MonotonicTime,
+    gullglade_units::{BackendRun, MonotonicTime},
+    std::{collections::BTreeMap, time::Duration},
 };
 
+/// The statements of a run that is announced no more are remembered for this long: announcements
+/// may fail to arrive for a while, and what it stated binds all the same.
+const REMEMBERED: Duration = Duration::from_secs(600);
+
 /// The statements of one answer. Each was checked when it was read.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct BackendStatements {
@@ -28,6 +33,16 @@
     Rest(StatedRest),
 }
 
+impl StatementChange {
+    /// Whether the backend server wants nothing more that has not reached it yet.
+    pub fn ends_sends(self) -> bool {
+        match self {
+            Self::Limit(_) => false,
+            Self::Rest(_) => true,
+        }
+    }
+}
+
 /// What one run of a backend server has stated, beside its load.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StatementRecord {
@@ -53,3 +68,38 @@
         changes
     }
 }
+
+/// What runs have stated that are not announced at the moment.
+#[derive(Debug, Default)]
+pub(crate) struct PartedStatements {
+    records: BTreeMap<BackendRun, (StatementRecord, MonotonicTime)>,
+}
+
+impl PartedStatements {
+    /// Remembers what a run has stated that is announced no more.
+    pub(crate) fn keep(&mut self, run: BackendRun, stated: StatementRecord, now: MonotonicTime) {
+        self.records.insert(run, (stated, now));
+    }
+
+    /// Takes the statements of an answer of such a run; what is new of them.
+    pub(crate) fn note(
+        &mut self,
+        run: &BackendRun,
+        statements: &BackendStatements,
+        came: MonotonicTime,
+    ) -> Vec<StatementChange> {
+        let (stated, since) = self.records.entry(run.clone()).or_default();
+        *since = came;
+        stated.note(statements, came)
+    }
+
+    /// What a run has stated that is announced again.
+    pub(crate) fn take(&mut self, run: &BackendRun) -> StatementRecord {
+        self.records.remove(run).map(|(stated, _)| stated).unwrap_or_default()
+    }
+
+    /// Forgets what is over.
+    pub(crate) fn forget_old(&mut self, now: MonotonicTime) {
+        self.records.retain(|_, (_, since)| now.since(*since) < REMEMBERED);
+    }
+}
--- a/crates/dispatch/src/verdict.rs
+++ b/crates/dispatch/src/verdict.rs
@@ -70,6 +70,8 @@
     pub suspect: usize,
     /// Of those that serve, those that are cold.
     pub cold: usize,
+    /// Of those that serve, those that asked this gateway for rest.
+    pub resting: usize,
     /// Other regions that offer the service and may serve the request.
     pub regions: usize,
     /// Of these, those to which the path is broken or that turned work away.
--- a/crates/dispatch/tests/copying.rs
+++ b/crates/dispatch/tests/copying.rs
@@ -96,7 +96,7 @@
             scheduler.note_hints(vec![sent_hint(holder, 120_000, &[])], at(1_000));
         }
         if case.is_gone {
-            scheduler.set_backends([facts(1 - holder)]);
+            scheduler.set_backends([facts(1 - holder)], at(0));
         }
         let (_, copy) = place(&mut scheduler, 2, at(1_000));
         let tokens = copy.map(|copy| copy.tokens);
@@ -127,10 +127,13 @@
 
     // A suspect is asked for nothing.
     let mut restarted = copying_scheduler(4, COPY_RATE);
-    restarted.set_backends((0..4).map(|index| {
-        let is_silent = index == holder;
-        BackendFacts { is_silent, ..facts(index) }
-    }));
+    restarted.set_backends(
+        (0..4).map(|index| {
+            let is_silent = index == holder;
+            BackendFacts { is_silent, ..facts(index) }
+        }),
+        at(0),
+    );
     let (_, copy) = place(&mut restarted, 3, at(10));
     assert!(copy.is_none_or(|copy| copy.from != facts(holder).address), "{copy:?}");
 }
--- a/crates/dispatch/tests/plain.rs
+++ b/crates/dispatch/tests/plain.rs
@@ -104,7 +104,8 @@
     let service = ServicePool { engine: None, ..(*pool(0.0)).clone() };
     scheduler.set_configuration([Rc::new(service)], &Rc::new(BTreeSet::new()), at(0));
     let facts = (0..replay.servers).map(facts);
-    scheduler.set_backends(facts.map(|f| gullglade_dispatch::BackendFacts { slots: SLOTS, ..f }));
+    scheduler
+        .set_backends(facts.map(|f| gullglade_dispatch::BackendFacts { slots: SLOTS, ..f }), at(0));
     scheduler
 }
 
--- a/crates/dispatch/tests/regions.rs
+++ b/crates/dispatch/tests/regions.rs
@@ -100,7 +100,7 @@
             name: "one silent",
             change: |s| {
                 let silent = BackendFacts { is_silent: true, ..facts(0) };
-                s.set_backends([silent, facts(1)]);
+                s.set_backends([silent, facts(1)], at(0));
             },
             offered: 1,
         },
@@ -117,11 +117,11 @@
             name: "one cold",
             change: |s| {
                 let cold = BackendFacts { cold_until: at(9_000), ..facts(0) };
-                s.set_backends([cold, facts(1)]);
+                s.set_backends([cold, facts(1)], at(0));
             },
             offered: 1,
         },
-        Case { name: "none", change: |s| s.set_backends([]), offered: 0 },
+        Case { name: "none", change: |s| s.set_backends([], at(0)), offered: 0 },
     ];
     for Case { name, change, offered } in cases {
         let mut scheduler = scheduler(0, 1, 2, 3.0);
--- a/crates/dispatch/tests/rest.rs
+++ b/crates/dispatch/tests/rest.rs
@@ -2,7 +2,11 @@
 
 mod support;
 
-use support::rest_play::{RestOutcome, RestPhase, RestPlay, RestScenario};
+use {
+    gullglade_units::{RandomSource, SeededRandom},
+    std::ops::Range,
+    support::rest_play::{RestOutcome, RestPhase, RestPlay, RestScenario},
+};
 
 /// The rule: no more than these requests from one gateway in a rest that it was asked for.
 const ALLOWED: usize = 2;
@@ -14,7 +18,7 @@
     RestPlay::new(scenario, seed).play()
 }
 
-fn phase(engine: usize, during: std::ops::Range<u64>, rest_ms: u64) -> RestPhase {
+fn phase(engine: usize, during: Range<u64>, rest_ms: u64) -> RestPhase {
     RestPhase { engine, during, rest_ms: Some(rest_ms) }
 }
 
@@ -51,3 +55,47 @@
     }
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+/// A time of 500 ms and more that begins at a multiple of the play's step.
+fn some_time(random: &SeededRandom, length_ms: u64) -> Range<u64> {
+    let start = 1_000 + random.below(length_ms / 10) * 5;
+    start..start + 500 + random.below(400) * 5
+}
+
+fn any_scenario(seed: u64) -> RestScenario {
+    const LENGTH_MS: u64 = 8_000;
+    let random = SeededRandom::new(seed);
+    let (gateways, engines) = (1 + random.below(4) as usize, 1 + random.below(4) as usize);
+    let any_engine = |_| random.below(engines as u64) as usize;
+    let phases = (0..1 + random.below(5)).map(|index| {
+        let rest_ms = (random.below(5) > 0).then(|| 300 + random.below(3_500));
+        RestPhase { engine: any_engine(index), during: some_time(&random, LENGTH_MS), rest_ms }
+    });
+    let restarts = (0..random.below(3))
+        .map(|_| (random.below(gateways as u64) as usize, some_time(&random, LENGTH_MS).start));
+    let lost = (0..random.below(3)).map(|i| (any_engine(i), some_time(&random, LENGTH_MS)));
+    RestScenario {
+        gateways,
+        engines,
+        per_second: 2.0 + random.unit() * 30.0,
+        timeout_ms: 300 + random.below(4_000),
+        work_ms: 20 + random.below(300),
+        phases: phases.collect(),
+        length_ms: LENGTH_MS,
+        link_ms: if random.below(4) == 0 { 200 } else { 2 },
+        lost: random.unit() * 0.5,
+        restarts: restarts.collect(),
+        unannounced: lost.collect(),
+    }
+}
+
+/// Rest was forgotten after a lost announcement, a restart of another gateway or a second rejection.
+#[test]
+fn rest_is_given_in_any_order_of_faults() {
+    const PLAYS: u64 = 300;
+    let plays = std::env::var("GULLGLADE_REST_PLAYS").ok().and_then(|text| text.parse().ok());
+    let most = |seed: &u64| play(&any_scenario(*seed), *seed).most_in_rest;
+    let broken: Vec<u64> =
+        (0..plays.unwrap_or(PLAYS)).filter(|seed| most(seed) > PROMISED).collect();
+    assert!(broken.is_empty(), "seeds {broken:?}");
+}
--- a/crates/dispatch/tests/rules.rs
+++ b/crates/dispatch/tests/rules.rs
@@ -44,7 +44,7 @@
                 let mut scheduler = scheduler(index, gateways, 1, PER_SECOND);
                 let mut cold = facts(0);
                 cold.cold_until = at(60_000);
-                scheduler.set_backends([cold]);
+                scheduler.set_backends([cold], at(0));
                 let mut stall = 0;
                 for ms in (0..9_000).step_by(5) {
                     if random.below(200) == 0 {
@@ -93,7 +93,7 @@
     let (ticket, verdict) = place(&mut scheduler, at(0));
     let first = sent_to(&verdict).expect("sent").to_owned();
     scheduler.end(ticket, WorkOutcome::Misdirected, at(1));
-    scheduler.set_backends((0..2).map(facts));
+    scheduler.set_backends((0..2).map(facts), at(0));
     for ms in 2..40 {
         let (_, verdict) = place(&mut scheduler, at(ms));
         assert_ne!(sent_to(&verdict), Some(first.as_str()));
@@ -235,7 +235,7 @@
     let mut scheduler = scheduler(0, 1, 1, 0.0);
     let mut small = facts(0);
     small.slots = 1;
-    scheduler.set_backends([small]);
+    scheduler.set_backends([small], at(0));
     let (first, _) = place(&mut scheduler, at(0));
     let mut submit =
         |priority, ms| scheduler.submit(item(&route(priority, 800, 10_000), None, at(ms)), at(ms));
@@ -281,7 +281,7 @@
             assert_eq!(sent_to(&verdict), Some("i-0"), "{name}");
             scheduler.end(ticket, outcome, at(ms + 10));
         }
-        scheduler.set_backends([facts(0), facts(1)]);
+        scheduler.set_backends([facts(0), facts(1)], at(0));
         // The other one has 200 ms of reading ahead.
         scheduler.note_hints(vec![sent_hint(1, 12_000, &[])], at(millis));
         let route = TrafficRoute { kind, ..(*route(1, 800, 10_000)).clone() };
@@ -329,7 +329,7 @@
             scheduler.end(ticket, case.outcome, at(10));
         }
         let later = Incarnation(20);
-        scheduler.set_backends([BackendFacts { incarnation: later, ..facts(0) }]);
+        scheduler.set_backends([BackendFacts { incarnation: later, ..facts(0) }], at(0));
         if !case.is_before {
             scheduler.end(ticket, case.outcome, at(20));
         }
@@ -402,7 +402,7 @@
             scheduler.note_hints(vec![BackendHint { news, ..sent_hint(0, 0, &[]) }], at(ms));
         }
         // The other engine holds nothing of the prompt, so that a sound first one is preferred.
-        scheduler.set_backends([facts(0), facts(1)]);
+        scheduler.set_backends([facts(0), facts(1)], at(0));
         let (_, verdict) = place(&mut scheduler, at(at_ms));
         let expected = if avoids { "i-1" } else { "i-0" };
         assert_eq!(sent_to(&verdict), Some(expected), "{name}");
--- a/crates/dispatch/tests/support/cold_play.rs
+++ b/crates/dispatch/tests/support/cold_play.rs
@@ -140,6 +140,6 @@
     run.set_configuration([pool(PER_SECOND)], &Rc::new(BTreeSet::new()), at(0));
     let mut cold = facts(0);
     cold.cold_until = at(3_600_000);
-    run.set_backends([cold]);
+    run.set_backends([cold], at(0));
     run
 }
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -188,7 +188,7 @@
 pub(crate) fn scheduler(index: usize, gateways: usize, engines: usize, cold: f64) -> Scheduler {
     let mut scheduler = Scheduler::new(settings(index));
     scheduler.set_configuration([pool(cold)], &Rc::new(BTreeSet::new()), at(0));
-    scheduler.set_backends((0..engines).map(facts));
+    scheduler.set_backends((0..engines).map(facts), at(0));
     scheduler.set_gateways((0..gateways).map(gateway), at(0));
     scheduler.set_gateway_total(gateways, at(0));
     scheduler
--- a/crates/dispatch/tests/support/play.rs
+++ b/crates/dispatch/tests/support/play.rs
@@ -130,7 +130,7 @@
                 .filter(|e| self.engine_region[*e] == region && self.engine_state[*e].0 <= ms)
                 .map(|e| self.model.engine_facts(e, self.engine_state[e].1, self.engine_state[e].2))
                 .collect();
-            self.gateways[index].set_backends(facts);
+            self.gateways[index].set_backends(facts, at(ms));
             self.is_due[index] = true;
         }
     }
--- a/crates/dispatch/tests/support/rest_play.rs
+++ b/crates/dispatch/tests/support/rest_play.rs
@@ -1,7 +1,7 @@
 //! Gateways of one region before engines that turn work away and ask for rest.
 
 use {
-    super::{at, backend_index, count_within, item, most_within, prompt, route, scheduler},
+    super::{at, backend_index, count_within, facts, item, most_within, prompt, route, scheduler},
     gullglade_dispatch::{
         BackendHint, BackendStatements, Scheduler, StatedRest, TicketId, Verdict, WorkItem,
         WorkOutcome,
@@ -49,6 +49,8 @@
     pub(crate) lost: f64,
     /// Gateways that start again, and when.
     pub(crate) restarts: Vec<(usize, u64)>,
+    /// Engines whose announcements fail to arrive for a while, and when.
+    pub(crate) unannounced: Vec<(usize, Range<u64>)>,
 }
 
 impl RestScenario {
@@ -66,6 +68,7 @@
             link_ms: 2,
             lost: 0.0,
             restarts: Vec::new(),
+            unannounced: Vec::new(),
         }
     }
 }
@@ -157,6 +160,7 @@
     pub(crate) fn play(mut self) -> RestOutcome {
         while self.now_ms < self.scenario.length_ms {
             self.restart_gateways();
+            self.announce();
             self.take_requests();
             self.take_travels();
             for gateway in 0..self.gateways.len() {
@@ -188,6 +192,22 @@
         }
     }
 
+    fn announce(&mut self) {
+        let now_ms = self.now_ms;
+        let unannounced = &self.scenario.unannounced;
+        if !unannounced.iter().any(|(_, during)| [during.start, during.end].contains(&now_ms)) {
+            return;
+        }
+        let is_known = |engine: &usize| {
+            let mut lost = unannounced.iter();
+            !lost.any(|(lost, during)| lost == engine && during.contains(&now_ms))
+        };
+        for gateway in &mut self.gateways {
+            let engines = (0..self.scenario.engines).filter(is_known);
+            gateway.set_backends(engines.map(facts), at(now_ms));
+        }
+    }
+
     fn take_requests(&mut self) {
         let now = at(self.now_ms);
         for index in 0..self.gateways.len() {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -3,6 +3,7 @@
 mod config;
 mod connection;
 mod error;
+mod permit;
 mod pool;
 mod reply;
 
@@ -16,6 +17,7 @@
 pub use {
     config::ClientConfig,
     error::ClientError,
+    permit::SendPermit,
     pool::PooledClient,
     reply::{ClientBody, ClientReply},
 };
@@ -26,8 +28,8 @@
     ///
     /// Of the URI only path and query are used. Hop-by-hop headers are not sent; `host` is set
     /// to `address` where the request has none. Dropping the future, or the reply's body before
-    /// its end, closes the connection at once. [`HeadTimeout`] and [`FreshConnection`] among
-    /// the request's extensions change how it is sent.
+    /// its end, closes the connection at once. [`HeadTimeout`], [`KeptWithin`], [`FreshConnection`]
+    /// and [`SendPermit`] among the request's extensions change how it is sent.
     fn send<'a>(
         &'a self,
         address: SocketAddr,
--- a/crates/http/src/client/error.rs
+++ b/crates/http/src/client/error.rs
@@ -46,6 +46,14 @@
         /// What ended it.
         reason: String,
     },
+    /// Its sender took it back before the connection was open: nothing was sent.
+    #[snafu(display(
+        "the request to {address} was taken back before it was sent; send it elsewhere"
+    ))]
+    Revoked {
+        /// The address.
+        address: SocketAddr,
+    },
     /// The connection broke after bytes of the request were written: it may have run.
     #[snafu(display(
         "the connection to {address} broke after the request was sent ({reason}); it may have \
@@ -86,7 +94,8 @@
             Self::Connect { .. }
             | Self::ConnectTimeout { .. }
             | Self::Invalid { .. }
-            | Self::Unsent { .. } => true,
+            | Self::Unsent { .. }
+            | Self::Revoked { .. } => true,
             Self::Sent { .. } | Self::HeadTimeout { .. } | Self::Unframed { .. } => false,
         }
     }
--- /dev/null
+++ b/crates/http/src/client/permit.rs
@@ -0,0 +1,33 @@
+//! Leave to send a request that may be taken back while it waits for its connection.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicU8, Ordering},
+};
+
+const WAITING: u8 = 0;
+const BEGUN: u8 = 1;
+const REVOKED: u8 = 2;
+
+/// Request extension: the request is sent only if this has not been revoked by the time at which
+/// its connection is open. It may wait for a connection for as long as the client is allowed to
+/// connect.
+#[derive(Clone, Debug, Default)]
+pub struct SendPermit {
+    // Extensions of a request have to be shareable between threads.
+    state: Arc<AtomicU8>,
+}
+
+impl SendPermit {
+    /// Takes it back; false where the request is being sent, or was.
+    pub fn revoke(&self) -> bool {
+        self.state.compare_exchange(WAITING, REVOKED, Ordering::Relaxed, Ordering::Relaxed).is_ok()
+    }
+
+    /// Uses it, right before the first byte is written; false where it was revoked.
+    pub fn begin(&self) -> bool {
+        let begun =
+            self.state.compare_exchange(WAITING, BEGUN, Ordering::Relaxed, Ordering::Relaxed);
+        begun != Err(REVOKED)
+    }
+}
--- a/crates/http/src/client/pool.rs
+++ b/crates/http/src/client/pool.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         ClientConfig, ClientError, ClientReply, FreshConnection, HeadTimeout, HttpClient,
-        KeptWithin,
+        KeptWithin, SendPermit,
         connection::{ClientConnection, ConnectionLease},
         reply::{ClientBody, WireSource},
     },
@@ -181,6 +181,9 @@
         connection: ClientConnection,
         request: Request<Full<Bytes>>,
     ) -> Result<ClientReply, ClientError> {
+        if request.extensions().get::<SendPermit>().is_some_and(|permit| !permit.begin()) {
+            return Err(ClientError::Revoked { address });
+        }
         let limit = self.head_timeout(&request);
         let method = request.method().clone();
         let before = connection.written.get();
--- a/crates/http/tests/http/client.rs
+++ b/crates/http/tests/http/client.rs
@@ -5,7 +5,7 @@
     bytes::Bytes,
     gullglade_http::{
         BodyError, ClientConfig, ClientError, FreshConnection, HeadTimeout, HttpClient,
-        PooledClient, ReplyBody, ServerConfig,
+        PooledClient, ReplyBody, SendPermit, ServerConfig,
     },
     gullglade_units::ProcessContext,
     http::{Request, Response},
@@ -367,6 +367,24 @@
     });
 }
 
+/// A request that its sender took back while it waited for a connection was sent all the same.
+#[test]
+fn a_request_that_was_taken_back_is_not_sent() {
+    run(async {
+        let address = scripted(vec![vec![], vec![Step::Reply(OK_REPLY)]]);
+        let client = client();
+        let (mut request, permit) = (get(), SendPermit::default());
+        request.extensions_mut().insert(permit.clone());
+        assert!(permit.revoke());
+        let error = client.send(address, request).await.expect_err("taken back");
+        assert!(matches!(error, ClientError::Revoked { .. }) && error.nothing_sent());
+        let (mut request, permit) = (get(), SendPermit::default());
+        request.extensions_mut().insert(permit.clone());
+        client.send(address, request).await.unwrap().body.collect(10).await.unwrap();
+        assert!(!permit.revoke(), "it was sent");
+    });
+}
+
 // Symptom: a gateway's descriptors run out, though it has little to do.
 // Sequence: many connections to a backend server are used once; the traffic moves elsewhere.
 // Cause: idle connections that are closed only when the next request looks for one.
--- a/crates/node/src/proxy_node.rs
+++ b/crates/node/src/proxy_node.rs
@@ -199,7 +199,7 @@
                 let services = traffic.config.services().cloned();
                 scheduler.set_configuration(services, &traffic.evacuated, now);
             }
-            scheduler.set_backends(facts.backends);
+            scheduler.set_backends(facts.backends, now);
             scheduler.set_gateways(facts.gateways, now);
             self.take_regions(scheduler, now);
         });
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -7,8 +7,12 @@
         dispatcher::SentTicket,
         outcome::{AttemptEnd, NotRunReason, UnknownReason},
     },
+    futures::{
+        channel::oneshot,
+        future::{Either, select},
+    },
     gullglade_dispatch::WorkOutcome,
-    gullglade_http::{ClientError, ClientReply, HeadTimeout, HttpClient, KeptWithin},
+    gullglade_http::{ClientError, ClientReply, HeadTimeout, HttpClient, KeptWithin, SendPermit},
     gullglade_units::{BackendName, Clock, WorkspaceName, timeout},
     http::{Request, StatusCode, header::CONTENT_ENCODING},
     std::{
@@ -52,7 +56,8 @@
 impl AttemptParts {
     /// Sends, and waits for the head of the answer.
     pub(crate) async fn send(&self, attempt: &Attempt<'_>, ticket: SentTicket) -> AttemptEnd {
-        let request = match self.request(attempt) {
+        let (permit, revoked) = ticket.permit();
+        let request = match self.request(attempt, permit) {
             Ok(request) => request,
             Err(_invalid) => {
                 // The caller's own method, path and headers were parsed before, so they can be
@@ -61,7 +66,7 @@
                 return AttemptEnd::NotRun(NotRunReason::Unreachable, None);
             }
         };
-        let sending = pin!(self.client.send(attempt.address, request));
+        let sending = pin!(self.exchange(attempt.address, request, revoked));
         let Some(sent) = self.wait(attempt, &ticket, sending).await else {
             ticket.finish(WorkOutcome::Overdue { waited: attempt.patience });
             return AttemptEnd::Unknown(UnknownReason::Overdue);
@@ -72,6 +77,21 @@
         }
     }
 
+    /// Sends until the head of the answer, or until the permit is `revoked` before anything is sent.
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<bytes::Bytes>,
+        revoked: oneshot::Receiver<()>,
+    ) -> Result<ClientReply, ClientError> {
+        match select(self.client.send(address, request), revoked).await {
+            Either::Left((outcome, _)) => outcome,
+            Either::Right((Ok(()), _)) => Err(ClientError::Revoked { address }),
+            // It was sent too long ago to be taken back.
+            Either::Right((Err(_), sending)) => sending.await,
+        }
+    }
+
     /// Waits for `sending`, in steps of the attempt's patience: `None` once a step has passed in
     /// which nothing at all came from the backend server. One that answers others is at work, and
     /// asking for the same elsewhere would only add to the load that makes it slow.
@@ -92,7 +112,11 @@
         }
     }
 
-    fn request(&self, attempt: &Attempt<'_>) -> Result<Request<bytes::Bytes>, http::Error> {
+    fn request(
+        &self,
+        attempt: &Attempt<'_>,
+        permit: SendPermit,
+    ) -> Result<Request<bytes::Bytes>, http::Error> {
         let order = SendOrder {
             backend: attempt.backend,
             left: attempt.left,
@@ -105,6 +129,7 @@
             .method(attempt.call.method.clone())
             .uri(attempt.call.target.as_str())
             .extension(HeadTimeout(attempt.left))
+            .extension(permit)
             .body(attempt.call.body.clone())?;
         *request.headers_mut() = self.dialect.outgoing(&attempt.call.headers, &order);
         if attempt.is_once_only {
@@ -170,6 +195,10 @@
 }
 
 fn failed(error: &ClientError, attempt: &Attempt<'_>, ticket: SentTicket) -> AttemptEnd {
+    if let ClientError::Revoked { .. } = error {
+        ticket.finish(WorkOutcome::Cancelled);
+        return AttemptEnd::NotRun(NotRunReason::Revoked, None);
+    }
     if error.nothing_sent() {
         ticket.finish(WorkOutcome::Unreachable);
         return AttemptEnd::NotRun(NotRunReason::Unreachable, None);
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -7,7 +7,8 @@
         BackendStatements, RefusalFacts, RefusalReason, Scheduler, TicketId, Verdict, WorkItem,
         WorkOutcome,
     },
-    gullglade_units::{MonotonicTime, ProcessContext},
+    gullglade_http::SendPermit,
+    gullglade_units::{BackendRun, MonotonicTime, ProcessContext},
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
@@ -20,6 +21,8 @@
 pub struct Dispatcher {
     scheduler: RefCell<Scheduler>,
     waiting: RefCell<HashMap<TicketId, oneshot::Sender<Verdict>>>,
+    /// Those of the requests that were sent, and who is told when one is taken back.
+    permits: RefCell<HashMap<TicketId, (SendPermit, oneshot::Sender<()>)>>,
     context: ProcessContext,
     /// When the next look at the queue is due.
     alarm: Cell<Option<MonotonicTime>>,
@@ -33,6 +36,7 @@
         Rc::new(Self {
             scheduler: RefCell::new(scheduler),
             waiting: RefCell::default(),
+            permits: RefCell::default(),
             context,
             alarm: Cell::new(None),
             on_news: RefCell::default(),
@@ -97,6 +101,19 @@
         }
     }
 
+    /// Takes back the sends to the run of a backend server that have no connection yet, for one
+    /// that wants nothing more.
+    fn revoke_sends(&self, run: &BackendRun) {
+        let tickets = self.scheduler.borrow().sent_to_run(run);
+        for ticket in tickets {
+            let permit = self.permits.borrow_mut().remove(&ticket);
+            if let Some((_, told)) = permit.filter(|(permit, _)| permit.revoke()) {
+                // Nobody waits any more where the caller has just left.
+                let _: Result<(), ()> = told.send(());
+            }
+        }
+    }
+
     fn set_alarm(self: &Rc<Self>, now: MonotonicTime) {
         let Some(wake) = self.scheduler.borrow().next_wake() else { return };
         if self.alarm.get().is_some_and(|at| at <= wake && at > now) {
@@ -131,6 +148,14 @@
         self
     }
 
+    /// Leave to send it, and what is told when that is taken back.
+    pub(crate) fn permit(&self) -> (SendPermit, oneshot::Receiver<()>) {
+        let (told, revoked) = oneshot::channel();
+        let permit = SendPermit::default();
+        self.dispatcher.permits.borrow_mut().insert(self.ticket, (permit.clone(), told));
+        (permit, revoked)
+    }
+
     /// The first byte of the answer has come.
     pub(crate) fn begin(&self) {
         self.dispatcher.ask(|scheduler, now| scheduler.begin(self.ticket, now));
@@ -145,8 +170,12 @@
         let ticket = self.ticket;
         let changes =
             self.dispatcher.ask(|scheduler, now| scheduler.note_statements(ticket, stated, now));
-        if let Some(watch) = &self.watch {
-            changes.into_iter().for_each(|change| watch.statement_changed(change));
+        let Some(watch) = &self.watch else { return };
+        for change in changes {
+            watch.statement_changed(change);
+            if change.ends_sends() {
+                self.dispatcher.revoke_sends(&watch.run);
+            }
         }
     }
 
@@ -168,6 +197,7 @@
             watch.end(outcome, self.dispatcher.context.clock.now());
         }
         self.dispatcher.waiting.borrow_mut().remove(&self.ticket);
+        self.dispatcher.permits.borrow_mut().remove(&self.ticket);
         self.dispatcher.update(|scheduler, now| {
             scheduler.withdraw(self.ticket);
             scheduler.end(self.ticket, outcome, now);
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -327,13 +327,14 @@
 
     /// Takes note of where an attempt failed, so that the next one goes elsewhere.
     fn note_place(&mut self, place: AttemptPlace, end: &AttemptEnd) {
-        let is_shed = matches!(end, AttemptEnd::NotRun(NotRunReason::Shed, _));
+        let may_return =
+            matches!(end, AttemptEnd::NotRun(NotRunReason::Shed | NotRunReason::Revoked, _));
         match (end, place) {
             (AttemptEnd::Answer(_), AttemptPlace::Here(backend)) => self.log.source(&backend),
             (AttemptEnd::Answer(_), AttemptPlace::Away(_)) => {}
             (_, AttemptPlace::Here(backend)) => {
                 self.log.failed_at(&backend, end);
-                if !is_shed {
+                if !may_return {
                     self.item.tried.push(backend);
                 }
             }
--- a/crates/proxy/src/outcome.rs
+++ b/crates/proxy/src/outcome.rs
@@ -15,6 +15,8 @@
 pub(crate) enum NotRunReason {
     /// The backend server could not be reached: nothing was sent.
     Unreachable,
+    /// It was taken back before a byte of it was sent, since the backend server wants nothing.
+    Revoked,
     /// It said that it did not run it.
     Shed,
     /// Another run has its address, and refused.
@@ -47,6 +49,7 @@
     fn label(self) -> &'static str {
         match self {
             Self::Unreachable => "unreachable",
+            Self::Revoked => "revoked",
             Self::Shed => "shed",
             Self::Misdirected => "misdirected",
             Self::RefusedAway => "refused_away",
--- a/crates/proxy/tests/rest.rs
+++ b/crates/proxy/tests/rest.rs
@@ -39,3 +39,25 @@
     assert!(*first >= REST, "sent there after {first:?}");
     assert!(*first < REST + Duration::from_secs(1), "work again soon: {first:?}");
 }
+
+/// Requests that were placed before the rejection and still waited for a connection went there.
+#[test]
+fn what_waits_for_a_connection_to_a_resting_backend_server_goes_elsewhere() {
+    const TOGETHER: usize = 12;
+    let bed = TestBed::new(&BedSettings::of(RequestKind::AtMostOnce));
+    let full = Script::signed(503, &[]).header("not-run", "1").header("rest", "3");
+    let good = Script::signed(200, &["yes"]);
+    bed.script(0, &[Deed::Answer(full)]);
+    let slow = Deed::Accept(Duration::from_millis(800), good.clone());
+    bed.script(0, &vec![slow; TOGETHER - 1]);
+    bed.script(0, &vec![Deed::Answer(good); TOGETHER]);
+    let calls = (0..TOGETHER).map(|_| take(bed.proxy(), bed.call()));
+    let served = bed.world.run_until(join_all(calls));
+    assert!(served.iter().all(|served| served.status == 200));
+    let lines = bed.events.lines();
+    assert!(lines.iter().any(|line| line.contains("reason=revoked")), "some waited there");
+    let arrivals = bed.backends(0).arrivals.borrow();
+    let resting = arrivals[0].address;
+    let there = arrivals.iter().filter(|arrival| arrival.address == resting).count();
+    assert_eq!(there, 1, "nothing after the rejection");
+}
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -27,8 +27,8 @@
     gullglade_quota::QuotaTolerance,
     gullglade_traffic::{ColdRules, RawWorkspace, RequestKind},
     gullglade_units::{
-        BackendName, Clock, FailureDomain, HybridClock, Incarnation, ProcessContext, RegionName,
-        ServiceName, VmName,
+        BackendName, Clock, FailureDomain, HybridClock, Incarnation, MonotonicTime, ProcessContext,
+        RegionName, ServiceName, VmName,
         fake::{FakeProcess, FakeWorld},
     },
     http::{HeaderMap, HeaderValue, Method},
@@ -465,17 +465,20 @@
         engine: None,
     };
     scheduler.set_configuration([Rc::new(pool)], &Rc::new(BTreeSet::new()), context.clock.now());
-    scheduler.set_backends((0..own).map(|index| BackendFacts {
-        name: BackendName::try_from(format!("i-{index}")).expect("a name"),
-        incarnation: Incarnation(0),
-        service: service.clone(),
-        address: address(100 + index),
-        domain: FailureDomain::try_from("d").expect("a name"),
-        slots: 8,
-        is_serving: true,
-        is_silent: false,
-        cold_until: context.clock.now(),
-    }));
+    scheduler.set_backends(
+        (0..own).map(|index| BackendFacts {
+            name: BackendName::try_from(format!("i-{index}")).expect("a name"),
+            incarnation: Incarnation(0),
+            service: service.clone(),
+            address: address(100 + index),
+            domain: FailureDomain::try_from("d").expect("a name"),
+            slots: 8,
+            is_serving: true,
+            is_silent: false,
+            cold_until: context.clock.now(),
+        }),
+        MonotonicTime::default(),
+    );
     scheduler.set_gateway_total(2, context.clock.now());
     let elsewhere = if place == "west" { "east" } else { "west" };
     scheduler.set_regions(vec![RegionFacts {
--- a/crates/proxy/tests/support/servers.rs
+++ b/crates/proxy/tests/support/servers.rs
@@ -4,7 +4,7 @@
     bytes::Bytes,
     futures::stream,
     gullglade_dispatch::BackendStatements,
-    gullglade_http::{BodyError, ClientBody, ClientError, ClientReply, HttpClient},
+    gullglade_http::{BodyError, ClientBody, ClientError, ClientReply, HttpClient, SendPermit},
     gullglade_proxy::{BackendDialect, BackendWord, SendOrder},
     gullglade_units::{LocalFuture, MonotonicTime, ProcessContext},
     http::{HeaderMap, HeaderValue, Request, Response, StatusCode},
@@ -28,6 +28,8 @@
     Hang,
     /// Answers, after a while.
     Answer(Script),
+    /// Takes so long to accept the connection, and answers then.
+    Accept(Duration, Script),
 }
 
 /// An answer.
@@ -139,6 +141,12 @@
         if matches!(deed, Deed::Unreachable) {
             return Err(ClientError::Connect { address, reason: "refused".to_owned() });
         }
+        if let Deed::Accept(after, _) = &deed {
+            self.context.clock.sleep(*after).await;
+            if request.extensions().get::<SendPermit>().is_some_and(|permit| !permit.begin()) {
+                return Err(ClientError::Revoked { address });
+            }
+        }
         let (head, body) = request.into_parts();
         let target = head.uri.to_string();
         let (at, headers) = (self.context.clock.now(), head.headers);
@@ -152,7 +160,7 @@
                 return Err(ClientError::Sent { address, reason: "closed".to_owned() });
             }
             Deed::Unreachable => unreachable!("handled above"),
-            Deed::Answer(script) => script,
+            Deed::Answer(script) | Deed::Accept(_, script) => script,
         };
         clock.sleep(script.after).await;
         let mut response = Response::new(());
