--- a/crates/dispatch/src/hint.rs
+++ b/crates/dispatch/src/hint.rs
@@ -99,7 +99,7 @@
 /// What others are told of a statement at once. A limit goes along with the first byte instead.
 pub(crate) fn statement_news(change: &StatementChange) -> Option<RequestNews> {
     match change {
-        StatementChange::Limit(_) => None,
+        StatementChange::Limit(_) | StatementChange::Leaving => None,
         StatementChange::Rest(rest) => {
             Some(RequestNews::Resting { left_us: micros(rest.duration()) })
         }
--- a/crates/dispatch/src/statement.rs
+++ b/crates/dispatch/src/statement.rs
@@ -22,6 +22,8 @@
     pub limit: Option<StatedLimit>,
     /// It wants nothing from this gateway for so long.
     pub rest: Option<StatedRest>,
+    /// It leaves: it finishes what it has, and wants nothing new.
+    pub is_leaving: bool,
 }
 
 /// A statement that differs from what was known of the same run before.
@@ -31,6 +33,8 @@
     Limit(Option<StatedLimit>),
     /// It asks for rest, or for a longer one.
     Rest(StatedRest),
+    /// It leaves.
+    Leaving,
 }
 
 impl StatementChange {
@@ -38,7 +42,7 @@
     pub fn ends_sends(self) -> bool {
         match self {
             Self::Limit(_) => false,
-            Self::Rest(_) => true,
+            Self::Rest(_) | Self::Leaving => true,
         }
     }
 }
@@ -48,6 +52,8 @@
 pub(crate) struct StatementRecord {
     pub(crate) limit: LimitRecord,
     pub(crate) rest: RestRecord,
+    /// A run that leaves does not come back, whatever is said of it later.
+    pub(crate) is_leaving: bool,
 }
 
 impl StatementRecord {
@@ -58,13 +64,16 @@
         came: MonotonicTime,
     ) -> Vec<StatementChange> {
         let mut changes = Vec::new();
-        let BackendStatements { is_signed, load: _, limit, rest } = *statements;
+        let BackendStatements { is_signed, load: _, limit, rest, is_leaving } = *statements;
         if (is_signed || limit.is_some()) && self.limit.note(limit, came) {
             changes.push(StatementChange::Limit(limit));
         }
         if let Some(rest) = rest.filter(|rest| self.rest.note(*rest, came)) {
             changes.push(StatementChange::Rest(rest));
         }
+        if is_leaving && !std::mem::replace(&mut self.is_leaving, true) {
+            changes.push(StatementChange::Leaving);
+        }
         changes
     }
 }
--- a/crates/proxy/src/send_watch.rs
+++ b/crates/proxy/src/send_watch.rs
@@ -33,6 +33,7 @@
             }
             StatementChange::Limit(None) => event("backend.unlimited"),
             StatementChange::Rest(rest) => event("backend.rest_asked").field("rest_ms", rest),
+            StatementChange::Leaving => event("backend.states_leaving"),
         });
     }
 
--- a/crates/proxy/tests/support/servers.rs
+++ b/crates/proxy/tests/support/servers.rs
@@ -231,6 +231,7 @@
                 is_signed: text("signed").is_some(),
                 limit: text("limit").and_then(|text| text.parse::<f64>().ok()?.try_into().ok()),
                 rest: text("rest").and_then(|text| text.parse::<f64>().ok()?.try_into().ok()),
+                is_leaving: text("leaving").is_some(),
                 ..BackendStatements::default()
             },
         }
