Send nothing new to a backend server that says with its answers that it leaves

Cause: the same as for rest: the header was passed on and read by nobody; a departure was known from announcements alone, which come later or, at a cut, not at all.

Change: the departure is kept with the run, beside its limit and its rest: from the turn of the loop that reads the head nothing is placed there, whatever an announcement says later, also where announcements of it are lost for a while; a new run of the name begins afresh. Requests that wait for a connection to it are placed elsewhere, what runs there ends, its connections are closed as they fall idle. Other gateways of the region are told. The answer goes out unchanged.

--- a/crates/dispatch/src/hint.rs
+++ b/crates/dispatch/src/hint.rs
@@ -49,6 +49,8 @@
         /// How long that still lasts, microseconds.
         left_us: u32,
     },
+    /// The backend server leaves.
+    Leaving,
 }
 
 /// The limit of a backend server, as a gateway knows it.
@@ -89,7 +91,7 @@
                 limit.ago_us = limit.ago_us.saturating_add(age_us);
             }
             RequestNews::Resting { left_us } => *left_us = left_us.saturating_sub(age_us),
-            RequestNews::Sent { .. } | RequestNews::Dropped => {}
+            RequestNews::Sent { .. } | RequestNews::Dropped | RequestNews::Leaving => {}
         }
         let sent_ago_us = micros(now.since(sent));
         BackendHint { run, request, priority, sent_ago_us, news }
@@ -99,10 +101,11 @@
 /// What others are told of a statement at once. A limit goes along with the first byte instead.
 pub(crate) fn statement_news(change: &StatementChange) -> Option<RequestNews> {
     match change {
-        StatementChange::Limit(_) | StatementChange::Leaving => None,
+        StatementChange::Limit(_) => None,
         StatementChange::Rest(rest) => {
             Some(RequestNews::Resting { left_us: micros(rest.duration()) })
         }
+        StatementChange::Leaving => Some(RequestNews::Leaving),
     }
 }
 
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -446,7 +446,12 @@
 
     fn note_hint(&mut self, hint: BackendHint, now: MonotonicTime) {
         let BackendHint { run, request, priority, sent_ago_us, news } = hint;
-        let Some(backend) = run_of(&mut self.backends, &run) else { return };
+        let Some(backend) = run_of(&mut self.backends, &run) else {
+            if news == RequestNews::Leaving {
+                self.parted.note_leaving(run, now);
+            }
+            return;
+        };
         let sent = ago(now, sent_ago_us);
         match news {
             RequestNews::Sent { tokens, parts } => {
@@ -471,6 +476,7 @@
                 let until = now + Duration::from_micros(left_us.into());
                 backend.stated.rest.note_told(until, now);
             }
+            RequestNews::Leaving => backend.stated.is_leaving = true,
         }
     }
 
@@ -515,7 +521,8 @@
     /// Whether a backend server may be given work at all.
     fn may_serve(&self, backend: &Backend) -> bool {
         let facts = &backend.facts;
-        facts.is_serving && !self.evacuated.contains(&facts.domain)
+        let is_serving = facts.is_serving && !backend.stated.is_leaving;
+        is_serving && !self.evacuated.contains(&facts.domain)
     }
 }
 
--- a/crates/dispatch/src/statement.rs
+++ b/crates/dispatch/src/statement.rs
@@ -102,6 +102,12 @@
         stated.note(statements, came)
     }
 
+    /// Takes another gateway's word that such a run leaves.
+    pub(crate) fn note_leaving(&mut self, run: BackendRun, now: MonotonicTime) {
+        let (stated, since) = self.records.entry(run).or_default();
+        (stated.is_leaving, *since) = (true, now);
+    }
+
     /// What a run has stated that is announced again.
     pub(crate) fn take(&mut self, run: &BackendRun) -> StatementRecord {
         self.records.remove(run).map(|(stated, _)| stated).unwrap_or_default()
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -35,6 +35,10 @@
         address: SocketAddr,
         request: Request<Bytes>,
     ) -> LocalFuture<'a, Result<ClientReply, ClientError>>;
+
+    /// Closes the connections to `address` that no request uses, and those in use once their
+    /// request has ended, until the next request goes there. For a client that keeps none, nothing.
+    fn retire(&self, _address: SocketAddr) {}
 }
 
 /// Request extension: the time from sending to the head of the reply, in place of the client's.
--- a/crates/http/src/client/pool.rs
+++ b/crates/http/src/client/pool.rs
@@ -18,7 +18,7 @@
     hyper::body::Incoming,
     std::{
         cell::{Cell, RefCell},
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         net::SocketAddr,
         rc::{Rc, Weak},
         time::Duration,
@@ -30,6 +30,8 @@
     config: ClientConfig,
     context: ProcessContext,
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    /// Addresses whose connections are not kept.
+    retired: RefCell<HashSet<SocketAddr>>,
     /// Whether a task closes idle connections in time.
     sweeping: Cell<bool>,
 }
@@ -50,7 +52,8 @@
         stated: Option<Duration>,
     ) {
         let limit = self.idle_limit_of(stated);
-        if !connection.sender.is_ready() || limit.is_zero() {
+        let is_retired = self.retired.borrow().contains(&address);
+        if is_retired || !connection.sender.is_ready() || limit.is_zero() {
             return;
         }
         let since = self.context.clock.now();
@@ -143,6 +146,7 @@
             config,
             context,
             idle: RefCell::default(),
+            retired: RefCell::default(),
             sweeping: Cell::new(false),
         };
         Self { pool: Rc::new(pool) }
@@ -159,6 +163,7 @@
         request: Request<Bytes>,
     ) -> Result<ClientReply, ClientError> {
         let request = outgoing(address, request)?;
+        self.pool.retired.borrow_mut().remove(&address);
         let fresh = request.extensions().get::<FreshConnection>().is_some();
         let within = request.extensions().get::<KeptWithin>().map(|within| within.0);
         let kept = if fresh { None } else { self.pool.take(address, within) };
@@ -239,6 +244,11 @@
     ) -> LocalFuture<'a, Result<ClientReply, ClientError>> {
         Box::pin(self.send_to(address, request))
     }
+
+    fn retire(&self, address: SocketAddr) {
+        self.pool.retired.borrow_mut().insert(address);
+        self.pool.idle.borrow_mut().remove(&address);
+    }
 }
 
 /// The time that a `keep-alive` header states.
--- a/crates/http/tests/http/client.rs
+++ b/crates/http/tests/http/client.rs
@@ -385,6 +385,26 @@
     });
 }
 
+/// Connections to a server that leaves were kept open until it closed them.
+#[test]
+fn connections_of_a_retired_address_are_closed_as_they_fall_idle() {
+    run(async {
+        let reply = vec![Step::Reply(OK_REPLY), Step::Read];
+        let address = scripted(vec![reply.clone(), reply.clone(), reply]);
+        let client = client();
+        client.send(address, get()).await.unwrap().body.collect(10).await.unwrap();
+        assert_eq!(client.idle_connections(address), 1);
+        client.retire(address);
+        assert_eq!(client.idle_connections(address), 0, "what was idle");
+        let reply = client.send(address, get()).await.unwrap();
+        client.retire(address);
+        reply.body.collect(10).await.unwrap();
+        assert_eq!(client.idle_connections(address), 0, "what was in use");
+        client.send(address, get()).await.unwrap().body.collect(10).await.unwrap();
+        assert_eq!(client.idle_connections(address), 1, "a new server at the address");
+    });
+}
+
 // Symptom: a gateway's descriptors run out, though it has little to do.
 // Sequence: many connections to a backend server are used once; the traffic moves elsewhere.
 // Cause: idle connections that are closed only when the next request looks for one.
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -11,7 +11,7 @@
         channel::oneshot,
         future::{Either, select},
     },
-    gullglade_dispatch::WorkOutcome,
+    gullglade_dispatch::{StatementChange, WorkOutcome},
     gullglade_http::{ClientError, ClientReply, HeadTimeout, HttpClient, KeptWithin, SendPermit},
     gullglade_units::{BackendName, Clock, WorkspaceName, timeout},
     http::{Request, StatusCode, header::CONTENT_ENCODING},
@@ -143,8 +143,10 @@
         let ClientReply { head, body } = reply;
         let word = self.dialect.incoming(head.status, &head.headers);
         // Another run at the address says nothing of the one that was meant.
-        if !word.is_other_run {
-            ticket.note_statements(&word.stated);
+        if !word.is_other_run
+            && ticket.note_statements(&word.stated).contains(&StatementChange::Leaving)
+        {
+            self.client.retire(attempt.address);
         }
         if !self.is_for(attempt.call, &word, head.status) {
             ticket.finish(WorkOutcome::Garbled);
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -4,8 +4,8 @@
     crate::send_watch::SendWatch,
     futures::channel::oneshot,
     gullglade_dispatch::{
-        BackendStatements, RefusalFacts, RefusalReason, Scheduler, TicketId, Verdict, WorkItem,
-        WorkOutcome,
+        BackendStatements, RefusalFacts, RefusalReason, Scheduler, StatementChange, TicketId,
+        Verdict, WorkItem, WorkOutcome,
     },
     gullglade_http::SendPermit,
     gullglade_units::{BackendRun, MonotonicTime, ProcessContext},
@@ -165,18 +165,18 @@
         }
     }
 
-    /// The backend server stated something of itself with the head of its answer.
-    pub(crate) fn note_statements(&self, stated: &BackendStatements) {
+    /// The backend server stated something of itself with the head of its answer; what is new.
+    pub(crate) fn note_statements(&self, stated: &BackendStatements) -> Vec<StatementChange> {
         let ticket = self.ticket;
         let changes =
             self.dispatcher.ask(|scheduler, now| scheduler.note_statements(ticket, stated, now));
-        let Some(watch) = &self.watch else { return };
-        for change in changes {
-            watch.statement_changed(change);
-            if change.ends_sends() {
+        if let Some(watch) = &self.watch {
+            changes.iter().for_each(|change| watch.statement_changed(*change));
+            if changes.iter().any(|change| change.ends_sends()) {
                 self.dispatcher.revoke_sends(&watch.run);
             }
         }
+        changes
     }
 
     /// Whether something came lately from the backend server that it was sent to.
