Choice: a backend server that turns requests away is ranked behind those that take them

Cause: a rejection without a time changed nothing but a load estimate that halves every 200 ms, so engines that reject look idle and draw work; gateways spent their repeats on engines that had just rejected. Change: a rejection rate by gateway and run, which fades within a second, counts in the choice, between regions and in what is offered to them. No engine is shunned: where all reject, all are ranked alike.

--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -23,6 +23,12 @@
 /// The failure rate halves in this time without an outcome: as long as a suspect is left alone.
 const RATE_HALF_LIFE: Duration = LONGEST_PAUSE;
 
+/// The weight of the newest request in the rejection rate.
+const REJECTION_WEIGHT: f64 = 0.3;
+
+/// The rejection rate halves in this time: what is full now may have room again soon.
+const REJECTION_HALF_LIFE: Duration = Duration::from_millis(1_000);
+
 /// What one backend server's outcomes say.
 #[derive(Debug, Default)]
 pub struct HealthRecord {
@@ -33,6 +39,8 @@
     /// The failure rate, and when it was last weighed.
     failure_rate: f64,
     weighed: MonotonicTime,
+    /// The rejection rate, and when it was last weighed.
+    rejection_rate: (f64, MonotonicTime),
 }
 
 impl HealthRecord {
@@ -48,7 +56,8 @@
             | WorkOutcome::Broken
             | WorkOutcome::Garbled
             | WorkOutcome::Overdue { .. } => self.suspect(now),
-            WorkOutcome::Shed | WorkOutcome::Misdirected | WorkOutcome::Cancelled => {}
+            WorkOutcome::Shed => self.weigh_rejection(1.0, now),
+            WorkOutcome::Misdirected | WorkOutcome::Cancelled => {}
         }
     }
 
@@ -73,6 +82,23 @@
         faded(self.failure_rate, now.since(self.weighed), RATE_HALF_LIFE)
     }
 
+    /// Notes that a request was accepted.
+    pub fn note_accepted(&mut self, now: MonotonicTime) {
+        self.weigh_rejection(0.0, now);
+    }
+
+    /// The part of the last requests that were turned away, 0 to 1. It fades, as the failure rate
+    /// does.
+    pub fn rejection_rate(&self, now: MonotonicTime) -> f64 {
+        let (rate, weighed) = self.rejection_rate;
+        faded(rate, now.since(weighed), REJECTION_HALF_LIFE)
+    }
+
+    fn weigh_rejection(&mut self, rejection: f64, now: MonotonicTime) {
+        let rate = self.rejection_rate(now);
+        self.rejection_rate = (rate + REJECTION_WEIGHT * (rejection - rate), now);
+    }
+
     fn clear_with(&mut self, failure: f64, now: MonotonicTime) {
         self.failures = 0;
         self.suspect_until = None;
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -292,6 +292,7 @@
         // Called with every piece of an answer: what follows is for the first one alone.
         let Some(sent) = backend.load.begin(ticket, now) else { return };
         backend.stated.rest.note_accepted(now);
+        backend.health.note_accepted(now);
         let load = backend.load.recent_report(TOLD_REPORT_AGE, now);
         let limit = LimitNews::new(&backend.stated.limit, now);
         let run = backend.facts.run();
--- a/crates/dispatch/src/scheduler/placing.rs
+++ b/crates/dispatch/src/scheduler/placing.rs
@@ -64,6 +64,10 @@
 /// Suspects are looked at again after this.
 const SUSPECT_LOOK: Duration = Duration::from_millis(100);
 
+/// What a rejected request costs, milliseconds, times a backend server's rejection rate. One that
+/// rejects is idle and would draw work that others have room for.
+const REJECTION_COST_MS: f64 = 1_000.0;
+
 /// What a backend server that asked another gateway for rest costs in the choice, milliseconds: it
 /// gets work where nobody else has room.
 const TOLD_REST_COST_MS: f64 = 1_000.0;
@@ -375,9 +379,11 @@
         true => FAILURE_COST_MS,
         false => LOSS_COST_MS,
     };
+    let rejected_ms = REJECTION_COST_MS * backend.health.rejection_rate(now);
     let told_rest_ms = if backend.stated.rest.is_told(now) { TOLD_REST_COST_MS } else { 0.0 };
     let cost_ms = expected_ms
         + told_rest_ms
+        + rejected_ms
         + READ_WEIGHT * read_tokens.map_or(0.0, |tokens| backend.load.read_ms(tokens))
         + CROWD_COST_MS * fullness(backend, now)
         + failure_cost_ms * backend.health.failure_rate(now);
@@ -412,7 +418,8 @@
 
 /// What the requests that are at a backend server cost one more, beside the work ahead of it.
 pub(super) fn strain_ms(backend: &Backend, now: MonotonicTime) -> f64 {
-    STRAIN_MS * fullness(backend, now).min(1.0)
+    let rejected_ms = REJECTION_COST_MS * backend.health.rejection_rate(now);
+    STRAIN_MS * fullness(backend, now).min(1.0) + rejected_ms
 }
 
 /// The requests at a backend server, as a part of those that it runs at once.
