--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -27,7 +27,7 @@
 const REJECTION_WEIGHT: f64 = 0.3;
 
 /// The rejection rate halves in this time: what is full now may have room again soon.
-const REJECTION_HALF_LIFE: Duration = Duration::from_millis(1_000);
+const REJECTION_HALF_LIFE: Duration = Duration::from_millis(2_000);
 
 /// What one backend server's outcomes say.
 #[derive(Debug, Default)]
--- a/crates/dispatch/src/scheduler/placing.rs
+++ b/crates/dispatch/src/scheduler/placing.rs
@@ -66,7 +66,7 @@
 
 /// What a rejected request costs, milliseconds, times a backend server's rejection rate. One that
 /// rejects is idle and would draw work that others have room for.
-const REJECTION_COST_MS: f64 = 1_000.0;
+const REJECTION_COST_MS: f64 = 3_000.0;
 
 /// What a backend server that asked another gateway for rest costs in the choice, milliseconds: it
 /// gets work where nobody else has room.
