--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -6,6 +6,7 @@
         answer::{AnswerBody, AnswerSource, AttemptAnswer, BackendBody},
         dispatcher::SentTicket,
         outcome::{AttemptEnd, NotRunReason, UnknownReason},
+        unread_headers::UnreadHeaders,
     },
     futures::{
         channel::oneshot,
@@ -32,6 +33,7 @@
 pub(crate) struct AttemptParts {
     pub(crate) client: Rc<dyn HttpClient>,
     pub(crate) dialect: Rc<dyn BackendDialect>,
+    pub(crate) unread: UnreadHeaders,
     pub(crate) clock: Rc<dyn Clock>,
 }
 
@@ -142,6 +144,7 @@
     fn judge(&self, attempt: &Attempt<'_>, reply: ClientReply, ticket: SentTicket) -> AttemptEnd {
         let ClientReply { head, body } = reply;
         let word = self.dialect.incoming(head.status, &head.headers);
+        self.unread.note(&*self.dialect, attempt.backend, head.status, &head.headers);
         // Another run at the address says nothing of the one that was meant.
         if !word.is_other_run
             && ticket.note_statements(&word.stated).contains(&StatementChange::Leaving)
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -4,7 +4,7 @@
     crate::CallId,
     gullglade_dispatch::BackendStatements,
     gullglade_units::{BackendName, WorkspaceName},
-    http::{HeaderMap, HeaderValue, StatusCode},
+    http::{HeaderMap, HeaderName, HeaderValue, StatusCode},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -46,6 +46,9 @@
     /// What the head of an answer says.
     fn incoming(&self, status: StatusCode, headers: &HeaderMap) -> BackendWord;
 
+    /// Whether a header of an answer of this name is read here, or is known to state nothing.
+    fn reads(&self, name: &HeaderName) -> bool;
+
     /// The value of `retry-after` for callers.
     fn retry_after(&self, wait: Duration) -> HeaderValue;
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -29,6 +29,7 @@
 mod relay;
 mod send_watch;
 mod starting;
+mod unread_headers;
 
 pub use {
     call::{CallId, CallIdError, CallerCall},
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -12,6 +12,7 @@
         outcome::FinalWord,
         quota::{QuotaDesk, QuotaParts},
         starting::StartGate,
+        unread_headers::UnreadHeaders,
     },
     gullglade_event::{EventDraft, EventSink, Level, MetricSet},
     gullglade_fleet::{FleetFollower, TrafficInForce},
@@ -96,6 +97,7 @@
         let attempts = AttemptParts {
             client: Rc::clone(&parts.client),
             dialect: Rc::clone(&parts.dialect),
+            unread: UnreadHeaders::new(Rc::clone(&parts.events)),
             clock: Rc::clone(&parts.context.clock),
         };
         let forwarder = Forwarder {
--- a/crates/proxy/tests/rest.rs
+++ b/crates/proxy/tests/rest.rs
@@ -61,3 +61,21 @@
     let there = arrivals.iter().filter(|arrival| arrival.address == resting).count();
     assert_eq!(there, 1, "nothing after the rejection");
 }
+
+/// Two statements in a row were passed on for days before anybody saw that nobody reads them.
+#[test]
+fn a_header_of_rejections_that_nobody_reads_is_told_once() {
+    let bed = TestBed::new(&BedSettings::of(RequestKind::AtMostOnce));
+    let full = Script::signed(503, &[]).header("not-run", "1").header("content-length", "0");
+    let full = full.header("server-wish", "less").header("limit", "5");
+    let good = Script::signed(200, &["yes"]).header("server-mood", "good");
+    for _ in 0..3 {
+        bed.script(0, &[Deed::Answer(full.clone()), Deed::Answer(good.clone())]);
+        assert_eq!(bed.serve(bed.call()).status, 200);
+    }
+    let lines = bed.events.lines();
+    let told = lines.iter().filter(|line| line.starts_with("backend.unread_header "));
+    let told: Vec<&String> = told.collect();
+    assert_eq!(told.len(), 1, "{told:?}");
+    assert!(told[0].contains("header=server-wish"), "{told:?}");
+}
--- a/crates/proxy/tests/support/servers.rs
+++ b/crates/proxy/tests/support/servers.rs
@@ -7,7 +7,7 @@
     gullglade_http::{BodyError, ClientBody, ClientError, ClientReply, HttpClient, SendPermit},
     gullglade_proxy::{BackendDialect, BackendWord, SendOrder},
     gullglade_units::{LocalFuture, MonotonicTime, ProcessContext},
-    http::{HeaderMap, HeaderValue, Request, Response, StatusCode},
+    http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode},
     std::{
         cell::{Cell, RefCell},
         collections::VecDeque,
@@ -237,6 +237,12 @@
         }
     }
 
+    fn reads(&self, name: &HeaderName) -> bool {
+        const READ: [&str; 8] =
+            ["not-run", "other-run", "id", "signed", "limit", "rest", "leaving", "own"];
+        READ.contains(&name.as_str())
+    }
+
     fn retry_after(&self, wait: Duration) -> HeaderValue {
         HeaderValue::try_from(format!("{:.2}", wait.as_secs_f64())).expect("a number")
     }
