--- a/crates/proxy/tests/rest.rs
+++ b/crates/proxy/tests/rest.rs
@@ -79,3 +79,25 @@
     assert_eq!(told.len(), 1, "{told:?}");
     assert!(told[0].contains("header=server-wish"), "{told:?}");
 }
+
+/// Callers waited until their time was over for backend servers that had said when they come back.
+#[test]
+fn where_all_rest_a_caller_is_told_at_once_when_to_come_back() {
+    const REST_S: f64 = 30.0;
+    let bed = TestBed::new(&BedSettings::of(RequestKind::AtMostOnce));
+    let full = Script::signed(503, &[]).header("not-run", "1").header("rest", "30");
+    bed.script(0, &vec![Deed::Answer(full); 2]);
+    let begun = bed.clock().now();
+    for _ in 0..2 {
+        let served = bed.serve(bed.call());
+        assert_eq!(served.status, 503);
+        let wait = served.headers.get("retry-after").and_then(|v| v.to_str().ok());
+        let wait: f64 = wait.and_then(|text| text.parse().ok()).expect("seconds");
+        assert!((REST_S - 1.0..REST_S + 1.0).contains(&wait), "{wait} s");
+    }
+    let took = bed.clock().now().since(begun);
+    assert!(took < Duration::from_millis(100), "told after {took:?}");
+    assert_eq!(bed.backends(0).arrivals.borrow().len(), 2, "one for each");
+    let lines = bed.events.lines();
+    assert!(lines.iter().any(|line| line.contains("reason=resting")), "{lines:?}");
+}
