--- a/crates/dispatch/src/hint.rs
+++ b/crates/dispatch/src/hint.rs
@@ -44,8 +44,8 @@
     },
     /// It ended without an answer.
     Dropped,
-    /// The backend server turned it away and asked the gateway that had sent it for rest.
-    Resting {
+    /// The backend server rejected it and requested a back-off of the gateway that had sent it.
+    Backoff {
         /// How long that still lasts, microseconds.
         left_us: u32,
     },
@@ -90,7 +90,7 @@
                 *ago_us = age_us;
                 limit.ago_us = limit.ago_us.saturating_add(age_us);
             }
-            RequestNews::Resting { left_us } => *left_us = left_us.saturating_sub(age_us),
+            RequestNews::Backoff { left_us } => *left_us = left_us.saturating_sub(age_us),
             RequestNews::Sent { .. } | RequestNews::Dropped | RequestNews::Leaving => {}
         }
         let sent_ago_us = micros(now.since(sent));
@@ -102,8 +102,8 @@
 pub(crate) fn statement_news(change: &StatementChange) -> Option<RequestNews> {
     match change {
         StatementChange::Limit(_) => None,
-        StatementChange::Rest(rest) => {
-            Some(RequestNews::Resting { left_us: micros(rest.duration()) })
+        StatementChange::Backoff(backoff) => {
+            Some(RequestNews::Backoff { left_us: micros(backoff.duration()) })
         }
         StatementChange::Leaving => Some(RequestNews::Leaving),
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`HealthRecord`] believes outcomes, and lets a suspect back by trial.
 //! - [`RepeatBudget`] and [`AllowanceShare`] divide what all gateways together may do.
 
+mod backoff;
 mod budget;
 mod cache;
 mod facts;
@@ -20,7 +21,6 @@
 mod load;
 mod rate;
 mod regions;
-mod rest;
 mod roster;
 mod scheduler;
 mod share;
@@ -31,6 +31,7 @@
 mod work;
 
 pub use {
+    backoff::{InvalidBackoff, StatedBackoff},
     budget::{RepeatBudget, RepeatDecision},
     cache::CacheEstimate,
     facts::{BackendFacts, SchedulerSettings},
@@ -39,7 +40,6 @@
     limit::{InvalidLimit, StatedLimit},
     load::{BackendLoad, BackendReport, SentRequest, WorkCost},
     regions::{FirstByteTimes, RegionFacts},
-    rest::{InvalidRest, StatedRest},
     scheduler::Scheduler,
     share::AllowanceShare,
     statement::{BackendStatements, StatementChange},
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -27,7 +27,7 @@
         rate::RateGate,
         regions::RegionBook,
         roster::GatewayRoster,
-        statement::{PartedStatements, StatementRecord},
+        statement::{RetainedStatements, StatementRecord},
         urgency::ObjectiveBook,
     },
     gullglade_traffic::ServicePool,
@@ -82,7 +82,7 @@
     request_base: u64,
     /// Runs of backend servers that are over, whatever is still announced of them.
     ended: BTreeSet<BackendRun>,
-    parted: PartedStatements,
+    retained: RetainedStatements,
     /// Where the requests run that were sent.
     sent: HashMap<TicketId, BackendRun>,
     next_ticket: u64,
@@ -108,7 +108,7 @@
             waiting: Vec::new(),
             hints: Vec::new(),
             ended: BTreeSet::new(),
-            parted: PartedStatements::default(),
+            retained: RetainedStatements::default(),
             sent: HashMap::new(),
             next_ticket: 0,
             wake: None,
@@ -150,7 +150,7 @@
             let backend = match known {
                 Some(backend) => Backend { facts, ..backend },
                 None => Backend {
-                    stated: self.parted.take(&facts.run()),
+                    stated: self.retained.take(&facts.run()),
                     facts,
                     load: BackendLoad::default(),
                     cache: CacheEstimate::default(),
@@ -161,9 +161,9 @@
             self.backends.insert(backend.facts.name.clone(), backend);
         }
         for backend in old.into_values() {
-            self.parted.keep(backend.facts.run(), backend.stated, now);
+            self.retained.keep(backend.facts.run(), backend.stated, now);
         }
-        self.parted.forget_old(now);
+        self.retained.drop_old(now);
     }
 
     /// Takes the gateways of the own region that take callers.
@@ -198,7 +198,7 @@
     pub fn offer(&self, service: &ServiceName, now: MonotonicTime) -> Option<RegionFacts> {
         let is_trusted = |b: &Backend| !b.health.is_suspect(now) && !b.load.is_stalled(now);
         let is_held =
-            |b: &Backend| b.stated.limit.limit().is_some() || b.stated.rest.is_resting(now);
+            |b: &Backend| b.stated.limit.limit().is_some() || b.stated.backoff.is_backed_off(now);
         let is_open = |b: &Backend| !is_held(b) && !self.is_cold(b, now);
         let sound = |b: &&Backend| !b.facts.is_silent && is_trusted(b) && is_open(b);
         let times: Vec<FirstByteTimes> = self
@@ -291,7 +291,7 @@
         let Some(backend) = self.sent_to(ticket) else { return };
         // Called with every piece of an answer: what follows is for the first one alone.
         let Some(sent) = backend.load.begin(ticket, now) else { return };
-        backend.stated.rest.note_accepted(now);
+        backend.stated.backoff.note_accepted(now);
         backend.health.note_accepted(now);
         let load = backend.load.recent_report(TOLD_REPORT_AGE, now);
         let limit = LimitNews::new(&backend.stated.limit, now);
@@ -323,7 +323,7 @@
     ) -> Vec<StatementChange> {
         let Some(run) = self.sent.get(&ticket) else { return Vec::new() };
         let Some(backend) = run_of(&mut self.backends, run) else {
-            return self.parted.note(run, statements, now);
+            return self.retained.note(run, statements, now);
         };
         if let Some(load) = statements.load {
             backend.load.note_report(load, now);
@@ -449,7 +449,7 @@
         let BackendHint { run, request, priority, sent_ago_us, news } = hint;
         let Some(backend) = run_of(&mut self.backends, &run) else {
             if news == RequestNews::Leaving {
-                self.parted.note_leaving(run, now);
+                self.retained.note_leaving(run, now);
             }
             return;
         };
@@ -473,9 +473,9 @@
                 }
             }
             RequestNews::Dropped => backend.load.note_dropped(request),
-            RequestNews::Resting { left_us } => {
+            RequestNews::Backoff { left_us } => {
                 let until = now + Duration::from_micros(left_us.into());
-                backend.stated.rest.note_told(until, now);
+                backend.stated.backoff.note_peer(until, now);
             }
             RequestNews::Leaving => backend.stated.is_leaving = true,
         }
@@ -505,7 +505,7 @@
         let parts = parts.unwrap_or_default().to_vec();
         backend.health.note_send(now);
         backend.gate.note(now);
-        backend.stated.rest.note_send(now);
+        backend.stated.backoff.note_send(now);
         if let (Some(prompt), Some(engine)) = (&waiting.item.prompt, engine) {
             backend.cache.note(&prompt.parts, engine.memory_tokens, now);
         }
--- a/crates/dispatch/src/scheduler/deciding.rs
+++ b/crates/dispatch/src/scheduler/deciding.rs
@@ -62,12 +62,12 @@
                 let HereTimes { expected_ms, priority, .. } = here;
                 Some(Verdict::Send { run, address, priority, expected_ms, copy })
             }
-            Local::Later { here, again, rest_ends } => {
+            Local::Later { here, again, backoff_ends } => {
                 let wait = Duration::from_secs_f64((here.expected_ms + look.queued_ms()) / 1_000.0);
                 let worthwhile = item.arrived + item.route.objective * WORTHWHILE_FACTOR;
                 if now + wait >= item.ends.min(worthwhile) {
-                    let (reason, wait) = match rest_ends {
-                        Some(end) => (RefusalReason::Resting, end.since(now)),
+                    let (reason, wait) = match backoff_ends {
+                        Some(end) => (RefusalReason::Backoff, end.since(now)),
                         None => (RefusalReason::TooLate, wait.min(LONGEST_RETRY)),
                     };
                     return Some(self.refuse(reason, waiting, wait, now));
@@ -110,7 +110,7 @@
             serving: serving().count(),
             suspect: serving().filter(|b| b.health.is_suspect(now)).count(),
             cold: serving().filter(|b| self.is_cold(b, now)).count(),
-            resting: serving().filter(|b| b.stated.rest.until(now).is_some()).count(),
+            backed_off: serving().filter(|b| b.stated.backoff.until(now).is_some()).count(),
             regions: offers().count(),
             paused: offers().filter(|r| self.regions.is_paused(r, now)).count(),
             waiting: self.waiting.len(),
--- a/crates/dispatch/src/scheduler/look.rs
+++ b/crates/dispatch/src/scheduler/look.rs
@@ -20,8 +20,8 @@
     pub(crate) wait_ms: f64,
     /// When to look again.
     pub(crate) again: MonotonicTime,
-    /// The first end of a rest, where all of them have asked this gateway for one.
-    pub(crate) rest_ends: Option<MonotonicTime>,
+    /// The first end of a back-off, where this gateway backs off from all of them.
+    pub(crate) backoff_ends: Option<MonotonicTime>,
 }
 
 /// A service, as far as one look at the queue has come.
--- a/crates/dispatch/src/scheduler/placing.rs
+++ b/crates/dispatch/src/scheduler/placing.rs
@@ -68,13 +68,13 @@
 /// rejects is idle and would draw work that others have room for.
 const REJECTION_COST_MS: f64 = 3_000.0;
 
-/// What a backend server that asked another gateway for rest costs in the choice, milliseconds: it
+/// What a backend server from which another gateway backs off costs in the choice, milliseconds: it
 /// gets work where nobody else has room.
-const TOLD_REST_COST_MS: f64 = 1_000.0;
+const PEER_BACKOFF_COST_MS: f64 = 1_000.0;
 
-/// After a rest work is taken up again gradually: who waits for its end waits for so much longer,
-/// milliseconds.
-const RETURN_MS: f64 = 300.0;
+/// A request that waits for the end of a back-off waits for so much longer, milliseconds: gateways
+/// resume gradually.
+const RESUME_MS: f64 = 300.0;
 
 /// What is expected where backend servers are cold and may not be sent to, milliseconds.
 const COLD_WAIT_MS: f64 = 300.0;
@@ -90,8 +90,8 @@
     Later {
         here: HereTimes,
         again: MonotonicTime,
-        /// The first end of a rest, where all that may take it have asked for one.
-        rest_ends: Option<MonotonicTime>,
+        /// The first end of a back-off, where this gateway backs off from all that may take it.
+        backoff_ends: Option<MonotonicTime>,
     },
     Suspects {
         again: MonotonicTime,
@@ -160,16 +160,16 @@
         now: MonotonicTime,
     ) -> Local {
         let sound: Vec<&Backend> = sound.collect();
-        let is_awake = |backend: &&Backend| backend.stated.rest.until(now).is_none();
-        let awake: Vec<&Backend> = sound.iter().copied().filter(is_awake).collect();
-        let shared = self.shared_parts(item, &awake);
+        let is_open = |backend: &&Backend| backend.stated.backoff.until(now).is_none();
+        let open: Vec<&Backend> = sound.iter().copied().filter(is_open).collect();
+        let shared = self.shared_parts(item, &open);
         let objectives = self.objectives.get(&item.service).copied().unwrap_or_default();
         let mut best: Option<(Candidate, &BackendName)> = None;
         let mut wait_ms = f64::MAX;
         let mut bound_ms = f64::MAX;
         let mut again = now + LOOK_INTERVAL;
-        let rests = sound.iter().filter_map(|backend| backend.stated.rest.until(now));
-        let rest_ends = rests.min().filter(|_| awake.is_empty());
+        let ends = sound.iter().filter_map(|backend| backend.stated.backoff.until(now));
+        let backoff_ends = ends.min().filter(|_| open.is_empty());
         for backend in sound {
             if let Some(SendHold { until, wait_ms }) = self.send_hold(backend, now) {
                 again = again.min(until);
@@ -190,7 +190,7 @@
             None => {
                 let wait_ms = if wait_ms == f64::MAX { bound_ms } else { wait_ms };
                 let wait_ms = wait_ms + LOOK_INTERVAL.as_secs_f64() * 1_000.0;
-                let full = FullLook { wait_ms, again, rest_ends };
+                let full = FullLook { wait_ms, again, backoff_ends };
                 look.note_full(item, full);
                 later(full, look, item)
             }
@@ -250,17 +250,17 @@
         let holds = [
             self.cold_wait(backend, now).map(|until| SendHold { until, wait_ms: COLD_WAIT_MS }),
             self.limit_wait(backend, now).map(|until| hold(until, 0.0)),
-            self.rest_wait(backend, now).map(|until| hold(until, RETURN_MS)),
+            self.backoff_wait(backend, now).map(|until| hold(until, RESUME_MS)),
         ];
         holds.into_iter().flatten().max_by_key(|hold| hold.until)
     }
 
-    fn rest_wait(&self, backend: &Backend, now: MonotonicTime) -> Option<MonotonicTime> {
-        let rest = &backend.stated.rest;
-        if !rest.is_open() {
+    fn backoff_wait(&self, backend: &Backend, now: MonotonicTime) -> Option<MonotonicTime> {
+        let backoff = &backend.stated.backoff;
+        if !backoff.is_in_force() {
             return None;
         }
-        rest.wait(self.gateways.place(&backend.facts.name, now), now)
+        backoff.wait(self.gateways.place(&backend.facts.name, now), now)
     }
 
     fn cold_wait(&self, backend: &Backend, now: MonotonicTime) -> Option<MonotonicTime> {
@@ -380,9 +380,10 @@
         false => LOSS_COST_MS,
     };
     let rejected_ms = REJECTION_COST_MS * backend.health.rejection_rate(now);
-    let told_rest_ms = if backend.stated.rest.is_told(now) { TOLD_REST_COST_MS } else { 0.0 };
+    let peer_backoff_ms =
+        if backend.stated.backoff.is_peer_backing_off(now) { PEER_BACKOFF_COST_MS } else { 0.0 };
     let cost_ms = expected_ms
-        + told_rest_ms
+        + peer_backoff_ms
         + rejected_ms
         + READ_WEIGHT * read_tokens.map_or(0.0, |tokens| backend.load.read_ms(tokens))
         + CROWD_COST_MS * fullness(backend, now)
@@ -405,7 +406,7 @@
 
 /// What is known where all backend servers are full.
 fn later(full: FullLook, look: &ServiceLook, item: &WorkItem) -> Local {
-    let FullLook { wait_ms, again, rest_ends } = full;
+    let FullLook { wait_ms, again, backoff_ends } = full;
     let here = HereTimes {
         priority: item.priority(),
         expected_ms: wait_ms + look.own_ms(item),
@@ -413,7 +414,7 @@
         strain_ms: STRAIN_MS,
         away_own_ms: look.whole_ms(item),
     };
-    Local::Later { here, again, rest_ends }
+    Local::Later { here, again, backoff_ends }
 }
 
 /// What the requests that are at a backend server cost one more, beside the work ahead of it.
--- a/crates/dispatch/src/statement.rs
+++ b/crates/dispatch/src/statement.rs
@@ -1,14 +1,16 @@
 //! What a backend server states of itself with the head of an answer, and what is kept of it.
 
 use {
-    crate::{BackendReport, StatedLimit, StatedRest, limit::LimitRecord, rest::RestRecord},
+    crate::{
+        BackendReport, StatedBackoff, StatedLimit, backoff::BackoffRecord, limit::LimitRecord,
+    },
     gullglade_units::{BackendRun, MonotonicTime},
     std::{collections::BTreeMap, time::Duration},
 };
 
-/// The statements of a run that is announced no more are remembered for this long: announcements
-/// may fail to arrive for a while, and what it stated binds all the same.
-const REMEMBERED: Duration = Duration::from_secs(600);
+/// How long the statements of a run are retained that is announced no more: announcements may fail
+/// to arrive for a while, and what it stated binds all the same.
+const RETENTION: Duration = Duration::from_secs(600);
 
 /// The statements of one answer. Each was checked when it was read.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -21,7 +23,7 @@
     /// The requests a second that it takes from all gateways together.
     pub limit: Option<StatedLimit>,
     /// It wants nothing from this gateway for so long.
-    pub rest: Option<StatedRest>,
+    pub backoff: Option<StatedBackoff>,
     /// It leaves: it finishes what it has, and wants nothing new.
     pub is_leaving: bool,
 }
@@ -31,8 +33,8 @@
 pub enum StatementChange {
     /// It states another limit, or none any more.
     Limit(Option<StatedLimit>),
-    /// It asks for rest, or for a longer one.
-    Rest(StatedRest),
+    /// It requests a back-off, or a longer one.
+    Backoff(StatedBackoff),
     /// It leaves.
     Leaving,
 }
@@ -42,7 +44,7 @@
     pub fn ends_sends(self) -> bool {
         match self {
             Self::Limit(_) => false,
-            Self::Rest(_) | Self::Leaving => true,
+            Self::Backoff(_) | Self::Leaving => true,
         }
     }
 }
@@ -51,7 +53,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StatementRecord {
     pub(crate) limit: LimitRecord,
-    pub(crate) rest: RestRecord,
+    pub(crate) backoff: BackoffRecord,
     /// A run that leaves does not come back, whatever is said of it later.
     pub(crate) is_leaving: bool,
 }
@@ -64,12 +66,12 @@
         came: MonotonicTime,
     ) -> Vec<StatementChange> {
         let mut changes = Vec::new();
-        let BackendStatements { is_signed, load: _, limit, rest, is_leaving } = *statements;
+        let BackendStatements { is_signed, load: _, limit, backoff, is_leaving } = *statements;
         if (is_signed || limit.is_some()) && self.limit.note(limit, came) {
             changes.push(StatementChange::Limit(limit));
         }
-        if let Some(rest) = rest.filter(|rest| self.rest.note(*rest, came)) {
-            changes.push(StatementChange::Rest(rest));
+        if let Some(backoff) = backoff.filter(|backoff| self.backoff.note(*backoff, came)) {
+            changes.push(StatementChange::Backoff(backoff));
         }
         if is_leaving && !std::mem::replace(&mut self.is_leaving, true) {
             changes.push(StatementChange::Leaving);
@@ -80,12 +82,12 @@
 
 /// What runs have stated that are not announced at the moment.
 #[derive(Debug, Default)]
-pub(crate) struct PartedStatements {
+pub(crate) struct RetainedStatements {
     records: BTreeMap<BackendRun, (StatementRecord, MonotonicTime)>,
 }
 
-impl PartedStatements {
-    /// Remembers what a run has stated that is announced no more.
+impl RetainedStatements {
+    /// Retains what a run has stated that is announced no more.
     pub(crate) fn keep(&mut self, run: BackendRun, stated: StatementRecord, now: MonotonicTime) {
         self.records.insert(run, (stated, now));
     }
@@ -102,7 +104,7 @@
         stated.note(statements, came)
     }
 
-    /// Takes another gateway's word that such a run leaves.
+    /// Notes that such a run leaves, as another gateway told.
     pub(crate) fn note_leaving(&mut self, run: BackendRun, now: MonotonicTime) {
         let (stated, since) = self.records.entry(run).or_default();
         (stated.is_leaving, *since) = (true, now);
@@ -113,8 +115,8 @@
         self.records.remove(run).map(|(stated, _)| stated).unwrap_or_default()
     }
 
-    /// Forgets what is over.
-    pub(crate) fn forget_old(&mut self, now: MonotonicTime) {
-        self.records.retain(|_, (_, since)| now.since(*since) < REMEMBERED);
+    /// Drops what has been retained for long enough.
+    pub(crate) fn drop_old(&mut self, now: MonotonicTime) {
+        self.records.retain(|_, (_, since)| now.since(*since) < RETENTION);
     }
 }
--- a/crates/dispatch/src/verdict.rs
+++ b/crates/dispatch/src/verdict.rs
@@ -70,8 +70,8 @@
     pub suspect: usize,
     /// Of those that serve, those that are cold.
     pub cold: usize,
-    /// Of those that serve, those that asked this gateway for rest.
-    pub resting: usize,
+    /// Of those that serve, those from which this gateway backs off.
+    pub backed_off: usize,
     /// Other regions that offer the service and may serve the request.
     pub regions: usize,
     /// Of these, those to which the path is broken or that turned work away.
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -98,8 +98,8 @@
     AllSuspect,
     /// It would not be answered before its caller stops waiting.
     TooLate,
-    /// All that may take it have asked this gateway for rest for longer than it can wait.
-    Resting,
+    /// This gateway backs off from all that may take it, for longer than it can wait.
+    Backoff,
 }
 
 impl fmt::Display for RefusalReason {
@@ -108,7 +108,7 @@
             Self::NoBackend => "no_backend",
             Self::AllSuspect => "all_suspect",
             Self::TooLate => "too_late",
-            Self::Resting => "resting",
+            Self::Backoff => "backoff",
         })
     }
 }
--- a/crates/dispatch/tests/rest.rs
+++ b/crates/dispatch/tests/backoff.rs
@@ -1,53 +1,53 @@
-//! The rest that backend servers ask gateways for.
+//! Back-off that backend servers request with their rejections.
 
 mod support;
 
 use {
     gullglade_units::{RandomSource, SeededRandom},
     std::ops::Range,
-    support::rest_play::{RestOutcome, RestPhase, RestPlay, RestScenario},
+    support::backoff_play::{BackoffOutcome, BackoffPlay, BackoffScenario, RejectPhase},
 };
 
-/// The rule: no more than these requests from one gateway in a rest that it was asked for.
+/// The rule: no more than these requests from one gateway in a back-off that was requested of it.
 const ALLOWED: usize = 2;
 
 /// What this project promises: none that was placed after the rejection was read.
 const PROMISED: usize = 0;
 
-fn play(scenario: &RestScenario, seed: u64) -> RestOutcome {
-    RestPlay::new(scenario, seed).play()
+fn play(scenario: &BackoffScenario, seed: u64) -> BackoffOutcome {
+    BackoffPlay::new(scenario, seed).play()
 }
 
-fn phase(engine: usize, during: Range<u64>, rest_ms: u64) -> RestPhase {
-    RestPhase { engine, during, rest_ms: Some(rest_ms) }
+fn phase(engine: usize, during: Range<u64>, backoff_ms: u64) -> RejectPhase {
+    RejectPhase { engine, during, backoff_ms: Some(backoff_ms) }
 }
 
-/// Engines that asked a gateway for rest were sent more requests by it than before, as one that
-/// rejects at once looks idle.
+/// Engines that requested a back-off of a gateway were sent more requests by it than before, as one
+/// that rejects at once looks idle.
 #[test]
-fn a_backend_server_gets_nothing_in_the_rest_that_it_asked_for() {
+fn a_backend_server_gets_nothing_in_the_backoff_that_it_requested() {
     struct Case {
         what: &'static str,
-        scenario: RestScenario,
+        scenario: BackoffScenario,
     }
-    let small = RestScenario::small;
-    let many = |gateways, per_second| RestScenario { gateways, per_second, ..small() };
+    let small = BackoffScenario::small;
+    let many = |gateways, per_second| BackoffScenario { gateways, per_second, ..small() };
     let series = vec![phase(0, 3_000..5_000, 1_000), phase(1, 6_000..9_000, 2_000)];
     let overlapping = vec![phase(0, 3_000..8_000, 4_000), phase(1, 5_000..9_000, 700)];
     let all = (0..4).map(|engine| phase(engine, 4_000..8_000, 2_000)).collect();
     let cases = [
         Case { what: "two of four", scenario: small() },
         Case { what: "one gateway", scenario: many(1, 30.0) },
-        Case { what: "in series", scenario: RestScenario { phases: series, ..small() } },
-        Case { what: "overlapping", scenario: RestScenario { phases: overlapping, ..small() } },
-        Case { what: "all of them", scenario: RestScenario { phases: all, ..small() } },
+        Case { what: "in series", scenario: BackoffScenario { phases: series, ..small() } },
+        Case { what: "overlapping", scenario: BackoffScenario { phases: overlapping, ..small() } },
+        Case { what: "all of them", scenario: BackoffScenario { phases: all, ..small() } },
         Case { what: "many gateways", scenario: many(60, 2.0) },
         Case { what: "very many gateways", scenario: many(300, 0.4) },
     ];
     let mut broken = Vec::new();
     for Case { what, scenario } in cases {
         for seed in 0..3 {
-            let most = play(&scenario, seed).most_in_rest;
+            let most = play(&scenario, seed).most_in_backoff;
             if most > PROMISED {
                 broken.push(format!("{what}, seed {seed}: {most}, {ALLOWED} allowed"));
             }
@@ -62,19 +62,19 @@
     start..start + 500 + random.below(400) * 5
 }
 
-fn any_scenario(seed: u64) -> RestScenario {
+fn any_scenario(seed: u64) -> BackoffScenario {
     const LENGTH_MS: u64 = 8_000;
     let random = SeededRandom::new(seed);
     let (gateways, engines) = (1 + random.below(4) as usize, 1 + random.below(4) as usize);
     let any_engine = |_| random.below(engines as u64) as usize;
     let phases = (0..1 + random.below(5)).map(|index| {
-        let rest_ms = (random.below(5) > 0).then(|| 300 + random.below(3_500));
-        RestPhase { engine: any_engine(index), during: some_time(&random, LENGTH_MS), rest_ms }
+        let backoff_ms = (random.below(5) > 0).then(|| 300 + random.below(3_500));
+        RejectPhase { engine: any_engine(index), during: some_time(&random, LENGTH_MS), backoff_ms }
     });
     let restarts = (0..random.below(3))
         .map(|_| (random.below(gateways as u64) as usize, some_time(&random, LENGTH_MS).start));
     let lost = (0..random.below(3)).map(|i| (any_engine(i), some_time(&random, LENGTH_MS)));
-    RestScenario {
+    BackoffScenario {
         gateways,
         engines,
         per_second: 2.0 + random.unit() * 30.0,
@@ -89,12 +89,12 @@
     }
 }
 
-/// Rest was forgotten after a lost announcement, a restart of another gateway or a second rejection.
+/// A back-off was forgotten after a lost announcement, a restart of another gateway or a second rejection.
 #[test]
-fn rest_is_given_in_any_order_of_faults() {
+fn backoff_is_kept_in_any_order_of_faults() {
     const PLAYS: u64 = 300;
-    let plays = std::env::var("GULLGLADE_REST_PLAYS").ok().and_then(|text| text.parse().ok());
-    let most = |seed: &u64| play(&any_scenario(*seed), *seed).most_in_rest;
+    let plays = std::env::var("GULLGLADE_BACKOFF_PLAYS").ok().and_then(|text| text.parse().ok());
+    let most = |seed: &u64| play(&any_scenario(*seed), *seed).most_in_backoff;
     let broken: Vec<u64> =
         (0..plays.unwrap_or(PLAYS)).filter(|seed| most(seed) > PROMISED).collect();
     assert!(broken.is_empty(), "seeds {broken:?}");
--- a/crates/dispatch/tests/departure.rs
+++ b/crates/dispatch/tests/departure.rs
@@ -11,7 +11,7 @@
 };
 
 const LEAVING: BackendStatements =
-    BackendStatements { is_signed: true, load: None, limit: None, rest: None, is_leaving: true };
+    BackendStatements { is_signed: true, load: None, limit: None, backoff: None, is_leaving: true };
 
 /// Places a request; where it goes.
 fn place(run: &mut Scheduler, ms: u64) -> Option<(TicketId, BackendName)> {
--- a/crates/dispatch/tests/support/rest_play.rs
+++ b/crates/dispatch/tests/support/backoff_play.rs
@@ -1,9 +1,9 @@
-//! Gateways of one region before engines that turn work away and ask for rest.
+//! Gateways of one region before engines that reject work and request a back-off.
 
 use {
     super::{at, backend_index, count_within, facts, item, most_within, prompt, route, scheduler},
     gullglade_dispatch::{
-        BackendHint, BackendStatements, Scheduler, StatedRest, TicketId, Verdict, WorkItem,
+        BackendHint, BackendStatements, Scheduler, StatedBackoff, TicketId, Verdict, WorkItem,
         WorkOutcome,
     },
     gullglade_traffic::TrafficRoute,
@@ -15,7 +15,7 @@
 const SLOTS: usize = 32;
 /// The most gateways that one tells its news to.
 const AUDIENCE: usize = 40;
-/// Sends that were on their way when the rest was asked for are not counted.
+/// Sends that were on their way when the back-off was requested are not counted.
 const ON_THE_WAY_MS: u64 = 500;
 /// The most sends of one request.
 const MOST_SENDS: u32 = 4;
@@ -24,15 +24,15 @@
 
 /// A time in which an engine turns everything away.
 #[derive(Clone, Debug)]
-pub(crate) struct RestPhase {
+pub(crate) struct RejectPhase {
     pub(crate) engine: usize,
     pub(crate) during: Range<u64>,
     /// What it asks for with each rejection, if it does.
-    pub(crate) rest_ms: Option<u64>,
+    pub(crate) backoff_ms: Option<u64>,
 }
 
 #[derive(Clone, Debug)]
-pub(crate) struct RestScenario {
+pub(crate) struct BackoffScenario {
     pub(crate) gateways: usize,
     pub(crate) engines: usize,
     /// Requests a second at each gateway.
@@ -41,7 +41,7 @@
     pub(crate) timeout_ms: u64,
     /// How long an engine works on one.
     pub(crate) work_ms: u64,
-    pub(crate) phases: Vec<RestPhase>,
+    pub(crate) phases: Vec<RejectPhase>,
     pub(crate) length_ms: u64,
     /// The longest way to an engine.
     pub(crate) link_ms: u64,
@@ -53,10 +53,10 @@
     pub(crate) unannounced: Vec<(usize, Range<u64>)>,
 }
 
-impl RestScenario {
-    /// Three gateways and four engines of which two ask for three seconds of rest, for six.
+impl BackoffScenario {
+    /// Three gateways and four engines of which two request a back-off of three seconds, for six.
     pub(crate) fn small() -> Self {
-        let phase = |engine| RestPhase { engine, during: 4_000..10_000, rest_ms: Some(3_000) };
+        let phase = |engine| RejectPhase { engine, during: 4_000..10_000, backoff_ms: Some(3_000) };
         Self {
             gateways: 3,
             engines: 4,
@@ -75,10 +75,10 @@
 
 /// What came of it.
 #[derive(Debug, Default)]
-pub(crate) struct RestOutcome {
-    /// The most requests from one gateway to one engine in a rest that the engine had asked it
-    /// for, but for those on their way.
-    pub(crate) most_in_rest: usize,
+pub(crate) struct BackoffOutcome {
+    /// The most requests from one gateway to one engine in a back-off that the engine had
+    /// requested of it, but for those on their way.
+    pub(crate) most_in_backoff: usize,
     pub(crate) asked: usize,
     pub(crate) served: usize,
     pub(crate) rejections: usize,
@@ -107,8 +107,8 @@
     Answer(BackendStatements, WorkOutcome),
 }
 
-/// A rest that an engine asked a gateway for.
-struct Debt {
+/// A back-off that an engine requested of a gateway.
+struct RequestedBackoff {
     gateway: usize,
     engine: usize,
     during: Range<u64>,
@@ -120,8 +120,8 @@
     work: WorkItem,
 }
 
-pub(crate) struct RestPlay<'a> {
-    scenario: &'a RestScenario,
+pub(crate) struct BackoffPlay<'a> {
+    scenario: &'a BackoffScenario,
     random: SeededRandom,
     route: Rc<TrafficRoute>,
     gateways: Vec<Scheduler>,
@@ -132,14 +132,14 @@
     running: Vec<usize>,
     hints: Vec<(u64, usize, Vec<BackendHint>)>,
     arrivals: Vec<(u64, usize, usize)>,
-    debts: Vec<Debt>,
-    outcome: RestOutcome,
+    requested: Vec<RequestedBackoff>,
+    outcome: BackoffOutcome,
     now_ms: u64,
 }
 
-impl<'a> RestPlay<'a> {
-    pub(crate) fn new(scenario: &'a RestScenario, seed: u64) -> Self {
-        let RestScenario { gateways: count, engines, timeout_ms, .. } = *scenario;
+impl<'a> BackoffPlay<'a> {
+    pub(crate) fn new(scenario: &'a BackoffScenario, seed: u64) -> Self {
+        let BackoffScenario { gateways: count, engines, timeout_ms, .. } = *scenario;
         Self {
             scenario,
             random: SeededRandom::new(seed),
@@ -151,13 +151,13 @@
             running: vec![0; engines],
             hints: Vec::new(),
             arrivals: Vec::new(),
-            debts: Vec::new(),
-            outcome: RestOutcome::default(),
+            requested: Vec::new(),
+            outcome: BackoffOutcome::default(),
             now_ms: 0,
         }
     }
 
-    pub(crate) fn play(mut self) -> RestOutcome {
+    pub(crate) fn play(mut self) -> BackoffOutcome {
         while self.now_ms < self.scenario.length_ms {
             self.restart_gateways();
             self.announce();
@@ -172,7 +172,7 @@
         self.finish()
     }
 
-    fn phase(&self, engine: usize) -> Option<&RestPhase> {
+    fn phase(&self, engine: usize) -> Option<&RejectPhase> {
         let mut phases = self.scenario.phases.iter();
         phases.find(|phase| phase.engine == engine && phase.during.contains(&self.now_ms))
     }
@@ -181,14 +181,14 @@
         (0..self.scenario.engines).all(|engine| self.phase(engine).is_some())
     }
 
-    /// A gateway that starts again knows nothing, and owes nothing.
+    /// A gateway that starts again knows nothing, and nothing was requested of it.
     fn restart_gateways(&mut self) {
-        let RestScenario { gateways: count, engines, .. } = *self.scenario;
+        let BackoffScenario { gateways: count, engines, .. } = *self.scenario;
         for (index, _) in self.scenario.restarts.iter().filter(|(_, ms)| *ms == self.now_ms) {
             self.gateways[*index] = scheduler(*index, count, engines, 0.0);
             self.runs[*index] += 1;
             self.callers.retain(|(gateway, _), _| gateway != index);
-            self.debts.retain(|debt| debt.gateway != *index);
+            self.requested.retain(|backoff| backoff.gateway != *index);
         }
     }
 
@@ -288,14 +288,14 @@
         self.arrivals.push((self.now_ms, gateway, engine));
         let phase = self.phase(engine).cloned();
         let (stated, outcome, work_ms) = match phase {
-            Some(RestPhase { rest_ms, .. }) => {
-                let rest = rest_ms.map(|ms| StatedRest::try_from(ms as f64 / 1_000.0));
-                let rest = rest.map(|rest| rest.expect("a time"));
-                if let Some(rest_ms) = rest_ms.filter(|_| run == self.runs[gateway]) {
-                    let during = self.now_ms + ON_THE_WAY_MS..self.now_ms + rest_ms;
-                    self.debts.push(Debt { gateway, engine, during });
+            Some(RejectPhase { backoff_ms, .. }) => {
+                let backoff = backoff_ms.map(|ms| StatedBackoff::try_from(ms as f64 / 1_000.0));
+                let backoff = backoff.map(|backoff| backoff.expect("a time"));
+                if let Some(backoff_ms) = backoff_ms.filter(|_| run == self.runs[gateway]) {
+                    let during = self.now_ms + ON_THE_WAY_MS..self.now_ms + backoff_ms;
+                    self.requested.push(RequestedBackoff { gateway, engine, during });
                 }
-                let stated = BackendStatements { rest, ..BackendStatements::default() };
+                let stated = BackendStatements { backoff, ..BackendStatements::default() };
                 (stated, WorkOutcome::Shed, 0)
             }
             None if self.running[engine] >= SLOTS => {
@@ -359,14 +359,15 @@
         }
     }
 
-    fn finish(mut self) -> RestOutcome {
-        let in_rest = |debt: &Debt| {
+    fn finish(mut self) -> BackoffOutcome {
+        let in_backoff = |backoff: &RequestedBackoff| {
             let arrivals = self.arrivals.iter();
-            let own = arrivals.filter(|(_, g, e)| (*g, *e) == (debt.gateway, debt.engine));
-            own.filter(|(ms, ..)| debt.during.contains(ms)).count()
+            let own = arrivals.filter(|(_, g, e)| (*g, *e) == (backoff.gateway, backoff.engine));
+            own.filter(|(ms, ..)| backoff.during.contains(ms)).count()
         };
-        self.outcome.most_in_rest = self.debts.iter().map(in_rest).max().unwrap_or_default();
-        for RestPhase { engine, during, .. } in &self.scenario.phases {
+        self.outcome.most_in_backoff =
+            self.requested.iter().map(in_backoff).max().unwrap_or_default();
+        for RejectPhase { engine, during, .. } in &self.scenario.phases {
             let there = self.arrivals.iter().filter(|(_, _, e)| e == engine);
             let times: Vec<u64> = there.map(|(ms, ..)| *ms).collect();
             let end = during.end;
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -3,13 +3,13 @@
 
 #![allow(dead_code)] // Each test program uses a part of it.
 
+pub(crate) mod backoff_play;
 pub(crate) mod cold_play;
 pub(crate) mod deployment;
 pub(crate) mod engine;
 pub(crate) mod limit_play;
 mod play;
 pub(crate) mod repeat_play;
-pub(crate) mod rest_play;
 
 use {
     gullglade_dispatch::{
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -96,7 +96,7 @@
         let event = event.optional("workspace", workspace);
         let event = event.field("known", facts.known).field("serving", facts.serving);
         let event = event.field("suspect", facts.suspect).field("cold", facts.cold);
-        let event = event.field("resting", facts.resting);
+        let event = event.field("backed_off", facts.backed_off);
         let event = event.field("regions", facts.regions).field("paused", facts.paused);
         let event = event.field("waiting", facts.waiting).optional("version", self.version);
         self.events.emit(event.millis("retry_after_ms", wait));
--- a/crates/proxy/src/send_watch.rs
+++ b/crates/proxy/src/send_watch.rs
@@ -32,7 +32,9 @@
                 event("backend.limited").field("per_second", limit)
             }
             StatementChange::Limit(None) => event("backend.unlimited"),
-            StatementChange::Rest(rest) => event("backend.rest_asked").field("rest_ms", rest),
+            StatementChange::Backoff(backoff) => {
+                event("backend.backoff_requested").field("backoff_ms", backoff)
+            }
             StatementChange::Leaving => event("backend.states_leaving"),
         });
     }
--- a/crates/proxy/tests/rest.rs
+++ b/crates/proxy/tests/backoff.rs
@@ -1,4 +1,4 @@
-//! Rest that backend servers ask for with their rejections.
+//! Back-off that backend servers request with their rejections.
 
 mod support;
 
@@ -12,14 +12,14 @@
 /// A rejection with a time to wait was like one without: the next requests went there again.
 #[test]
 fn a_rejection_with_a_time_to_wait_keeps_requests_away_until_it_is_over() {
-    const REST: Duration = Duration::from_secs(3);
+    const BACKOFF: Duration = Duration::from_secs(3);
     const PAUSE: Duration = Duration::from_millis(100);
     const ROUNDS: usize = 60;
     // More than one of the two backend servers has places for.
     const TOGETHER: usize = 24;
     let bed = TestBed::new(&BedSettings::of(RequestKind::Idempotent));
     let full = Script::signed(503, &[]).header("not-run", "1");
-    bed.script(0, &[Deed::Answer(full.header("rest", "3"))]);
+    bed.script(0, &[Deed::Answer(full.header("backoff", "3"))]);
     bed.script(0, &vec![Deed::Answer(Script::signed(200, &["yes"])); ROUNDS * TOGETHER + 1]);
     assert_eq!(bed.serve(bed.call()).status, 200);
     for _ in 0..ROUNDS {
@@ -29,23 +29,23 @@
         bed.world.run_for(PAUSE);
     }
     let lines = bed.events.lines();
-    let told = lines.iter().filter(|line| line.starts_with("backend.rest_asked ")).count();
+    let told = lines.iter().filter(|line| line.starts_with("backend.backoff_requested ")).count();
     assert_eq!(told, 1);
     let arrivals = bed.backends(0).arrivals.borrow();
-    let (resting, began) = (arrivals[0].address, arrivals[0].at);
-    let there = arrivals.iter().skip(1).filter(|arrival| arrival.address == resting);
+    let (rejecting, began) = (arrivals[0].address, arrivals[0].at);
+    let there = arrivals.iter().skip(1).filter(|arrival| arrival.address == rejecting);
     let after: Vec<Duration> = there.map(|arrival| arrival.at.since(began)).collect();
-    let first = after.first().expect("work again after its rest");
-    assert!(*first >= REST, "sent there after {first:?}");
-    assert!(*first < REST + Duration::from_secs(1), "work again soon: {first:?}");
+    let first = after.first().expect("work again after the back-off");
+    assert!(*first >= BACKOFF, "sent there after {first:?}");
+    assert!(*first < BACKOFF + Duration::from_secs(1), "work again soon: {first:?}");
 }
 
 /// Requests that were placed before the rejection and still waited for a connection went there.
 #[test]
-fn what_waits_for_a_connection_to_a_resting_backend_server_goes_elsewhere() {
+fn what_waits_for_a_connection_during_a_backoff_goes_elsewhere() {
     const TOGETHER: usize = 12;
     let bed = TestBed::new(&BedSettings::of(RequestKind::AtMostOnce));
-    let full = Script::signed(503, &[]).header("not-run", "1").header("rest", "3");
+    let full = Script::signed(503, &[]).header("not-run", "1").header("backoff", "3");
     let good = Script::signed(200, &["yes"]);
     bed.script(0, &[Deed::Answer(full)]);
     let slow = Deed::Accept(Duration::from_millis(800), good.clone());
@@ -57,8 +57,8 @@
     let lines = bed.events.lines();
     assert!(lines.iter().any(|line| line.contains("reason=revoked")), "some waited there");
     let arrivals = bed.backends(0).arrivals.borrow();
-    let resting = arrivals[0].address;
-    let there = arrivals.iter().filter(|arrival| arrival.address == resting).count();
+    let rejecting = arrivals[0].address;
+    let there = arrivals.iter().filter(|arrival| arrival.address == rejecting).count();
     assert_eq!(there, 1, "nothing after the rejection");
 }
 
@@ -82,10 +82,10 @@
 
 /// Callers waited until their time was over for backend servers that had said when they come back.
 #[test]
-fn where_all_rest_a_caller_is_told_at_once_when_to_come_back() {
-    const REST_S: f64 = 30.0;
+fn where_all_request_a_backoff_a_caller_is_told_at_once_when_to_come_back() {
+    const BACKOFF_S: f64 = 30.0;
     let bed = TestBed::new(&BedSettings::of(RequestKind::AtMostOnce));
-    let full = Script::signed(503, &[]).header("not-run", "1").header("rest", "30");
+    let full = Script::signed(503, &[]).header("not-run", "1").header("backoff", "30");
     bed.script(0, &vec![Deed::Answer(full); 2]);
     let begun = bed.clock().now();
     for _ in 0..2 {
@@ -93,11 +93,11 @@
         assert_eq!(served.status, 503);
         let wait = served.headers.get("retry-after").and_then(|v| v.to_str().ok());
         let wait: f64 = wait.and_then(|text| text.parse().ok()).expect("seconds");
-        assert!((REST_S - 1.0..REST_S + 1.0).contains(&wait), "{wait} s");
+        assert!((BACKOFF_S - 1.0..BACKOFF_S + 1.0).contains(&wait), "{wait} s");
     }
     let took = bed.clock().now().since(begun);
     assert!(took < Duration::from_millis(100), "told after {took:?}");
     assert_eq!(bed.backends(0).arrivals.borrow().len(), 2, "one for each");
     let lines = bed.events.lines();
-    assert!(lines.iter().any(|line| line.contains("reason=resting")), "{lines:?}");
+    assert!(lines.iter().any(|line| line.contains("reason=backoff")), "{lines:?}");
 }
--- a/crates/proxy/tests/support/servers.rs
+++ b/crates/proxy/tests/support/servers.rs
@@ -230,7 +230,7 @@
             stated: BackendStatements {
                 is_signed: text("signed").is_some(),
                 limit: text("limit").and_then(|text| text.parse::<f64>().ok()?.try_into().ok()),
-                rest: text("rest").and_then(|text| text.parse::<f64>().ok()?.try_into().ok()),
+                backoff: text("backoff").and_then(|text| text.parse::<f64>().ok()?.try_into().ok()),
                 is_leaving: text("leaving").is_some(),
                 ..BackendStatements::default()
             },
@@ -239,7 +239,7 @@
 
     fn reads(&self, name: &HeaderName) -> bool {
         const READ: [&str; 8] =
-            ["not-run", "other-run", "id", "signed", "limit", "rest", "leaving", "own"];
+            ["not-run", "other-run", "id", "signed", "limit", "backoff", "leaving", "own"];
         READ.contains(&name.as_str())
     }
 
