Back-off: suspects are tried before the end of a long back-off

Callers were turned away until the end of a back-off (30 s in the test) where the other backend servers of the service had failed a moment before and were to be tried again within half a second. Cause: those from which the gateway backs off counted as sound, so suspects were not waited for. Inert where no back-off is in force.

--- a/crates/dispatch/src/scheduler/placing.rs
+++ b/crates/dispatch/src/scheduler/placing.rs
@@ -141,25 +141,24 @@
         }
         // The silent ones serve only where nobody else is left.
         let is_any_heard = pool.iter().any(|b| !b.facts.is_silent);
-        let mut sound = pool
-            .into_iter()
-            .filter(|b| !b.facts.is_silent || !is_any_heard)
-            .filter(|b| !b.health.is_suspect(now) && !b.load.is_stalled(now))
-            .peekable();
-        if sound.peek().is_none() {
+        let heard = pool.into_iter().filter(|b| !b.facts.is_silent || !is_any_heard);
+        let (suspect, sound): (Vec<&Backend>, Vec<&Backend>) =
+            heard.partition(|b| b.health.is_suspect(now) || b.load.is_stalled(now));
+        // A suspect is tried again sooner than a back-off usually ends.
+        let is_any_open = sound.iter().any(|b| b.stated.backoff.until(now).is_none());
+        if !is_any_open && !suspect.is_empty() {
             return Local::Suspects { again: now + SUSPECT_LOOK };
         }
         self.choose(item, look, sound, now)
     }
 
-    fn choose<'a>(
+    fn choose(
         &self,
         item: &WorkItem,
         look: &mut ServiceLook,
-        sound: impl Iterator<Item = &'a Backend>,
+        sound: Vec<&Backend>,
         now: MonotonicTime,
     ) -> Local {
-        let sound: Vec<&Backend> = sound.collect();
         let is_open = |backend: &&Backend| backend.stated.backoff.until(now).is_none();
         let open: Vec<&Backend> = sound.iter().copied().filter(is_open).collect();
         let shared = self.shared_parts(item, &open);
--- a/crates/dispatch/tests/backoff.rs
+++ b/crates/dispatch/tests/backoff.rs
@@ -3,9 +3,14 @@
 mod support;
 
 use {
+    gullglade_dispatch::{BackendStatements, Scheduler, StatedBackoff, Verdict, WorkOutcome},
     gullglade_units::{RandomSource, SeededRandom},
     std::ops::Range,
-    support::backoff_play::{BackoffOutcome, BackoffPlay, BackoffScenario, RejectPhase},
+    support::{
+        at,
+        backoff_play::{BackoffOutcome, BackoffPlay, BackoffScenario, RejectPhase},
+        item, route, scheduler,
+    },
 };
 
 /// The rule: no more than these requests from one gateway in a back-off that was requested of it.
@@ -99,3 +104,29 @@
         (0..plays.unwrap_or(PLAYS)).filter(|seed| most(seed) > PROMISED).collect();
     assert!(broken.is_empty(), "seeds {broken:?}");
 }
+
+/// Requests were turned away until the end of a long back-off, though others of the service that had
+/// just failed were to be tried again within half a second.
+#[test]
+fn suspects_are_tried_before_the_end_of_a_long_backoff() {
+    let mut run = scheduler(0, 1, 2, 0.0);
+    let place = |run: &mut Scheduler, ms: u64| {
+        let ticket = run.submit(item(&route(0, 1_200, 2_500), None, at(ms)), at(ms));
+        let verdict = run.poll(at(ms)).pop().map(|(_, verdict)| verdict);
+        if verdict.is_none() {
+            run.withdraw(ticket);
+        }
+        (ticket, verdict)
+    };
+    let backoff = StatedBackoff::try_from(30.0).ok();
+    let stated = BackendStatements { backoff, ..BackendStatements::default() };
+    let (rejected, _) = place(&mut run, 10_000);
+    let (broken, _) = place(&mut run, 10_000);
+    run.note_statements(rejected, &stated, at(10_001));
+    run.end(rejected, WorkOutcome::Shed, at(10_001));
+    run.end(broken, WorkOutcome::Broken, at(10_001));
+    let (_, waits) = place(&mut run, 10_010);
+    assert_eq!(waits, None, "the suspect is tried again soon");
+    let (_, sent) = place(&mut run, 10_500);
+    assert!(matches!(sent, Some(Verdict::Send { .. })), "{sent:?}");
+}
