--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -89,7 +89,7 @@
         match select(self.client.send(address, request), revoked).await {
             Either::Left((outcome, _)) => outcome,
             Either::Right((Ok(()), _)) => Err(ClientError::Revoked { address }),
-            // It was sent too long ago to be taken back.
+            // It is being sent, and can no longer be taken back.
             Either::Right((Err(_), sending)) => sending.await,
         }
     }
