--- a/crates/dispatch/src/backoff.rs
+++ b/crates/dispatch/src/backoff.rs
@@ -15,8 +15,7 @@
 /// The longest back-off that is kept: a mistake of one backend server must not lose it for the day.
 const LONGEST_BACKOFF: Duration = Duration::from_secs(600);
 
-/// The time between two gateways that resume: about as long as one takes to learn what the other
-/// has sent.
+/// The time between two gateways that resume, in which one learns what the other has sent.
 const START_SPACING: Duration = Duration::from_millis(10);
 
 /// All gateways resume within this.
@@ -128,23 +127,23 @@
         self.peer_until.is_some_and(|until| now < until)
     }
 
-    /// When a gateway at `place` among those of its region may next send, where it may not now.
-    pub(crate) fn wait(&self, place: GatewayPlace, now: MonotonicTime) -> Option<MonotonicTime> {
+    /// When a gateway may next send, where it may not now; `place` finds its place among those of
+    /// its region.
+    pub(crate) fn wait(
+        &self,
+        place: impl FnOnce() -> GatewayPlace,
+        now: MonotonicTime,
+    ) -> Option<MonotonicTime> {
         let until = self.until.filter(|until| now.since(*until) < SLOW_START_LIMIT)?;
         let SlowStart { sent, accepted, last_sent } = self.start;
         let next = match sent {
-            0 => until + start_delay(place),
+            0 => until + start_delay(place()),
             _ if sent <= accepted * 2 => now,
             _ => last_sent + TRIAL_PAUSE,
         };
         (next > now).then_some(next)
     }
 
-    /// Whether this gateway backs off, or has only begun to resume.
-    pub(crate) fn is_in_force(&self) -> bool {
-        self.until.is_some()
-    }
-
     /// Notes a send of this gateway.
     pub(crate) fn note_send(&mut self, now: MonotonicTime) {
         if self.until.is_some() {
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -5,7 +5,10 @@
 //! pause it is tried with one request, and a good answer clears it.
 
 use {
-    crate::{WorkOutcome, fade::faded},
+    crate::{
+        WorkOutcome,
+        fade::{FadeRule, FadingAverage},
+    },
     gullglade_units::MonotonicTime,
     std::time::Duration,
 };
@@ -17,17 +20,11 @@
 /// this time.
 const LONGEST_PAUSE: Duration = Duration::from_secs(3);
 
-/// The weight of the newest outcome in the failure rate: the last ten or so count.
-const RATE_WEIGHT: f64 = 0.1;
+/// The last ten or so outcomes count in the failure rate, and fade as long as a suspect is left alone.
+const FAILURE_RULE: FadeRule = FadeRule { weight: 0.1, half_life: LONGEST_PAUSE };
 
-/// The failure rate halves in this time without an outcome: as long as a suspect is left alone.
-const RATE_HALF_LIFE: Duration = LONGEST_PAUSE;
-
-/// The weight of the newest request in the rejection rate.
-const REJECTION_WEIGHT: f64 = 0.3;
-
-/// The rejection rate halves in this time: what is full now may have room again soon.
-const REJECTION_HALF_LIFE: Duration = Duration::from_millis(2_000);
+/// What is full now may have room again soon.
+const REJECTION_RULE: FadeRule = FadeRule { weight: 0.3, half_life: Duration::from_secs(2) };
 
 /// What one backend server's outcomes say.
 #[derive(Debug, Default)]
@@ -36,11 +33,8 @@
     failures: u32,
     suspect_until: Option<MonotonicTime>,
     trial: Option<MonotonicTime>,
-    /// The failure rate, and when it was last weighed.
-    failure_rate: f64,
-    weighed: MonotonicTime,
-    /// The rejection rate, and when it was last weighed.
-    rejection_rate: (f64, MonotonicTime),
+    failure_rate: FadingAverage,
+    rejection_rate: FadingAverage,
 }
 
 impl HealthRecord {
@@ -56,7 +50,7 @@
             | WorkOutcome::Broken
             | WorkOutcome::Garbled
             | WorkOutcome::Overdue { .. } => self.suspect(now),
-            WorkOutcome::Shed => self.weigh_rejection(1.0, now),
+            WorkOutcome::Shed => self.rejection_rate.note(&REJECTION_RULE, 1.0, now),
             WorkOutcome::Misdirected | WorkOutcome::Cancelled => {}
         }
     }
@@ -79,42 +73,30 @@
     /// The part of the last outcomes that were failures, 0 to 1. It fades: a gateway that sends
     /// little to a backend server would otherwise avoid it for minutes after it has recovered.
     pub fn failure_rate(&self, now: MonotonicTime) -> f64 {
-        faded(self.failure_rate, now.since(self.weighed), RATE_HALF_LIFE)
+        self.failure_rate.value(&FAILURE_RULE, now)
     }
 
     /// Notes that a request was accepted.
     pub fn note_accepted(&mut self, now: MonotonicTime) {
-        self.weigh_rejection(0.0, now);
+        self.rejection_rate.note(&REJECTION_RULE, 0.0, now);
     }
 
     /// The part of the last requests that were turned away, 0 to 1. It fades, as the failure rate
     /// does.
     pub fn rejection_rate(&self, now: MonotonicTime) -> f64 {
-        let (rate, weighed) = self.rejection_rate;
-        faded(rate, now.since(weighed), REJECTION_HALF_LIFE)
-    }
-
-    fn weigh_rejection(&mut self, rejection: f64, now: MonotonicTime) {
-        let rate = self.rejection_rate(now);
-        self.rejection_rate = (rate + REJECTION_WEIGHT * (rejection - rate), now);
+        self.rejection_rate.value(&REJECTION_RULE, now)
     }
 
     fn clear_with(&mut self, failure: f64, now: MonotonicTime) {
         self.failures = 0;
         self.suspect_until = None;
-        self.weigh(failure, now);
+        self.failure_rate.note(&FAILURE_RULE, failure, now);
     }
 
     fn suspect(&mut self, now: MonotonicTime) {
-        self.weigh(1.0, now);
+        self.failure_rate.note(&FAILURE_RULE, 1.0, now);
         let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.failures.min(4));
         self.failures += 1;
         self.suspect_until = Some(now + pause.min(LONGEST_PAUSE));
     }
-
-    fn weigh(&mut self, failure: f64, now: MonotonicTime) {
-        let rate = self.failure_rate(now);
-        self.failure_rate = rate + RATE_WEIGHT * (failure - rate);
-        self.weighed = now;
-    }
 }
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -9,7 +9,7 @@
 use {
     crate::{
         TicketId,
-        fade::faded,
+        fade::{FadeRule, FadingAverage, faded},
         unread::{FirstByte, UnreadPrompt, UnreadQueue},
     },
     gullglade_units::MonotonicTime,
@@ -17,12 +17,8 @@
     std::{collections::HashMap, time::Duration},
 };
 
-/// The weight of the newest first byte in the base.
-const BASE_WEIGHT: f64 = 0.3;
-
-/// The base halves in this time without a first byte: other gateways' work in an engine is done
-/// within about a second.
-const BASE_HALF_LIFE: Duration = Duration::from_millis(700);
+/// How the base follows first bytes: other gateways' work in an engine is done within about a second.
+const BASE_RULE: FadeRule = FadeRule { weight: 0.3, half_life: Duration::from_millis(700) };
 
 /// The most that the base can be, milliseconds. One answer that hung must not keep an engine from
 /// being used for long.
@@ -111,8 +107,8 @@
     busy_until: [MonotonicTime; PRIORITIES],
     /// When something last came from it, to any gateway.
     heard: MonotonicTime,
-    /// By priority: how much later than predicted first bytes come, and when that was seen.
-    bases: [(f64, MonotonicTime); PRIORITIES],
+    /// By priority: how much later than predicted first bytes come, milliseconds.
+    bases: [FadingAverage; PRIORITIES],
     read_rate: f64,
     work_ms: f64,
     report: Option<(BackendReport, MonotonicTime)>,
@@ -129,7 +125,7 @@
             unread: UnreadQueue::default(),
             busy_until: [MonotonicTime::default(); PRIORITIES],
             heard: MonotonicTime::default(),
-            bases: [(0.0, MonotonicTime::default()); PRIORITIES],
+            bases: [FadingAverage::default(); PRIORITIES],
             read_rate: FIRST_READ_RATE,
             work_ms: FIRST_WORK_MS,
             report: None,
@@ -305,14 +301,11 @@
     /// Kept apart by priority: less urgent work that waits long behind more urgent says nothing of
     /// how long the more urgent waits.
     fn base(&self, rank: usize, now: MonotonicTime) -> f64 {
-        let (base_ms, at) = self.bases[rank];
-        faded(base_ms, now.since(at), BASE_HALF_LIFE)
+        self.bases[rank].value(&BASE_RULE, now)
     }
 
     fn learn_base(&mut self, beyond_ms: f64, rank: usize, now: MonotonicTime) {
-        let base = self.base(rank, now);
-        let beyond = beyond_ms.clamp(0.0, MOST_BASE_MS);
-        self.bases[rank] = (base + BASE_WEIGHT * (beyond - base), now);
+        self.bases[rank].note(&BASE_RULE, beyond_ms.clamp(0.0, MOST_BASE_MS), now);
     }
 
     pub(crate) fn read_ms(&self, tokens: u32) -> f64 {
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -8,8 +8,8 @@
     },
 };
 
-/// A part of a rate changes hands only after this: longer than the gateways of a region take to
-/// learn of each other, and the span in which sends are counted, together.
+/// A part of a rate changes hands only after this, in which the gateways of a region learn of each
+/// other and the last sends of the one before drop out of the count.
 pub(crate) const HANDOVER: Duration = Duration::from_secs(3);
 
 /// The place of a gateway among those that share a rate. They rank themselves alike, and in another
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -329,11 +329,12 @@
             backend.load.note_report(load, now);
         }
         let changes = backend.stated.note(statements, now);
-        let (run, sent) = (backend.facts.run(), backend.load.sent(ticket));
-        if let Some(sent) = sent {
-            for news in changes.iter().filter_map(statement_news) {
-                self.note_own(run.clone(), sent, news, now);
-            }
+        let Some(sent) = backend.load.sent(ticket).filter(|_| !changes.is_empty()) else {
+            return changes;
+        };
+        let run = run.clone();
+        for news in changes.iter().filter_map(statement_news) {
+            self.note_own(run.clone(), sent, news, now);
         }
         changes
     }
--- a/crates/dispatch/src/scheduler/placing.rs
+++ b/crates/dispatch/src/scheduler/placing.rs
@@ -144,32 +144,32 @@
         let heard = pool.into_iter().filter(|b| !b.facts.is_silent || !is_any_heard);
         let (suspect, sound): (Vec<&Backend>, Vec<&Backend>) =
             heard.partition(|b| b.health.is_suspect(now) || b.load.is_stalled(now));
-        // A suspect is tried again sooner than a back-off usually ends.
-        let is_any_open = sound.iter().any(|b| b.stated.backoff.until(now).is_none());
-        if !is_any_open && !suspect.is_empty() {
+        let (backed_off, open): (Vec<&Backend>, Vec<&Backend>) =
+            sound.into_iter().partition(|b| b.stated.backoff.until(now).is_some());
+        // The pause of a suspect is short; a back-off may last for minutes.
+        if open.is_empty() && !suspect.is_empty() {
             return Local::Suspects { again: now + SUSPECT_LOOK };
         }
-        self.choose(item, look, sound, now)
+        self.choose(item, look, &open, &backed_off, now)
     }
 
     fn choose(
         &self,
         item: &WorkItem,
         look: &mut ServiceLook,
-        sound: Vec<&Backend>,
+        open: &[&Backend],
+        backed_off: &[&Backend],
         now: MonotonicTime,
     ) -> Local {
-        let is_open = |backend: &&Backend| backend.stated.backoff.until(now).is_none();
-        let open: Vec<&Backend> = sound.iter().copied().filter(is_open).collect();
-        let shared = self.shared_parts(item, &open);
+        let shared = self.shared_parts(item, open);
         let objectives = self.objectives.get(&item.service).copied().unwrap_or_default();
         let mut best: Option<(Candidate, &BackendName)> = None;
         let mut wait_ms = f64::MAX;
         let mut bound_ms = f64::MAX;
         let mut again = now + LOOK_INTERVAL;
-        let ends = sound.iter().filter_map(|backend| backend.stated.backoff.until(now));
+        let ends = backed_off.iter().filter_map(|backend| backend.stated.backoff.until(now));
         let backoff_ends = ends.min().filter(|_| open.is_empty());
-        for backend in sound {
+        for backend in open.iter().chain(backed_off) {
             if let Some(SendHold { until, wait_ms }) = self.send_hold(backend, now) {
                 again = again.min(until);
                 bound_ms = bound_ms.min(wait_ms);
@@ -255,11 +255,7 @@
     }
 
     fn backoff_wait(&self, backend: &Backend, now: MonotonicTime) -> Option<MonotonicTime> {
-        let backoff = &backend.stated.backoff;
-        if !backoff.is_in_force() {
-            return None;
-        }
-        backoff.wait(self.gateways.place(&backend.facts.name, now), now)
+        backend.stated.backoff.wait(|| self.gateways.place(&backend.facts.name, now), now)
     }
 
     fn cold_wait(&self, backend: &Backend, now: MonotonicTime) -> Option<MonotonicTime> {
@@ -363,11 +359,12 @@
     let Urgency { priority, expected_ms } = Urgency::at(&backend.load, item, work, objectives, now);
     let wait_ms = expected_ms - backend.load.own_ms(work);
     let whole = WorkCost { tokens: shape.map(|shape| shape.prompt_tokens), ..work };
+    let (fullness, rejected_ms) = (fullness(backend, now), rejected_ms(backend, now));
     let here = HereTimes {
         priority,
         expected_ms,
         wait_ms,
-        strain_ms: strain_ms(backend, now),
+        strain_ms: strain_of(fullness, rejected_ms),
         away_own_ms: backend.load.own_ms(whole),
     };
     let read_tokens = match shared.keeper == Some(&backend.facts.name) {
@@ -378,14 +375,13 @@
         true => FAILURE_COST_MS,
         false => LOSS_COST_MS,
     };
-    let rejected_ms = REJECTION_COST_MS * backend.health.rejection_rate(now);
     let peer_backoff_ms =
         if backend.stated.backoff.is_peer_backing_off(now) { PEER_BACKOFF_COST_MS } else { 0.0 };
     let cost_ms = expected_ms
         + peer_backoff_ms
         + rejected_ms
         + READ_WEIGHT * read_tokens.map_or(0.0, |tokens| backend.load.read_ms(tokens))
-        + CROWD_COST_MS * fullness(backend, now)
+        + CROWD_COST_MS * fullness
         + failure_cost_ms * backend.health.failure_rate(now);
     Candidate { cost_ms, here, copy }
 }
@@ -418,8 +414,16 @@
 
 /// What the requests that are at a backend server cost one more, beside the work ahead of it.
 pub(super) fn strain_ms(backend: &Backend, now: MonotonicTime) -> f64 {
-    let rejected_ms = REJECTION_COST_MS * backend.health.rejection_rate(now);
-    STRAIN_MS * fullness(backend, now).min(1.0) + rejected_ms
+    strain_of(fullness(backend, now), rejected_ms(backend, now))
+}
+
+fn strain_of(fullness: f64, rejected_ms: f64) -> f64 {
+    STRAIN_MS * fullness.min(1.0) + rejected_ms
+}
+
+/// What rejections by a backend server are expected to cost one more request.
+fn rejected_ms(backend: &Backend, now: MonotonicTime) -> f64 {
+    REJECTION_COST_MS * backend.health.rejection_rate(now)
 }
 
 /// The requests at a backend server, as a part of those that it runs at once.
--- a/crates/dispatch/tests/backoff.rs
+++ b/crates/dispatch/tests/backoff.rs
@@ -9,7 +9,7 @@
     support::{
         at,
         backoff_play::{BackoffOutcome, BackoffPlay, BackoffScenario, RejectPhase},
-        item, route, scheduler,
+        item, route, scheduler, setting,
     },
 };
 
@@ -97,11 +97,9 @@
 /// A back-off was forgotten after a lost announcement, a restart of another gateway or a second rejection.
 #[test]
 fn backoff_is_kept_in_any_order_of_faults() {
-    const PLAYS: u64 = 300;
-    let plays = std::env::var("GULLGLADE_BACKOFF_PLAYS").ok().and_then(|text| text.parse().ok());
+    let plays = setting("GULLGLADE_BACKOFF_PLAYS", 300);
     let most = |seed: &u64| play(&any_scenario(*seed), *seed).most_in_backoff;
-    let broken: Vec<u64> =
-        (0..plays.unwrap_or(PLAYS)).filter(|seed| most(seed) > PROMISED).collect();
+    let broken: Vec<u64> = (0..plays).filter(|seed| most(seed) > PROMISED).collect();
     assert!(broken.is_empty(), "seeds {broken:?}");
 }
 
--- a/crates/dispatch/tests/departure.rs
+++ b/crates/dispatch/tests/departure.rs
@@ -6,29 +6,17 @@
     gullglade_dispatch::{
         BackendFacts, BackendStatements, Scheduler, TicketId, Verdict, WorkOutcome,
     },
-    gullglade_units::{BackendName, Incarnation},
-    support::{at, backend, facts, item, prompt, route, scheduler},
+    gullglade_units::Incarnation,
+    support::{at, backend, facts, item, place_prompt, route, scheduler},
 };
 
 const LEAVING: BackendStatements =
     BackendStatements { is_signed: true, load: None, limit: None, backoff: None, is_leaving: true };
 
-/// Places a request; where it goes.
-fn place(run: &mut Scheduler, ms: u64) -> Option<(TicketId, BackendName)> {
-    let work = item(&route(0, 1_200, 2_500), Some(prompt(1, 100, 100, ms)), at(ms));
-    let ticket = run.submit(work, at(ms));
-    let verdicts = run.poll(at(ms));
-    run.withdraw(ticket);
-    verdicts.into_iter().find_map(|(decided, verdict)| match verdict {
-        Verdict::Send { run, .. } if decided == ticket => Some((ticket, run.backend)),
-        _ => None,
-    })
-}
-
 /// Has engine 0 of `engines` say to `run` that it leaves.
 fn leave(run: &mut Scheduler, engines: usize, ms: u64) -> TicketId {
     run.set_backends([facts(0)], at(ms));
-    let (ticket, _) = place(run, ms).expect("the only one");
+    let (ticket, _) = place_prompt(run, ms).expect("the only one");
     run.note_statements(ticket, &LEAVING, at(ms));
     run.begin(ticket, at(ms));
     run.set_backends((0..engines).map(facts), at(ms));
@@ -37,7 +25,7 @@
 
 /// Requests to engine 0 while `run` has many in progress everywhere.
 fn requests_there(run: &mut Scheduler, from_ms: u64) -> usize {
-    let places = (0..40).filter_map(|step| place(run, from_ms + step));
+    let places = (0..40).filter_map(|step| place_prompt(run, from_ms + step));
     places.filter(|(_, name)| *name == backend(0)).count()
 }
 
@@ -68,7 +56,7 @@
         Case {
             what: "told by another answer that it serves",
             then: |run| {
-                let (ticket, _) = place(run, 10_100).expect("the other one");
+                let (ticket, _) = place_prompt(run, 10_100).expect("the other one");
                 let stated = BackendStatements { is_leaving: false, ..LEAVING };
                 run.note_statements(ticket, &stated, at(10_200));
             },
--- a/crates/dispatch/tests/limits.rs
+++ b/crates/dispatch/tests/limits.rs
@@ -3,11 +3,11 @@
 mod support;
 
 use {
-    gullglade_dispatch::{Scheduler, StatedLimit, Verdict},
+    gullglade_dispatch::StatedLimit,
     support::{
-        at, item,
+        at,
         limit_play::{LimitOutcome, LimitPlay, LimitScenario},
-        prompt, route, stating_limit,
+        place_prompt, stating_limit,
     },
 };
 
@@ -107,23 +107,13 @@
 fn an_answer_that_began_before_a_limit_was_stated_does_not_lift_it() {
     let scheduler = |index| support::scheduler(index, 2, 1, 0.0);
     let (mut early, mut told) = (scheduler(0), scheduler(1));
-    let place = |run: &mut Scheduler, ms: u64| {
-        let work = item(&route(0, 1_200, 2_500), Some(prompt(1, 100, 100, ms)), at(ms));
-        let ticket = run.submit(work, at(ms));
-        let verdicts = run.poll(at(ms));
-        run.withdraw(ticket);
-        verdicts
-            .iter()
-            .any(|(_, verdict)| matches!(verdict, Verdict::Send { .. }))
-            .then_some(ticket)
-    };
-    let first = place(&mut early, 10_000).expect("sent");
+    let (first, _) = place_prompt(&mut early, 10_000).expect("sent");
     early.note_statements(first, &stating_limit(None), at(10_050));
-    let second = place(&mut told, 10_010).expect("sent");
+    let (second, _) = place_prompt(&mut told, 10_010).expect("sent");
     let none = StatedLimit::try_from(0.0).ok();
     told.note_statements(second, &stating_limit(none), at(10_080));
     early.begin(first, at(10_100));
     let hints = early.take_hints(at(10_110));
     told.note_hints(hints, at(10_120));
-    assert_eq!(place(&mut told, 10_200), None, "the limit holds");
+    assert_eq!(place_prompt(&mut told, 10_200), None, "the limit holds");
 }
--- a/crates/dispatch/tests/repeats.rs
+++ b/crates/dispatch/tests/repeats.rs
@@ -6,8 +6,10 @@
 
 use {
     gullglade_units::{RandomSource, SeededRandom},
-    std::env,
-    support::repeat_play::{Kill, REGIONS, RepeatPlay, RepeatScenario, Trouble},
+    support::{
+        repeat_play::{Kill, REGIONS, RepeatPlay, RepeatScenario, Trouble},
+        setting,
+    },
 };
 
 const DEFAULT_PLAYS: u64 = 60;
@@ -17,10 +19,6 @@
     RepeatScenario { gateways, per_second, length_ms: LENGTH_MS, trouble }
 }
 
-fn setting(name: &str, default: u64) -> u64 {
-    env::var(name).map_or(default, |text| text.parse().expect("a number"))
-}
-
 /// The plays of a case that broke the bound, a line each.
 fn broken(what: &str, scenario: &RepeatScenario, seeds: impl Iterator<Item = u64>) -> Vec<String> {
     seeds
--- a/crates/dispatch/tests/support/backoff_play.rs
+++ b/crates/dispatch/tests/support/backoff_play.rs
@@ -1,7 +1,10 @@
 //! Gateways of one region before engines that reject work and request a back-off.
 
 use {
-    super::{at, backend_index, count_within, facts, item, most_within, prompt, route, scheduler},
+    super::{
+        at, backend_index, chances, count_within, facts, item, most_within, prompt, route,
+        scheduler,
+    },
     gullglade_dispatch::{
         BackendHint, BackendStatements, Scheduler, StatedBackoff, TicketId, Verdict, WorkItem,
         WorkOutcome,
@@ -211,15 +214,13 @@
     fn take_requests(&mut self) {
         let now = at(self.now_ms);
         for index in 0..self.gateways.len() {
-            let mut expected = self.scenario.per_second * STEP_MS as f64 / 1_000.0;
-            while expected > 0.0 {
-                if self.random.unit() < expected {
+            for chance in chances(self.scenario.per_second * STEP_MS as f64 / 1_000.0) {
+                if self.random.unit() < chance {
                     let number = self.random.below(1 << 40);
                     let work = item(&self.route, Some(prompt(number % 40, 200, 300, number)), now);
                     self.outcome.asked += 1;
                     self.submit(index, Caller { asked_ms: self.now_ms, sends: 0, work });
                 }
-                expected -= 1.0;
             }
         }
     }
--- a/crates/dispatch/tests/support/limit_play.rs
+++ b/crates/dispatch/tests/support/limit_play.rs
@@ -1,7 +1,9 @@
 //! Gateways of one region before engines of which some state a limit for a while.
 
 use {
-    super::{at, backend_index, item, most_within, prompt, route, scheduler, stating_limit},
+    super::{
+        at, backend_index, chances, item, most_within, prompt, route, scheduler, stating_limit,
+    },
     gullglade_dispatch::{Scheduler, StatedLimit, TicketId, Verdict, WorkOutcome},
     gullglade_traffic::TrafficRoute,
     gullglade_units::{RandomSource, SeededRandom},
@@ -98,16 +100,14 @@
 
     fn take_requests(&mut self) {
         let now = at(self.now_ms);
-        let chance = self.scenario.per_second * STEP_MS as f64 / 1_000.0;
+        let expected = self.scenario.per_second * STEP_MS as f64 / 1_000.0;
         for index in 0..self.gateways.len() {
-            let mut expected = chance;
-            while expected > 0.0 {
-                if self.random.unit() < expected {
+            for chance in chances(expected) {
+                if self.random.unit() < chance {
                     let number = self.random.below(1 << 40);
                     let shape = prompt(number % 40, 200, 300, number);
                     self.gateways[index].submit(item(&self.route, Some(shape), now), now);
                 }
-                expected -= 1.0;
             }
             for (ticket, verdict) in self.gateways[index].poll(now) {
                 self.carry_out(index, ticket, &verdict);
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -57,6 +57,16 @@
     times.iter().map(|from| count_within(times, *from, length)).max().unwrap_or_default()
 }
 
+/// The chances that each of `expected` arrivals in one step comes, of which the last may be a part.
+pub(crate) fn chances(expected: f64) -> impl Iterator<Item = f64> {
+    std::iter::successors(Some(expected), |left| Some(left - 1.0)).take_while(|left| *left > 0.0)
+}
+
+/// A number from the environment.
+pub(crate) fn setting(name: &str, default: u64) -> u64 {
+    std::env::var(name).map_or(default, |text| text.parse().expect("a number"))
+}
+
 pub(crate) fn region(name: &str) -> RegionName {
     RegionName::try_from(name).expect("a name")
 }
@@ -194,6 +204,18 @@
     scheduler
 }
 
+/// Places a request with a short prompt; where it goes. It does not stay in the queue.
+pub(crate) fn place_prompt(run: &mut Scheduler, ms: u64) -> Option<(TicketId, BackendName)> {
+    let work = item(&route(0, 1_200, 2_500), Some(prompt(1, 100, 100, ms)), at(ms));
+    let ticket = run.submit(work, at(ms));
+    let verdicts = run.poll(at(ms));
+    run.withdraw(ticket);
+    verdicts.into_iter().find_map(|(decided, verdict)| match verdict {
+        Verdict::Send { run, .. } if decided == ticket => Some((ticket, run.backend)),
+        _ => None,
+    })
+}
+
 struct Reading {
     ticket: TicketId,
     gateway: usize,
--- a/crates/dispatch/tests/support/play.rs
+++ b/crates/dispatch/tests/support/play.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        at, backend_index,
+        at, backend_index, chances,
         deployment::{Deployment, KindOutcome, Outcome},
         engine::{EngineNews, ModelEngine, Owner},
         gateway, item, region, service,
@@ -182,12 +182,10 @@
             let rates = &self.model.regions[index].per_second;
             let rate = rates[(ms as usize / 1_000).min(rates.len() - 1)];
             // Several in one millisecond where the rate is high.
-            let mut expected = rate / 1_000.0;
-            while expected > 0.0 {
-                if self.random.unit() < expected.min(1.0) {
+            for chance in chances(rate / 1_000.0) {
+                if self.random.unit() < chance {
                     self.arrive(index, ms);
                 }
-                expected -= 1.0;
             }
         }
     }
--- a/crates/dispatch/tests/support/repeat_play.rs
+++ b/crates/dispatch/tests/support/repeat_play.rs
@@ -2,7 +2,7 @@
 //! between regions come and go; and the count of repeats that no window may exceed.
 
 use {
-    super::{at, count_within, gateway, item, pool, region, route, service, settings},
+    super::{at, chances, count_within, gateway, item, pool, region, route, service, settings},
     gullglade_dispatch::{Scheduler, SchedulerSettings},
     gullglade_traffic::TrafficRoute,
     gullglade_units::{RandomSource, SeededRandom, VmName},
@@ -215,12 +215,10 @@
         };
         let factor = in_time(&trouble.bursts).unwrap_or(1.0);
         let failing = in_time(&trouble.failures).unwrap_or(0.02);
-        let mut expected = self.scenario.per_second * factor * STEP_MS as f64 / 1_000.0;
-        while expected > 0.0 {
-            if self.random.unit() < expected {
+        for chance in chances(self.scenario.per_second * factor * STEP_MS as f64 / 1_000.0) {
+            if self.random.unit() < chance {
                 self.send_request(failing);
             }
-            expected -= 1.0;
         }
     }
 
--- a/crates/proxy/tests/backoff.rs
+++ b/crates/proxy/tests/backoff.rs
@@ -3,10 +3,9 @@
 mod support;
 
 use {
-    futures::future::join_all,
     gullglade_traffic::RequestKind,
     std::time::Duration,
-    support::{BedSettings, Deed, Script, TestBed, take},
+    support::{BedSettings, Deed, Script, TestBed},
 };
 
 /// A rejection with a time to wait was like one without: the next requests went there again.
@@ -23,8 +22,7 @@
     bed.script(0, &vec![Deed::Answer(Script::signed(200, &["yes"])); ROUNDS * TOGETHER + 1]);
     assert_eq!(bed.serve(bed.call()).status, 200);
     for _ in 0..ROUNDS {
-        let calls = (0..TOGETHER).map(|_| take(bed.proxy(), bed.call()));
-        let served = bed.world.run_until(join_all(calls));
+        let served = bed.serve_together(0, TOGETHER);
         assert!(served.iter().all(|served| served.status == 200));
         bed.world.run_for(PAUSE);
     }
@@ -51,8 +49,7 @@
     let slow = Deed::Accept(Duration::from_millis(800), good.clone());
     bed.script(0, &vec![slow; TOGETHER - 1]);
     bed.script(0, &vec![Deed::Answer(good); TOGETHER]);
-    let calls = (0..TOGETHER).map(|_| take(bed.proxy(), bed.call()));
-    let served = bed.world.run_until(join_all(calls));
+    let served = bed.serve_together(0, TOGETHER);
     assert!(served.iter().all(|served| served.status == 200));
     let lines = bed.events.lines();
     assert!(lines.iter().any(|line| line.contains("reason=revoked")), "some waited there");
--- a/crates/proxy/tests/departure.rs
+++ b/crates/proxy/tests/departure.rs
@@ -3,10 +3,9 @@
 mod support;
 
 use {
-    futures::future::join_all,
     gullglade_traffic::RequestKind,
     std::time::Duration,
-    support::{BedSettings, Deed, Script, TestBed, take},
+    support::{BedSettings, Deed, Script, TestBed},
 };
 
 const TOGETHER: usize = 24;
@@ -28,8 +27,7 @@
     bed.run_with_notices(Duration::from_millis(100));
     for gateway in [0, 2] {
         for _ in 0..ROUNDS {
-            let calls = (0..TOGETHER).map(|_| take(bed.gateway(gateway), bed.call()));
-            let served = bed.world.run_until(join_all(calls));
+            let served = bed.serve_together(gateway, TOGETHER);
             assert!(served.iter().all(|served| served.status == 200), "{served:?}");
             bed.world.run_for(Duration::from_millis(100));
         }
--- a/crates/proxy/tests/limits.rs
+++ b/crates/proxy/tests/limits.rs
@@ -3,10 +3,9 @@
 mod support;
 
 use {
-    futures::future::join_all,
     gullglade_traffic::RequestKind,
     std::time::Duration,
-    support::{BedSettings, Deed, Script, TestBed, take},
+    support::{BedSettings, Deed, Script, TestBed},
 };
 
 /// The statement of a backend server in need was passed on to the caller and not acted on.
@@ -22,8 +21,7 @@
     bed.script(0, &vec![Deed::Answer(good); ROUNDS * TOGETHER]);
     assert_eq!(bed.serve(bed.call()).status, 200);
     for _ in 0..ROUNDS {
-        let calls = (0..TOGETHER).map(|_| take(bed.proxy(), bed.call()));
-        let served = bed.world.run_until(join_all(calls));
+        let served = bed.serve_together(0, TOGETHER);
         assert!(served.iter().all(|served| served.status == 200));
         bed.world.run_for(PAUSE);
     }
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -11,7 +11,7 @@
 use {
     bytes::Bytes,
     configuration::{FixedFormat, FixedSource},
-    futures::StreamExt,
+    futures::{StreamExt, future::join_all},
     gullglade_dispatch::{BackendFacts, FirstByteTimes, RegionFacts, Scheduler, SchedulerSettings},
     gullglade_event::{EventSink, MemorySink, MetricSet},
     gullglade_fleet::{
@@ -392,6 +392,12 @@
         self.world.run_until(take(self.proxy(), call))
     }
 
+    /// Serves so many calls at a gateway at the same time.
+    pub(crate) fn serve_together(&self, gateway: usize, count: usize) -> Vec<Served> {
+        let calls = (0..count).map(|_| take(self.gateway(gateway), self.call()));
+        self.world.run_until(join_all(calls))
+    }
+
     /// The proxy of the second region.
     pub(crate) fn other_proxy(&self) -> &Proxy {
         self.gateway(1)
