Tell why a stream ended early: limit, pause, attempts, budget, last place

The lines of a stream that ends before its last event, of a failed attempt and of a request that timed out looked alike whatever had ended the wait. They now name the limit (pause, the caller's deadline, the route's timeout), the pause, pieces passed on, sends made and allowed, what the budget of repeats last said, the place last asked, and whether the backend server was at work meanwhile.

--- a/crates/event/src/metrics.rs
+++ b/crates/event/src/metrics.rs
@@ -37,6 +37,9 @@
 const INTER_TOKEN_BOUNDS: [f64; 11] =
     [0.005, 0.01, 0.015, 0.02, 0.025, 0.031, 0.045, 0.07, 0.15, 0.5, 2.0];
 
+/// Upper bounds of pauses in streams, seconds: from what callers accept to what makes them leave.
+const PAUSE_BOUNDS: [f64; 8] = [0.3, 0.6, 1.2, 2.0, 3.0, 4.5, 6.0, 10.0];
+
 /// Why the metrics cannot be built or printed.
 #[derive(Debug, Snafu)]
 pub enum MetricsError {
@@ -103,6 +106,8 @@
     model_series: RefCell<HashMap<ModelName, Rc<ModelSeries>>>,
     away: IntCounterVec,
     repeats: IntCounterVec,
+    streams_broken_off: IntCounterVec,
+    stream_pauses: HistogramVec,
     breaches: IntCounterVec,
     open_requests: IntGauge,
     configuration_index: IntGauge,
@@ -165,12 +170,14 @@
                 &registry,
                 "time_to_first_token_seconds",
                 "From a request's arrival to the first byte of its answer",
+                "model",
                 &FIRST_TOKEN_BOUNDS,
             )?,
             inter_token: histogram(
                 &registry,
                 "inter_token_seconds",
                 "Between two pieces of one streamed answer",
+                "model",
                 &INTER_TOKEN_BOUNDS,
             )?,
             away: counters(
@@ -186,6 +193,20 @@
                  and by whether the service's budget allowed it",
                 &["service", "reason", "granted"],
             )?,
+            streams_broken_off: counters(
+                &registry,
+                "streams_broken_off_total",
+                "Streams that ended before their last event, by the limit that ended the wait for \
+                 the run (none where the run broke) and by whether its backend server was at work",
+                &["service", "limit", "at_work"],
+            )?,
+            stream_pauses: histogram(
+                &registry,
+                "stream_pause_seconds",
+                "Pauses between two pieces of a stream that are longer than its route's objective",
+                "service",
+                &PAUSE_BOUNDS,
+            )?,
             breaches: counters(
                 &registry,
                 "promise_breaches_total",
@@ -314,6 +335,29 @@
         self.repeats.with_label_values(&[service, reason, granted]).inc();
     }
 
+    /// A stream ended before its last event. `limit`: what ended the wait for its run; `is_at_work`:
+    /// whether the run's backend server had answered anybody lately, where that is known.
+    pub fn stream_broke_off(
+        &self,
+        service: &ServiceName,
+        limit: &'static str,
+        is_at_work: Option<bool>,
+    ) {
+        let service = self.services.admit(service.as_str());
+        let at_work = match is_at_work {
+            Some(true) => "true",
+            Some(false) => "false",
+            None => "unknown",
+        };
+        self.streams_broken_off.with_label_values(&[service, limit, at_work]).inc();
+    }
+
+    /// A stream went on after a pause that was longer than its route's objective.
+    pub fn stream_pause(&self, service: &ServiceName, pause: Duration) {
+        let service = self.services.admit(service.as_str());
+        self.stream_pauses.with_label_values(&[service]).observe(pause.as_secs_f64());
+    }
+
     /// A check found a promise broken, or a peer about to break it.
     pub fn breached(&self, promise: Promise) {
         self.breaches.with_label_values(&[promise.label()]).inc();
@@ -424,10 +468,11 @@
     registry: &Registry,
     name: &str,
     help: &str,
+    label: &str,
     bounds: &[f64],
 ) -> Result<HistogramVec, MetricsError> {
     let options = HistogramOpts::from(options(name, help)).buckets(bounds.to_vec());
-    register(registry, HistogramVec::new(options, &["model"]))
+    register(registry, HistogramVec::new(options, &[label]))
 }
 
 fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, MetricsError> {
--- a/crates/event/tests/event/alerts.rs
+++ b/crates/event/tests/event/alerts.rs
@@ -25,6 +25,8 @@
     metrics.first_token(&model, Duration::ZERO);
     metrics.inter_token(&model, Duration::ZERO);
     metrics.over_quota(&WorkspaceName::try_from("clerks").unwrap());
+    metrics.stream_broke_off(&service, "pause", Some(true));
+    metrics.stream_pause(&service, Duration::from_secs(1));
     let text = metrics.text().unwrap();
     let exported = words(&text, "gullglade_");
     let asked = words(ALERTS, "gullglade_");
--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -40,6 +40,14 @@
 }
 
 impl AnswerBody {
+    /// Whether its backend server has answered anybody lately, where this gateway knows.
+    pub(crate) fn is_at_work(&self) -> Option<bool> {
+        match self {
+            Self::Backend(body) => body.ticket.as_ref().map(SentTicket::is_at_work),
+            Self::Forward(_) => None,
+        }
+    }
+
     /// The next piece; `None` after the last one of a whole body.
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
         match self {
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         CallId, CallerCall, Proxy,
-        outcome::{AttemptEnd, FinalWord, RepeatReason, UnknownReason},
+        outcome::{AttemptEnd, AttemptPlace, FinalWord, RepeatReason, UnknownReason, WaitLimit},
     },
     gullglade_dispatch::{PromptCopy, RefusalFacts, RefusalReason, RepeatDecision, WorkItem},
     gullglade_event::{EventDraft, EventSink, Level, MetricSet, RequestOutcome},
@@ -26,11 +26,28 @@
     first_byte: Option<Duration>,
     backend: Option<BackendName>,
     sends: u32,
+    /// The sends that its route allows.
+    allowed: u32,
+    /// Pieces with whole events that were passed on.
+    pieces: u64,
+    /// When something last came for it.
+    heard: MonotonicTime,
+    /// The longest pause between two pieces that callers accept as prompt.
+    gap_objective: Option<Duration>,
+    /// What limits the whole request.
+    bound: WaitLimit,
+    /// The limit that ended the last wait for a run.
+    limit: Option<WaitLimit>,
+    /// What the budget of repeats last said.
+    repeat: Option<&'static str>,
+    /// The backend server or region that was last asked.
+    last_place: Option<AttemptPlace>,
     is_over: bool,
 }
 
 impl JourneyLog {
-    pub(crate) fn new(proxy: &Proxy, call: &CallerCall, item: &WorkItem) -> Self {
+    /// Of the request `item`, which `bound` limits as a whole.
+    pub(crate) fn new(proxy: &Proxy, call: &CallerCall, item: &WorkItem, bound: WaitLimit) -> Self {
         Self {
             id: call.id.clone(),
             events: Rc::clone(proxy.events()),
@@ -43,6 +60,14 @@
             first_byte: None,
             backend: None,
             sends: 0,
+            allowed: item.route.max_attempts,
+            pieces: 0,
+            heard: proxy.context().clock.now(),
+            gap_objective: item.route.gap_objective,
+            bound,
+            limit: None,
+            repeat: None,
+            last_place: None,
             // The gateway that forwarded a request tells of it; this one only of its attempt.
             is_over: !item.may_leave,
         }
@@ -59,6 +84,36 @@
         self.clock.now().since(self.arrived)
     }
 
+    /// How far the request has come: what tells a limit of this gateway's from a failure elsewhere.
+    fn with_progress(&self, event: EventDraft) -> EventDraft {
+        let event = event.field("sends", self.sends).field("allowed", self.allowed);
+        let event = event.field("pieces", self.pieces).millis("pause_ms", self.pause());
+        let event = event.optional("limit", self.limit.map(WaitLimit::label));
+        let event = event.field("bound", self.bound.label()).optional("repeat", self.repeat);
+        event.optional("last_place", self.last_place.as_ref()).optional("version", self.version)
+    }
+
+    /// How long nothing has come for the request.
+    fn pause(&self) -> Duration {
+        self.clock.now().since(self.heard)
+    }
+
+    /// A wait ended by this limit.
+    pub(crate) fn reached(&mut self, limit: WaitLimit) {
+        self.limit = Some(limit);
+    }
+
+    /// A piece with whole events has come.
+    pub(crate) fn piece_came(&mut self) {
+        let pause = self.pause();
+        if self.pieces > 0 && self.gap_objective.is_some_and(|gap| pause > gap) {
+            self.metrics.stream_pause(&self.service, pause);
+        }
+        self.pieces += 1;
+        self.heard = self.clock.now();
+        self.limit = None;
+    }
+
     pub(crate) fn placed(
         &mut self,
         backend: &BackendName,
@@ -66,6 +121,7 @@
         copy: Option<PromptCopy>,
     ) {
         self.sends += 1;
+        self.last_place = Some(AttemptPlace::Here(backend.clone()));
         let event = self.event("request.placed").field("backend", backend);
         let event = event.optional("version", self.version).field("send", self.sends);
         let event = event.optional("copied_tokens", copy.map(|copy| copy.tokens));
@@ -74,6 +130,7 @@
 
     pub(crate) fn away(&mut self, region: &RegionName, here_ms: Option<f64>, item: &WorkItem) {
         self.sends += 1;
+        self.last_place = Some(AttemptPlace::Away(region.clone()));
         self.metrics.sent_away(&item.service, region);
         let event = self.event("request.away").field("region", region);
         self.events.emit(event.optional("here_ms", here_ms.map(f64::round)));
@@ -103,23 +160,24 @@
     }
 
     pub(crate) fn failed_at(&self, backend: &BackendName, end: &AttemptEnd) {
-        self.events
-            .emit(failure(self.event("request.attempt_failed"), end).field("backend", backend));
+        let event = failure(self.event("request.attempt_failed"), end).field("backend", backend);
+        self.events.emit(self.with_progress(event));
     }
 
     pub(crate) fn failed_away(&self, region: &RegionName, end: &AttemptEnd) {
-        self.events
-            .emit(failure(self.event("request.attempt_failed"), end).field("region", region));
+        let event = failure(self.event("request.attempt_failed"), end).field("region", region);
+        self.events.emit(self.with_progress(event));
     }
 
     /// The budget of repeats was asked for one.
-    pub(crate) fn repeat(&self, reason: RepeatReason, decision: RepeatDecision) {
+    pub(crate) fn repeat(&mut self, reason: RepeatReason, decision: RepeatDecision) {
         let RepeatDecision { is_granted, requests, repeats, parts } = decision;
         self.metrics.repeat(&self.service, reason.label(), is_granted);
-        let kind = match is_granted {
-            true => "request.repeat_granted",
-            false => "request.repeat_denied",
+        let (kind, label) = match is_granted {
+            true => ("request.repeat_granted", "granted"),
+            false => ("request.repeat_denied", "denied"),
         };
+        self.repeat = Some(label);
         let event = self.event(kind).field("reason", reason.label());
         let event = event.field("requests", requests).field("repeats", repeats);
         self.events.emit(event.field("parts", parts));
@@ -139,9 +197,19 @@
         self.events.emit(event.optional("after", after));
     }
 
-    pub(crate) fn broke_off(&mut self, reason: UnknownReason, item: &WorkItem) {
+    /// The stream ended before its last event. `is_at_work`: whether the backend server of its run
+    /// has answered anybody lately, where that is known.
+    pub(crate) fn broke_off(
+        &mut self,
+        reason: UnknownReason,
+        is_at_work: Option<bool>,
+        item: &WorkItem,
+    ) {
         let event = self.event("stream.broke_off").level(Level::Warn).field("reason", reason);
-        self.events.emit(event.optional("backend", self.backend.as_ref()));
+        let event = event.optional("backend", self.backend.as_ref());
+        self.events.emit(self.with_progress(event.optional("at_work", is_at_work)));
+        let limit = self.limit.map_or("none", WaitLimit::label);
+        self.metrics.stream_broke_off(&item.service, limit, is_at_work);
         self.end(RequestOutcome::Failed, item);
     }
 
@@ -186,14 +254,18 @@
             | FinalWord::OverQuota(_)
             | FinalWord::Leaving => ("request.no_route", RequestOutcome::Refused),
         };
-        let event = self.event(kind).level(Level::Warn).field("sends", self.sends);
+        let event = self.event(kind).level(Level::Warn);
         let event = match word {
-            FinalWord::NotRun(reason, _) => event.field("reason", reason),
-            FinalWord::Unknown(reason) => event.field("reason", reason),
+            FinalWord::NotRun(reason, _) => {
+                event.field("sends", self.sends).field("reason", reason)
+            }
+            FinalWord::Unknown(reason) => self.with_progress(event.field("reason", reason)),
+            FinalWord::TimedOut => self.with_progress(event),
             FinalWord::HeldBack { print, ends, left } => {
-                event.field("fingerprint", print).field("ends", ends).millis("left_ms", left)
+                let event = event.field("sends", self.sends).field("fingerprint", print);
+                event.field("ends", ends).millis("left_ms", left)
             }
-            _ => event,
+            _ => event.field("sends", self.sends),
         };
         self.events.emit(event);
         self.end(outcome, item);
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -8,16 +8,17 @@
         call_print::CallPrint,
         events::JourneyLog,
         forward::ForwardCall,
-        outcome::{AttemptEnd, FinalWord, NotRunReason, RepeatReason, UnknownReason},
+        outcome::{
+            AttemptEnd, AttemptPlace, FinalWord, NotRunReason, RepeatReason, UnknownReason,
+            WaitLimit,
+        },
         quota::ChargeGuard,
         send_watch::SendWatch,
     },
     gullglade_dispatch::{Verdict, WorkItem},
     gullglade_poison::{RequestHold, RequestPrint},
     gullglade_traffic::{TrafficRoute, TrafficWorkspace},
-    gullglade_units::{
-        BackendName, BackendRun, MonotonicTime, RegionName, ServiceName, WorkspaceName,
-    },
+    gullglade_units::{BackendRun, MonotonicTime, ServiceName, WorkspaceName},
     std::{rc::Rc, time::Duration},
 };
 
@@ -46,6 +47,8 @@
     pub(crate) print: Rc<CallPrint>,
     pub(crate) item: WorkItem,
     pub(crate) log: JourneyLog,
+    /// What limits it as a whole.
+    pub(crate) bound: WaitLimit,
     /// What it takes out of its workspace's quota, at the gateway that its caller called.
     charge: Option<ChargeGuard>,
     /// Attempts that may have run.
@@ -86,12 +89,6 @@
     pub(crate) waited: Duration,
 }
 
-/// Where one attempt goes.
-enum AttemptPlace {
-    Here(BackendName),
-    Away(RegionName),
-}
-
 impl Journey {
     /// A caller's request that has waited here for `waited`; the word to the caller where no route
     /// takes it.
@@ -145,6 +142,10 @@
         // A clock of this process that is younger than the request must not run below its start.
         let arrived = MonotonicTime(now.0.saturating_sub(waited));
         let left = longest(&route, &call, waited);
+        let bound = match route.timeout.saturating_sub(waited) > left {
+            true => WaitLimit::Deadline,
+            false => WaitLimit::RouteTimeout,
+        };
         let item = WorkItem {
             service,
             route,
@@ -156,7 +157,7 @@
             may_leave: is_own,
             is_new: is_own,
         };
-        let log = JourneyLog::new(proxy, &call, &item);
+        let log = JourneyLog::new(proxy, &call, &item, bound);
         let last_event = call.resume_after;
         let call = Rc::new(call);
         let workspace = item.workspace.as_ref().map(|workspace| workspace.name.clone());
@@ -167,6 +168,7 @@
             print,
             item,
             log,
+            bound,
             charge: None,
             ran: 0,
             refused: 0,
--- a/crates/proxy/src/outcome.rs
+++ b/crates/proxy/src/outcome.rs
@@ -6,6 +6,7 @@
     gullglade_event::FieldValue,
     gullglade_http::{ApiError, ReplyBody, RunState},
     gullglade_poison::RequestPrint,
+    gullglade_units::{BackendName, RegionName},
     http::{Response, StatusCode, header::RETRY_AFTER},
     std::{fmt, time::Duration},
 };
@@ -85,6 +86,48 @@
 impl FieldValue for NotRunReason {}
 impl FieldValue for UnknownReason {}
 
+/// Where one attempt goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum AttemptPlace {
+    /// To a backend server of the own region.
+    Here(BackendName),
+    /// To another region.
+    Away(RegionName),
+}
+
+impl fmt::Display for AttemptPlace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Here(backend) => backend.fmt(f),
+            Self::Away(region) => region.fmt(f),
+        }
+    }
+}
+
+impl FieldValue for AttemptPlace {}
+
+/// A limit that ends the wait for an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WaitLimit {
+    /// The longest pause that is accepted of a run that may be followed by another.
+    Pause,
+    /// The time that the caller said that it would wait.
+    Deadline,
+    /// The timeout of its route, as the configuration has it that routed the request.
+    RouteTimeout,
+}
+
+impl WaitLimit {
+    /// Its label in the metrics and in the log.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            Self::Pause => "pause",
+            Self::Deadline => "deadline",
+            Self::RouteTimeout => "route_timeout",
+        }
+    }
+}
+
 /// Why a request that has arrived at a backend server is to be sent once more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RepeatReason {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -4,7 +4,7 @@
     crate::{
         answer::{AnswerBody, AttemptAnswer},
         journey::Journey,
-        outcome::{FinalWord, UnknownReason},
+        outcome::{FinalWord, UnknownReason, WaitLimit},
     },
     bytes::{Bytes, BytesMut},
     futures::stream::unfold,
@@ -126,18 +126,19 @@
     /// The next whole events, within the time that is left and the longest pause.
     async fn next_events(&mut self, events: &mut EventReader) -> EventStep {
         let left = self.left();
-        let limit = match self.may_run_again() {
-            true => {
-                let gap = self.item.route.gap_objective.unwrap_or_default() * GAP_FACTOR;
-                gap.max(LEAST_GAP).min(left)
-            }
-            false => left,
+        let gap = self.item.route.gap_objective.unwrap_or_default() * GAP_FACTOR;
+        let pause = gap.max(LEAST_GAP);
+        let (limit, wait) = match self.may_run_again() && pause < left {
+            true => (WaitLimit::Pause, pause),
+            false => (self.bound, left),
         };
         let clock = std::rc::Rc::clone(&self.proxy.context().clock);
-        let Some(step) = timeout(&*clock, limit, events.next()).await else {
+        let Some(step) = timeout(&*clock, wait, events.next()).await else {
+            self.log.reached(limit);
             return EventStep::Broken(UnknownReason::Overdue);
         };
         if let EventStep::Events(batch) = &step {
+            self.log.piece_came();
             match batch.follows(self.last_event) {
                 true => self.last_event = batch.last.or(self.last_event),
                 false => return EventStep::Broken(UnknownReason::Garbled),
@@ -155,7 +156,8 @@
                 EventStep::Broken(reason) => match self.resume(reason).await {
                     Ok(resumed) => *events = resumed,
                     Err(word) => {
-                        self.log.broke_off(reason, &self.item);
+                        let is_at_work = events.body.is_at_work();
+                        self.log.broke_off(reason, is_at_work, &self.item);
                         let reason = format!("{word:?}");
                         return Some(Err(BodyError::Aborted { reason }));
                     }
