--- a/crates/proxy/tests/support/configuration.rs
+++ b/crates/proxy/tests/support/configuration.rs
@@ -16,6 +16,8 @@
 pub(super) struct FixedFormat {
     pub(super) kind: RequestKind,
     pub(super) timeout: Duration,
+    /// The timeout of versions after the first.
+    pub(super) later_timeout: Option<Duration>,
     pub(super) homes: Vec<String>,
     pub(super) is_public: bool,
     /// The workspaces of each version.
@@ -25,7 +27,8 @@
 impl TrafficFormat for FixedFormat {
     fn read(&self, text: &[u8]) -> Result<RawTraffic, TrafficError> {
         let version = std::str::from_utf8(text).ok().and_then(|text| text.parse().ok());
-        let version = version.expect("the text is the version");
+        let version: u64 = version.expect("the text is the version");
+        let timeout = self.later_timeout.filter(|_| version > 1).unwrap_or(self.timeout);
         let service = RawService {
             name: "pool".to_owned(),
             health_path: String::new(),
@@ -38,7 +41,7 @@
             host: "h".to_owned(),
             prefix: "/a/".to_owned(),
             kind: self.kind,
-            timeout: self.timeout,
+            timeout,
             objective: Duration::from_millis(300),
             priority: 0,
             targets: vec![("pool".to_owned(), 1)],
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -68,9 +68,15 @@
 pub(crate) struct BedSettings {
     pub(crate) kind: RequestKind,
     pub(crate) timeout: Duration,
+    /// The timeout of every version of the configuration after the first.
+    pub(crate) later_timeout: Option<Duration>,
     pub(crate) homes: &'static [&'static str],
     /// Backend servers in the first and in the second region.
     pub(crate) backends: (u8, u8),
+    /// The backend servers that the second region is said to have, where it has others.
+    pub(crate) offered: Option<u8>,
+    /// What all gateways together may repeat beyond a part of their requests.
+    pub(crate) repeat_slack: f64,
     /// Whether the first region has a second gateway.
     pub(crate) has_neighbour: bool,
     /// How long after the test's begin the control process is there.
@@ -87,8 +93,11 @@
         Self {
             kind,
             timeout: Duration::from_secs(5),
+            later_timeout: None,
             homes: &[],
             backends: (2, 0),
+            offered: None,
+            repeat_slack: 50.0,
             has_neighbour: false,
             control_after: Duration::ZERO,
             is_public: false,
@@ -206,10 +215,11 @@
             control_crashes,
         };
         let (west, east) = settings.backends;
-        bed.add_gateway(&network, settings, 2, "west", west, east);
+        let offered = settings.offered.unwrap_or(east);
+        bed.add_gateway(&network, settings, 2, "west", west, offered);
         bed.add_gateway(&network, settings, 3, "east", east, west);
         if settings.has_neighbour {
-            bed.add_gateway(&network, settings, 4, "west", west, east);
+            bed.add_gateway(&network, settings, 4, "west", west, offered);
         }
         bed.world.run_for(SETTLED);
         bed
@@ -240,6 +250,7 @@
         let format = FixedFormat {
             kind: settings.kind,
             timeout: settings.timeout,
+            later_timeout: settings.later_timeout,
             homes: settings.homes.iter().map(|home| (*home).to_owned()).collect(),
             is_public: settings.is_public,
             workspaces: settings.workspaces,
@@ -259,7 +270,7 @@
         );
         fleet.start();
         fleet.set_phase(GatewayPhase::Ready);
-        let dispatcher = new_dispatcher(&context, vm, place, own, others);
+        let dispatcher = new_dispatcher(&context, vm, place, (own, others), settings.repeat_slack);
         let backends = ScriptedBackends::new(&context);
         let notices: Rc<RecordedNotices> = Rc::default();
         let proxy = Proxy::new(ProxyParts {
@@ -449,15 +460,15 @@
     context: &ProcessContext,
     vm: VmName,
     place: &str,
-    own: u8,
-    others: u8,
+    (own, others): (u8, u8),
+    repeat_slack: f64,
 ) -> Rc<Dispatcher> {
     let mut scheduler = Scheduler::new(SchedulerSettings {
         own: vm,
         region: region(place),
         regions: 2,
         repeat_ratio: 0.2,
-        repeat_slack: 50.0,
+        repeat_slack,
         repeat_window: Duration::from_secs(10),
         cold_over: 1.5,
         cold_slack: 3.0,
--- a/crates/proxy/tests/support/servers.rs
+++ b/crates/proxy/tests/support/servers.rs
@@ -6,7 +6,7 @@
     gullglade_dispatch::BackendStatements,
     gullglade_http::{BodyError, ClientBody, ClientError, ClientReply, HttpClient, SendPermit},
     gullglade_proxy::{BackendDialect, BackendWord, SendOrder},
-    gullglade_units::{LocalFuture, MonotonicTime, ProcessContext},
+    gullglade_units::{Clock, LocalFuture, MonotonicTime, ProcessContext},
     http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode},
     std::{
         cell::{Cell, RefCell},
@@ -40,6 +40,8 @@
     pub(crate) headers: Vec<(&'static str, String)>,
     /// Pieces of the body, a millisecond apart.
     pub(crate) pieces: Vec<&'static str>,
+    /// A pause before the piece of that place, in place of the millisecond.
+    pub(crate) pause: Option<(usize, Duration)>,
     pub(crate) is_broken: bool,
 }
 
@@ -51,6 +53,7 @@
             status,
             headers: vec![("id", "call-1".to_owned()), ("signed", "yes".to_owned())],
             pieces: pieces.to_vec(),
+            pause: None,
             is_broken: false,
         }
     }
@@ -66,6 +69,18 @@
         self
     }
 
+    /// Nothing comes for so long before the piece of that place.
+    pub(crate) fn paused(mut self, at: usize, pause: Duration) -> Self {
+        self.pause = Some((at, pause));
+        self
+    }
+
+    /// The head comes after so long.
+    pub(crate) fn after(mut self, after: Duration) -> Self {
+        self.after = after;
+        self
+    }
+
     pub(crate) fn broken(mut self) -> Self {
         self.is_broken = true;
         self
@@ -93,12 +108,16 @@
     pub(crate) arrivals: RefCell<Vec<Arrival>>,
     /// Requests whose answer was dropped before its end.
     pub(crate) cancelled: Rc<Cell<usize>>,
+    /// When that was.
+    pub(crate) cancelled_at: Rc<RefCell<Vec<MonotonicTime>>>,
 }
 
 /// Counts what is dropped before it is over.
 struct DropCount {
     is_over: bool,
     count: Rc<Cell<usize>>,
+    times: Rc<RefCell<Vec<MonotonicTime>>>,
+    clock: Rc<dyn Clock>,
 }
 
 impl DropCount {
@@ -112,6 +131,7 @@
     fn drop(&mut self) {
         if !self.is_over {
             self.count.set(self.count.get() + 1);
+            self.times.borrow_mut().push(self.clock.now());
         }
     }
 }
@@ -124,6 +144,7 @@
             deeds: RefCell::default(),
             arrivals: RefCell::default(),
             cancelled: Rc::default(),
+            cancelled_at: Rc::default(),
         })
     }
 
@@ -151,8 +172,13 @@
         let target = head.uri.to_string();
         let (at, headers) = (self.context.clock.now(), head.headers);
         self.arrivals.borrow_mut().push(Arrival { at, address, headers, target, body });
-        let guard = DropCount { is_over: false, count: Rc::clone(&self.cancelled) };
         let clock = Rc::clone(&self.context.clock);
+        let guard = DropCount {
+            is_over: false,
+            count: Rc::clone(&self.cancelled),
+            times: Rc::clone(&self.cancelled_at),
+            clock: Rc::clone(&clock),
+        };
         let script = match deed {
             Deed::Hang => std::future::pending().await,
             Deed::Close => {
@@ -175,11 +201,13 @@
         if script.is_broken {
             pieces.push(Err(BodyError::Incomplete { reason: "reset".to_owned() }));
         }
-        let state = (pieces.into_iter(), guard, clock);
-        let body = stream::unfold(state, |(mut pieces, guard, clock)| async move {
-            clock.sleep(Duration::from_millis(1)).await;
-            match pieces.next() {
-                Some(piece) => Some((piece, (pieces, guard, clock))),
+        let state = (pieces.into_iter().enumerate(), guard, clock);
+        let body = stream::unfold(state, move |(mut pieces, guard, clock)| async move {
+            let next = pieces.next();
+            let pause = script.pause.filter(|(at, _)| next.as_ref().is_some_and(|(n, _)| n == at));
+            clock.sleep(pause.map_or(Duration::from_millis(1), |(_, pause)| pause)).await;
+            match next {
+                Some((_, piece)) => Some((piece, (pieces, guard, clock))),
                 None => {
                     guard.finish();
                     None
