Count the attempt under way before a pause may end it

Callers saw: a resumable stream on its last attempt got part of its events and a closed connection after a pause of 1.2 s, although its backend server was at work and nothing could follow. The operators' record has that shape: first backend server given up while the request waited there, a second one runs it, cut seconds later, no third send.

Cause: the wait for the next events asked may_run_again(), which counts attempts that have ended. With two allowed and the second under way it said yes; after the pause the attempt was counted, and the answer was no. The wait for a head counted right, each on its own.

Mend: one question for all waits, may_be_replaced(), which counts the attempt under way.

a_pause_does_not_end_the_last_attempt_of_a_stream failed before (stream broken after event 1) and passes.

--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -282,8 +282,7 @@
                     print: self.print.made(),
                     ..ForwardCall::new(&self.call, &self.item, self.last_event, self.now())
                 };
-                let may_repeat =
-                    self.may_run_again() && self.ran + 1 < self.item.route.max_attempts;
+                let may_repeat = self.may_be_replaced();
                 let end = self.proxy.forwarder().send(&region, &forward, may_repeat).await;
                 self.note_place(AttemptPlace::Away(region), &end);
                 Ok(end)
@@ -318,10 +317,10 @@
     /// How long the head of an answer is waited for. A request that may run only once, or not
     /// once more, is waited for to the end.
     fn patience(&self, expected_ms: f64, left: Duration) -> Duration {
-        let kind = self.item.route.kind;
-        if !kind.may_repeat() || self.ran + 1 >= self.item.route.max_attempts {
+        if !self.may_be_replaced() {
             return left;
         }
+        let kind = self.item.route.kind;
         let least = if kind.is_stream() { STREAM_PATIENCE } else { PLAIN_PATIENCE };
         let expected = Duration::from_secs_f64(expected_ms.max(0.0) / 1_000.0);
         (least + expected.mul_f64(PATIENCE_FACTOR)).min(left)
@@ -392,6 +391,13 @@
         route.kind.may_repeat() && self.ran < route.max_attempts && !self.left().is_zero()
     }
 
+    /// Whether another run may follow the one that is under way, the budget aside.
+    pub(crate) fn may_be_replaced(&self) -> bool {
+        let route = &self.item.route;
+        let counted = self.ran + 1;
+        route.kind.may_repeat() && counted < route.max_attempts && !self.left().is_zero()
+    }
+
     /// Has the request sent once more, where the budget has a repeat left.
     fn plan_repeat(&mut self, reason: RepeatReason, otherwise: FinalWord) -> Result<(), FinalWord> {
         let service = &self.item.service;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -128,7 +128,7 @@
         let left = self.left();
         let gap = self.item.route.gap_objective.unwrap_or_default() * GAP_FACTOR;
         let pause = gap.max(LEAST_GAP);
-        let (limit, wait) = match self.may_run_again() && pause < left {
+        let (limit, wait) = match self.may_be_replaced() && pause < left {
             true => (WaitLimit::Pause, pause),
             false => (self.bound, left),
         };
--- a/crates/proxy/tests/silence.rs
+++ b/crates/proxy/tests/silence.rs
@@ -70,6 +70,16 @@
     }
 }
 
+#[test]
+fn a_pause_does_not_end_the_last_attempt_of_a_stream() {
+    // The attempt under way was not counted, so a pause ended it and nothing could follow.
+    let bed = TestBed::new(&BedSettings::of(RESUMABLE));
+    let paused = Script::events(&[FIRST, REST]).paused(1, LONG_PAUSE);
+    bed.script(0, &[Deed::Close, Deed::Answer(paused)]);
+    let served = bed.serve(bed.call());
+    assert_eq!((served.is_broken, served.body.as_str()), (false, ALL), "{served:?}");
+}
+
 #[test]
 fn a_late_head_is_waited_for_where_nobody_else_can_answer() {
     // A request was given up at a backend server that was about to answer it.
