A request keeps the time of the version that routed it, in other regions too

Callers saw: a stream that began under a longer timeout broke off when its run did, although another region had room. Cause: the gateway of the other region computed the time that is left anew, by the route's timeout of the configuration in force there; after a change to a shorter one nothing was left, and it turned the work away.

--- a/crates/proxy/src/forward_server.rs
+++ b/crates/proxy/src/forward_server.rs
@@ -58,6 +58,7 @@
                 service: forward.service,
                 workspace: forward.workspace,
                 waited: forward.waited,
+                left: forward.left,
             },
         );
         let end = match journey {
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -75,6 +75,9 @@
     service: ServiceName,
     /// How long it has been on its way.
     waited: Duration,
+    /// How long it may still take, and which limit that is.
+    left: Duration,
+    bound: WaitLimit,
     /// Whether its caller called this gateway.
     is_own: bool,
 }
@@ -87,6 +90,8 @@
     pub(crate) workspace: Option<WorkspaceName>,
     /// How long it has been on its way.
     pub(crate) waited: Duration,
+    /// How much longer anyone waits for its answer.
+    pub(crate) left: Duration,
 }
 
 impl Journey {
@@ -101,7 +106,8 @@
         let route = traffic.config.routes().find(&call.host, call.path()).cloned();
         let route = route.ok_or(FinalWord::NoRoute)?;
         let workspace = proxy.access().workspace(&traffic.config, &route, call.key.as_ref())?;
-        if !proxy.has_time_for(longest(&route, &call, waited)) {
+        let (left, bound) = longest(&route, &call, waited);
+        if !proxy.has_time_for(left) {
             return Err(FinalWord::Leaving);
         }
         let charge = match &workspace {
@@ -109,7 +115,7 @@
             None => None,
         };
         let service = route.target(proxy.context().random.unit()).clone();
-        let work = RoutedWork { route, workspace, service, waited, is_own: true };
+        let work = RoutedWork { route, workspace, service, waited, left, bound, is_own: true };
         Ok(Self { charge, ..Self::new(proxy, call, None, work) })
     }
 
@@ -120,7 +126,7 @@
         call: CallerCall,
         forwarded: ForwardedWork,
     ) -> Option<Self> {
-        let ForwardedWork { print, service, workspace, waited } = forwarded;
+        let ForwardedWork { print, service, workspace, waited, left } = forwarded;
         let traffic = proxy.traffic()?;
         let route = traffic.config.routes().find(&call.host, call.path()).cloned()?;
         traffic.config.service(&service)?;
@@ -128,24 +134,21 @@
             Some(name) => Some(Rc::clone(traffic.config.workspaces().get(&name)?)),
             None => None,
         };
-        if !proxy.has_time_for(longest(&route, &call, waited)) {
+        if !proxy.has_time_for(left) {
             return None;
         }
-        let work = RoutedWork { route, workspace, service, waited, is_own: false };
+        // Its time was set where its caller called, by the version that routed it there.
+        let bound = WaitLimit::Deadline;
+        let work = RoutedWork { route, workspace, service, waited, left, bound, is_own: false };
         let journey = Self::new(proxy, call, print, work);
         journey.item.allows(proxy.region()).then_some(journey)
     }
 
     fn new(proxy: &Proxy, call: CallerCall, print: Option<RequestPrint>, work: RoutedWork) -> Self {
-        let RoutedWork { route, workspace, service, waited, is_own } = work;
+        let RoutedWork { route, workspace, service, waited, left, bound, is_own } = work;
         let now = proxy.context().clock.now();
         // A clock of this process that is younger than the request must not run below its start.
         let arrived = MonotonicTime(now.0.saturating_sub(waited));
-        let left = longest(&route, &call, waited);
-        let bound = match route.timeout.saturating_sub(waited) > left {
-            true => WaitLimit::Deadline,
-            false => WaitLimit::RouteTimeout,
-        };
         let item = WorkItem {
             service,
             route,
@@ -437,8 +440,11 @@
     proxy.quota().charge(&call.id, workspace, tokens).map_err(FinalWord::OverQuota)
 }
 
-/// The longest that a request may still take.
-fn longest(route: &TrafficRoute, call: &CallerCall, waited: Duration) -> Duration {
+/// The longest that a request may still take, and which limit that is.
+fn longest(route: &TrafficRoute, call: &CallerCall, waited: Duration) -> (Duration, WaitLimit) {
     let timeout = route.timeout.saturating_sub(waited);
-    call.patience.map_or(timeout, |patience| patience.min(timeout))
+    match call.patience {
+        Some(patience) if patience < timeout => (patience, WaitLimit::Deadline),
+        _ => (timeout, WaitLimit::RouteTimeout),
+    }
 }
