--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`BackendLoad`] predicts when a backend server would give the first byte.
 //! - [`CacheEstimate`] knows which prompt parts a model engine probably still holds.
 //! - [`HealthRecord`] believes outcomes, and lets a suspect back by trial.
+//! - [`SilentRun`] says when another place is sought beside a run from which nothing comes.
 //! - [`RepeatBudget`] and [`AllowanceShare`] divide what all gateways together may do.
 
 mod backoff;
@@ -24,6 +25,7 @@
 mod roster;
 mod scheduler;
 mod share;
+mod silence;
 mod statement;
 mod unread;
 mod urgency;
@@ -42,6 +44,7 @@
     regions::{FirstByteTimes, RegionFacts},
     scheduler::Scheduler,
     share::AllowanceShare,
+    silence::{SilenceStep, SilentRun},
     statement::{BackendStatements, StatementChange},
     verdict::{PromptCopy, RefusalFacts, Verdict},
     work::{PromptPart, PromptShape, RefusalReason, TicketId, WorkItem, WorkOutcome},
--- a/crates/event/tests/event/alerts.rs
+++ b/crates/event/tests/event/alerts.rs
@@ -25,7 +25,7 @@
     metrics.first_token(&model, Duration::ZERO);
     metrics.inter_token(&model, Duration::ZERO);
     metrics.over_quota(&WorkspaceName::try_from("clerks").unwrap());
-    metrics.stream_broke_off(&service, "pause", Some(true));
+    metrics.stream_broke_off(&service, "replaced", Some(true));
     metrics.stream_pause(&service, Duration::from_secs(1));
     let text = metrics.text().unwrap();
     let exported = words(&text, "gullglade_");
--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -1,26 +1,18 @@
 //! An answer that has begun: its head, and its body as it comes.
 
 use {
-    crate::{dispatcher::SentTicket, forward::ForwardBody},
+    crate::{dispatcher::SentTicket, forward::ForwardBody, outcome::AttemptPlace, pulse::RunPulse},
     bytes::Bytes,
     gullglade_dispatch::WorkOutcome,
     gullglade_http::{BodyError, ClientBody},
-    gullglade_units::{BackendName, RegionName},
     http::{HeaderMap, StatusCode},
 };
 
-/// Where an answer comes from.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum AnswerSource {
-    /// A backend server of the own region.
-    Backend(BackendName),
-    /// A gateway of another region.
-    Region(RegionName),
-}
-
 /// An answer that has begun.
 pub(crate) struct AttemptAnswer {
-    pub(crate) source: AnswerSource,
+    /// Where it comes from.
+    pub(crate) place: AttemptPlace,
+    pub(crate) pulse: RunPulse,
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: AnswerBody,
@@ -40,14 +32,6 @@
 }
 
 impl AnswerBody {
-    /// Whether its backend server has answered anybody lately, where this gateway knows.
-    pub(crate) fn is_at_work(&self) -> Option<bool> {
-        match self {
-            Self::Backend(body) => body.ticket.as_ref().map(SentTicket::is_at_work),
-            Self::Forward(_) => None,
-        }
-    }
-
     /// The next piece; `None` after the last one of a whole body.
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
         match self {
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -3,9 +3,9 @@
 use {
     crate::{
         BackendDialect, BackendWord, CallerCall, SendOrder,
-        answer::{AnswerBody, AnswerSource, AttemptAnswer, BackendBody},
+        answer::{AnswerBody, AttemptAnswer, BackendBody},
         dispatcher::SentTicket,
-        outcome::{AttemptEnd, NotRunReason, UnknownReason},
+        outcome::{AttemptEnd, AttemptPlace, NotRunReason, UnknownReason},
         unread_headers::UnreadHeaders,
     },
     futures::{
@@ -14,14 +14,10 @@
     },
     gullglade_dispatch::{StatementChange, WorkOutcome},
     gullglade_http::{ClientError, ClientReply, HeadTimeout, HttpClient, KeptWithin, SendPermit},
-    gullglade_units::{BackendName, Clock, WorkspaceName, timeout},
+    gullglade_traffic::TrafficWorkspace,
+    gullglade_units::BackendName,
     http::{Request, StatusCode, header::CONTENT_ENCODING},
-    std::{
-        net::SocketAddr,
-        pin::{Pin, pin},
-        rc::Rc,
-        time::Duration,
-    },
+    std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// A request that may run only once goes over a kept connection only if that was used this lately.
@@ -34,20 +30,17 @@
     pub(crate) client: Rc<dyn HttpClient>,
     pub(crate) dialect: Rc<dyn BackendDialect>,
     pub(crate) unread: UnreadHeaders,
-    pub(crate) clock: Rc<dyn Clock>,
 }
 
 /// One send.
-pub(crate) struct Attempt<'a> {
-    pub(crate) call: &'a CallerCall,
-    pub(crate) backend: &'a BackendName,
+pub(crate) struct Attempt {
+    pub(crate) call: Rc<CallerCall>,
+    pub(crate) backend: BackendName,
     pub(crate) address: SocketAddr,
     /// The time after which nobody waits for the answer.
     pub(crate) left: Duration,
-    /// How long the head of an answer is waited for while nothing comes from the backend server.
-    pub(crate) patience: Duration,
     pub(crate) priority: u8,
-    pub(crate) workspace: Option<&'a WorkspaceName>,
+    pub(crate) workspace: Option<Rc<TrafficWorkspace>>,
     pub(crate) resume_after: Option<u64>,
     /// The engine that holds shared parts of its prompt.
     pub(crate) copy_from: Option<SocketAddr>,
@@ -56,10 +49,10 @@
 }
 
 impl AttemptParts {
-    /// Sends, and waits for the head of the answer.
-    pub(crate) async fn send(&self, attempt: &Attempt<'_>, ticket: SentTicket) -> AttemptEnd {
+    /// Sends, and waits for the head of the answer. Dropped, it cancels the work there.
+    pub(crate) async fn send(&self, attempt: Attempt, ticket: SentTicket) -> AttemptEnd {
         let (permit, revoked) = ticket.permit();
-        let request = match self.request(attempt, permit) {
+        let request = match self.request(&attempt, permit) {
             Ok(request) => request,
             Err(_invalid) => {
                 // The caller's own method, path and headers were parsed before, so they can be
@@ -68,14 +61,9 @@
                 return AttemptEnd::NotRun(NotRunReason::Unreachable, None);
             }
         };
-        let sending = pin!(self.exchange(attempt.address, request, revoked));
-        let Some(sent) = self.wait(attempt, &ticket, sending).await else {
-            ticket.finish(WorkOutcome::Overdue { waited: attempt.patience });
-            return AttemptEnd::Unknown(UnknownReason::Overdue);
-        };
-        match sent {
-            Ok(reply) => self.judge(attempt, reply, ticket),
-            Err(error) => failed(&error, attempt, ticket),
+        match self.exchange(attempt.address, request, revoked).await {
+            Ok(reply) => self.judge(&attempt, reply, ticket),
+            Err(error) => failed(&error, &attempt, ticket),
         }
     }
 
@@ -94,36 +82,16 @@
         }
     }
 
-    /// Waits for `sending`, in steps of the attempt's patience: `None` once a step has passed in
-    /// which nothing at all came from the backend server. One that answers others is at work, and
-    /// asking for the same elsewhere would only add to the load that makes it slow.
-    async fn wait<T>(
-        &self,
-        attempt: &Attempt<'_>,
-        ticket: &SentTicket,
-        mut sending: Pin<&mut (impl Future<Output = T> + ?Sized)>,
-    ) -> Option<T> {
-        loop {
-            let step = timeout(&*self.clock, attempt.patience, sending.as_mut()).await;
-            if step.is_some() {
-                return step;
-            }
-            if !ticket.is_at_work() || attempt.patience >= attempt.left {
-                return None;
-            }
-        }
-    }
-
     fn request(
         &self,
-        attempt: &Attempt<'_>,
+        attempt: &Attempt,
         permit: SendPermit,
     ) -> Result<Request<bytes::Bytes>, http::Error> {
         let order = SendOrder {
-            backend: attempt.backend,
+            backend: &attempt.backend,
             left: attempt.left,
             priority: attempt.priority,
-            workspace: attempt.workspace,
+            workspace: attempt.workspace.as_ref().map(|workspace| &workspace.name),
             resume_after: attempt.resume_after,
             copy_from: attempt.copy_from,
         };
@@ -141,17 +109,17 @@
     }
 
     /// What the head of an answer means.
-    fn judge(&self, attempt: &Attempt<'_>, reply: ClientReply, ticket: SentTicket) -> AttemptEnd {
+    fn judge(&self, attempt: &Attempt, reply: ClientReply, ticket: SentTicket) -> AttemptEnd {
         let ClientReply { head, body } = reply;
         let word = self.dialect.incoming(head.status, &head.headers);
-        self.unread.note(&*self.dialect, attempt.backend, head.status, &head.headers);
+        self.unread.note(&*self.dialect, &attempt.backend, head.status, &head.headers);
         // Another run at the address says nothing of the one that was meant.
         if !word.is_other_run
             && ticket.note_statements(&word.stated).contains(&StatementChange::Leaving)
         {
             self.client.retire(attempt.address);
         }
-        if !self.is_for(attempt.call, &word, head.status) {
+        if !self.is_for(&attempt.call, &word, head.status) {
             ticket.finish(WorkOutcome::Garbled);
             return AttemptEnd::Unknown(UnknownReason::Garbled);
         }
@@ -177,7 +145,8 @@
             false => WorkOutcome::Answered,
         };
         AttemptEnd::Answer(Box::new(AttemptAnswer {
-            source: AnswerSource::Backend(attempt.backend.clone()),
+            place: AttemptPlace::Here(attempt.backend.clone()),
+            pulse: ticket.pulse(),
             status: head.status,
             headers: head.headers,
             body: AnswerBody::Backend(BackendBody::new(body, ticket, whole)),
@@ -199,7 +168,7 @@
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
 
-fn failed(error: &ClientError, attempt: &Attempt<'_>, ticket: SentTicket) -> AttemptEnd {
+fn failed(error: &ClientError, attempt: &Attempt, ticket: SentTicket) -> AttemptEnd {
     if let ClientError::Revoked { .. } = error {
         ticket.finish(WorkOutcome::Cancelled);
         return AttemptEnd::NotRun(NotRunReason::Revoked, None);
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -1,7 +1,10 @@
 //! The scheduler between the tasks of requests: they wait for its verdicts and tell it outcomes.
 
 use {
-    crate::send_watch::SendWatch,
+    crate::{
+        pulse::{HerePulse, RunPulse},
+        send_watch::SendWatch,
+    },
     futures::channel::oneshot,
     gullglade_dispatch::{
         BackendStatements, RefusalFacts, RefusalReason, Scheduler, StatementChange, TicketId,
@@ -63,7 +66,13 @@
         let ticket = self.scheduler.borrow_mut().submit(item, self.context.clock.now());
         let (sender, verdict) = oneshot::channel();
         self.waiting.borrow_mut().insert(ticket, sender);
-        let sent = SentTicket { dispatcher: Rc::clone(self), ticket, watch: None, is_over: false };
+        let sent = SentTicket {
+            dispatcher: Rc::clone(self),
+            ticket,
+            watch: None,
+            given_up: Rc::default(),
+            is_over: false,
+        };
         self.pump();
         // The sender is dropped only with its verdict, or with this dispatcher's last owner.
         let verdict = verdict.await.unwrap_or(Verdict::Refuse {
@@ -138,6 +147,8 @@
     dispatcher: Rc<Dispatcher>,
     ticket: TicketId,
     watch: Option<SendWatch>,
+    /// The silence after which the wait for it ended.
+    given_up: Rc<Cell<Option<Duration>>>,
     is_over: bool,
 }
 
@@ -179,9 +190,13 @@
         changes
     }
 
-    /// Whether something came lately from the backend server that it was sent to.
-    pub(crate) fn is_at_work(&self) -> bool {
-        self.dispatcher.ask(|scheduler, now| scheduler.is_at_work(self.ticket, now))
+    /// What the wait for the answer needs to know of the run.
+    pub(crate) fn pulse(&self) -> RunPulse {
+        RunPulse::Here(HerePulse {
+            dispatcher: Rc::clone(&self.dispatcher),
+            ticket: self.ticket,
+            given_up: Rc::clone(&self.given_up),
+        })
     }
 
     /// The send has ended.
@@ -207,6 +222,9 @@
 
 impl Drop for SentTicket {
     fn drop(&mut self) {
-        self.end(WorkOutcome::Cancelled);
+        self.end(match self.given_up.get() {
+            Some(waited) => WorkOutcome::Overdue { waited },
+            None => WorkOutcome::Cancelled,
+        });
     }
 }
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -3,8 +3,9 @@
 use {
     crate::{
         CallId, CallerCall, Dispatcher,
-        answer::{AnswerBody, AnswerSource, AttemptAnswer},
-        outcome::{AttemptEnd, NotRunReason, UnknownReason},
+        answer::{AnswerBody, AttemptAnswer},
+        outcome::{AttemptEnd, AttemptPlace, NotRunReason, UnknownReason},
+        pulse::{AwayPulse, RunPulse},
     },
     bytes::Bytes,
     gullglade_dispatch::{FirstByteTimes, PromptShape, WorkItem},
@@ -18,7 +19,7 @@
     },
     http::{HeaderMap, HeaderName, HeaderValue, StatusCode},
     serde::{Deserialize, Serialize},
-    std::{cmp::Reverse, collections::BTreeSet, rc::Rc, time::Duration},
+    std::{cmp::Reverse, collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// The prefix of the methods that gateways serve to each other.
@@ -27,6 +28,9 @@
 /// Makes one attempt at a request in the region of the gateway that is called.
 pub(crate) const FORWARD: &str = "proxy.forward";
 
+/// Has a place used that a [`FORWARD`] holds: the request is sent there.
+pub(crate) const COMMIT: &str = "proxy.commit";
+
 /// Does nothing, and keeps a session in use.
 pub(crate) const WARM: &str = "proxy.warm";
 
@@ -50,6 +54,9 @@
 /// The limit on a call that keeps a session.
 const WARM_LIMIT: Duration = Duration::from_secs(2);
 
+/// How long a gateway of another region is waited for that looks for a place to hold.
+const MOST_HOLD: Duration = Duration::from_secs(1);
+
 /// The most gateways of a region that are tried for one request. Each takes a connection that may
 /// hang until its time is up.
 const MOST_GATEWAYS: usize = 2;
@@ -74,6 +81,10 @@
     pub(crate) resume_after: Option<u64>,
     /// Its fingerprint, where it was made.
     pub(crate) print: Option<RequestPrint>,
+    /// Backend servers that it was sent to and that are not to be tried again.
+    pub(crate) tried: Vec<BackendName>,
+    /// Where given, the place is held until [`COMMIT`] names this number.
+    pub(crate) hold: Option<u64>,
 }
 
 /// What comes back. The end of the stream is the end of a whole body.
@@ -90,6 +101,14 @@
     Chunk(Bytes),
     NotRun(NotRunReason, Option<Duration>),
     Unknown(UnknownReason),
+    /// A place is held for it.
+    Placed,
+    /// Nothing has come from the backend server for a while.
+    Waiting {
+        backend: BackendName,
+        /// Whether it has answered anybody lately, or nothing is overdue yet.
+        is_at_work: bool,
+    },
 }
 
 impl ForwardCall {
@@ -113,6 +132,8 @@
             prompt: call.prompt.clone(),
             resume_after,
             print: None,
+            tried: item.tried.clone(),
+            hold: None,
         }
     }
 }
@@ -149,29 +170,95 @@
         region: &RegionName,
         call: &ForwardCall,
         may_repeat: bool,
+        pulse: RunPulse,
+    ) -> AttemptEnd {
+        match self.open(region, call).await {
+            OpenedForward::Stream(_, stream) => {
+                let mut pieces = PieceStream { stream, pulse };
+                let Some(first) =
+                    self.accepted(region, &call.service, call.left, &mut pieces, may_repeat).await
+                else {
+                    return AttemptEnd::Unknown(UnknownReason::LostAway);
+                };
+                self.head(region, &call.service, call.left, pieces, first).await
+            }
+            OpenedForward::Lost => self.lost(region),
+            OpenedForward::NotSent => AttemptEnd::NotRun(NotRunReason::RefusedAway, None),
+        }
+    }
+
+    /// Has a gateway of `region` hold a place for the request; `None` where it has none now, or
+    /// says nothing. Dropped, it is given back.
+    pub(crate) async fn hold(&self, region: &RegionName, call: ForwardCall) -> Option<HeldForward> {
+        let token = self.context.random.next_u64();
+        let call = ForwardCall { hold: Some(token), ..call };
+        let OpenedForward::Stream(gateway, stream) = self.open(region, &call).await else {
+            return None;
+        };
+        let pulse = RunPulse::Away(AwayPulse::new(&self.context.clock));
+        let mut pieces = PieceStream { stream, pulse };
+        let service = &call.service;
+        let first = self.accepted(region, service, call.left, &mut pieces, true).await?;
+        let clock = &*self.context.clock;
+        let answer = next_content(&mut pieces, first);
+        match timeout(clock, call.left.min(MOST_HOLD), answer).await? {
+            Some(Ok(ForwardPiece::Placed)) => {
+                Some(HeldForward { region: region.clone(), gateway, token, stream: pieces.stream })
+            }
+            Some(Ok(ForwardPiece::NotRun(NotRunReason::RefusedAway, _))) => {
+                self.refused(region, service);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    /// Has the request sent at the place that is held for it.
+    pub(crate) async fn commit(
+        &self,
+        held: HeldForward,
+        service: &ServiceName,
+        left: Duration,
+        pulse: RunPulse,
     ) -> AttemptEnd {
+        let HeldForward { region, gateway, token, stream } = held;
+        let mut pieces = PieceStream { stream, pulse };
+        let body = Bytes::from(encode(&token));
+        let limit = left.min(self.accept_limit(&region));
+        // Where its answer is lost, what comes of the request itself tells what became of it.
+        if let Err(error) = self.transport.call(gateway, COMMIT, body, limit).await
+            && error.nothing_sent()
+        {
+            return AttemptEnd::NotRun(NotRunReason::Revoked, None);
+        }
+        let clock = &*self.context.clock;
+        let Some(first) = timeout(clock, left, pieces.next()).await else {
+            return AttemptEnd::Unknown(UnknownReason::Overdue);
+        };
+        self.head(&region, service, left, pieces, first).await
+    }
+
+    /// Sends the request to a gateway of `region`.
+    async fn open(&self, region: &RegionName, call: &ForwardCall) -> OpenedForward {
         let body = Bytes::from(encode(call));
         for gateway in self.some_gateways(region) {
             let to = gateway.profile.peer_address;
             let opening = self.transport.open(to, FORWARD, body.clone());
             let limit = call.left.min(self.accept_limit(region));
             match timeout(&*self.context.clock, limit, opening).await {
-                Some(Ok(stream)) => {
-                    let pieces = PieceStream(stream);
-                    return self.first_piece(region, pieces, call, may_repeat).await;
-                }
+                Some(Ok(stream)) => return OpenedForward::Stream(to, stream),
                 // A session that does not come about in this time has sent nothing.
                 Some(Err(error)) if error.nothing_sent() => {}
-                Some(Err(_)) => return self.lost(region),
+                Some(Err(_)) => return OpenedForward::Lost,
                 None => {}
             }
         }
         self.pause(region, BROKEN_PAUSE);
-        AttemptEnd::NotRun(NotRunReason::RefusedAway, None)
+        OpenedForward::NotSent
     }
 
     /// How long the word of arrival may take.
-    fn accept_limit(&self, region: &RegionName) -> Duration {
+    pub(crate) fn accept_limit(&self, region: &RegionName) -> Duration {
         let usual_ms = self.dispatcher.ask(|scheduler, _| scheduler.region_delay_ms(region));
         LEAST_ACCEPT.max(Duration::from_secs_f64(usual_ms / 1_000.0) * ACCEPT_FACTOR)
     }
@@ -238,38 +325,53 @@
         drawn
     }
 
-    async fn first_piece(
+    /// The first piece of the reply, which tells that the request has arrived. `None` where the
+    /// path is taken for broken, as only for a request that may be repeated.
+    async fn accepted(
         &self,
         region: &RegionName,
-        mut pieces: PieceStream,
-        call: &ForwardCall,
+        service: &ServiceName,
+        left: Duration,
+        pieces: &mut PieceStream,
         may_repeat: bool,
-    ) -> AttemptEnd {
-        let left = call.left;
+    ) -> Option<FirstPiece> {
         let clock = &*self.context.clock;
         let began = clock.now();
-        let mut first = timeout(clock, left.min(self.accept_limit(region)), pieces.next()).await;
-        if let Some(first) = &first {
-            let took = clock.now().since(began);
-            self.dispatcher.ask(|scheduler, _| scheduler.note_region_delay(region, took));
-            self.note_word(region, &call.service, first.as_ref());
-        } else {
+        let limit = left.min(self.accept_limit(region));
+        let mut first = timeout(clock, limit, pieces.next()).await;
+        if first.is_none() {
             // Other requests need not find out for themselves.
             self.pause(region, BROKEN_PAUSE);
-            if may_repeat {
-                return AttemptEnd::Unknown(UnknownReason::LostAway);
-            }
+            let rest = if may_repeat { limit } else { left };
+            first = timeout(clock, rest, pieces.next()).await;
         }
-        if !matches!(first, Some(Some(Err(_)) | None)) {
-            let rest = left.saturating_sub(clock.now().since(began));
-            first = timeout(clock, rest, next_content(&mut pieces, first)).await;
+        if let Some(first) = &first {
+            let took = clock.now().since(began);
+            self.dispatcher.ask(|scheduler, _| scheduler.note_region_delay(region, took));
+            self.note_word(region, service, first.as_ref());
         }
-        let Some(first) = first else { return AttemptEnd::Unknown(UnknownReason::Overdue) };
-        match first {
+        first
+    }
+
+    /// The head of the answer, or how the attempt ended without one.
+    async fn head(
+        &self,
+        region: &RegionName,
+        service: &ServiceName,
+        left: Duration,
+        mut pieces: PieceStream,
+        first: FirstPiece,
+    ) -> AttemptEnd {
+        let content = next_content(&mut pieces, first);
+        let Some(content) = timeout(&*self.context.clock, left, content).await else {
+            return AttemptEnd::Unknown(UnknownReason::Overdue);
+        };
+        match content {
             Some(Ok(ForwardPiece::Head { status, headers, backend: _ })) => {
                 let Ok(status) = StatusCode::from_u16(status) else { return self.lost(region) };
                 AttemptEnd::Answer(Box::new(AttemptAnswer {
-                    source: AnswerSource::Region(region.clone()),
+                    place: AttemptPlace::Away(region.clone()),
+                    pulse: pieces.pulse.clone(),
                     status,
                     headers: unpack_headers(headers),
                     body: AnswerBody::Forward(ForwardBody { pieces }),
@@ -277,48 +379,99 @@
             }
             Some(Ok(ForwardPiece::NotRun(reason, wait))) => {
                 if reason == NotRunReason::RefusedAway {
-                    self.dispatcher.ask(|scheduler, now| {
-                        scheduler.pause_service(region, &call.service, REFUSED_PAUSE, now);
-                    });
+                    self.refused(region, service);
                 }
                 AttemptEnd::NotRun(reason, wait)
             }
             Some(Ok(ForwardPiece::Unknown(reason))) => AttemptEnd::Unknown(reason),
-            Some(Ok(ForwardPiece::Accepted(_) | ForwardPiece::Chunk(_)) | Err(_)) | None => {
-                self.lost(region)
-            }
+            _ => self.lost(region),
         }
     }
+
+    /// The region turned work of a service away.
+    fn refused(&self, region: &RegionName, service: &ServiceName) {
+        self.dispatcher.ask(|scheduler, now| {
+            scheduler.pause_service(region, service, REFUSED_PAUSE, now);
+        });
+    }
+}
+
+/// What became of a request that is sent to another region.
+enum OpenedForward {
+    /// It was sent to this gateway, and this will bring the reply.
+    Stream(SocketAddr, PeerStream),
+    /// It may have been sent.
+    Lost,
+    /// It certainly was not.
+    NotSent,
 }
 
+/// A place that a gateway of another region holds for a request. Dropped, it is given back.
+pub(crate) struct HeldForward {
+    pub(crate) region: RegionName,
+    gateway: SocketAddr,
+    token: u64,
+    stream: PeerStream,
+}
+
+/// The first piece of a reply; `None` where it ended without one.
+type FirstPiece = Option<NextPiece>;
+
 /// One piece of a reply, or why there is none.
 type NextPiece = Result<ForwardPiece, PeerError>;
 
 /// A reply from another region, piece by piece.
-pub(crate) struct PieceStream(PeerStream);
+pub(crate) struct PieceStream {
+    stream: PeerStream,
+    pulse: RunPulse,
+}
 
 impl PieceStream {
     /// The next piece; `None` after the last one of a whole reply.
     async fn next(&mut self) -> Option<NextPiece> {
-        let bytes = match self.0.next().await? {
+        let bytes = match self.stream.next().await? {
             Ok(bytes) => bytes,
             Err(error) => return Some(Err(error)),
         };
-        Some(decode(&bytes).map_err(|e| PeerFault::malformed(e).into()))
+        let piece = decode(&bytes).map_err(|e| PeerFault::malformed(e).into());
+        if let (Ok(piece), RunPulse::Away(pulse)) = (&piece, &self.pulse) {
+            note_pulse(pulse, piece);
+        }
+        Some(piece)
+    }
+
+    /// The next piece that is not only a sign of life.
+    async fn next_content(&mut self) -> Option<NextPiece> {
+        loop {
+            match self.next().await {
+                Some(Ok(ForwardPiece::Accepted(_) | ForwardPiece::Waiting { .. })) => {}
+                piece => return piece,
+            }
+        }
+    }
+}
+
+/// Takes note of what a piece says of the run.
+fn note_pulse(pulse: &AwayPulse, piece: &ForwardPiece) {
+    match piece {
+        ForwardPiece::Waiting { backend, is_at_work } => {
+            pulse.note_backend(backend.clone());
+            pulse.note(*is_at_work);
+        }
+        ForwardPiece::Head { backend, .. } => {
+            pulse.note_backend(backend.clone());
+            pulse.note(true);
+        }
+        _ => pulse.note(true),
     }
 }
 
 /// The piece after the word that the request has arrived. `first`: what came in time for it.
-async fn next_content(
-    pieces: &mut PieceStream,
-    first: Option<Option<NextPiece>>,
-) -> Option<NextPiece> {
-    let first = match first {
-        Some(first) => first,
-        None => pieces.next().await,
-    };
+async fn next_content(pieces: &mut PieceStream, first: FirstPiece) -> FirstPiece {
     match first {
-        Some(Ok(ForwardPiece::Accepted(_))) => pieces.next().await,
+        Some(Ok(ForwardPiece::Accepted(_) | ForwardPiece::Waiting { .. })) => {
+            pieces.next_content().await
+        }
         first => first,
     }
 }
@@ -331,7 +484,7 @@
 impl ForwardBody {
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
         let lost = |reason: String| Some(Err(BodyError::Incomplete { reason }));
-        match self.pieces.next().await {
+        match self.pieces.next_content().await {
             None => None,
             Some(Ok(ForwardPiece::Chunk(bytes))) => Some(Ok(bytes)),
             Some(Ok(ForwardPiece::Unknown(reason))) => lost(format!("there: {reason}")),
--- a/crates/proxy/src/forward_server.rs
+++ b/crates/proxy/src/forward_server.rs
@@ -5,36 +5,52 @@
         CallerCall,
         answer::AttemptAnswer,
         forward::{
-            FORWARD, ForwardCall, ForwardPiece, PROXY_PREFIX, WARM, pack_headers, unpack_headers,
+            COMMIT, FORWARD, ForwardCall, ForwardPiece, PROXY_PREFIX, WARM, pack_headers,
+            unpack_headers,
         },
-        journey::{ForwardedWork, Journey},
-        outcome::{AttemptEnd, NotRunReason, UnknownReason},
+        journey::{ForwardedWork, Journey, SentRun},
+        outcome::{AttemptEnd, AttemptPlace, NotRunReason, UnknownReason},
         proxy::Proxy,
+        pulse::RunWatch,
     },
     bytes::Bytes,
+    futures::channel::oneshot,
     gullglade_peer::{HandlerTable, PeerFault, PeerHandler, PeerIdentity, PeerReplySink},
-    gullglade_units::{LocalFuture, ServiceName, decode, encode},
+    gullglade_units::{LocalFuture, ServiceName, decode, encode, timeout},
     http::Method,
-    std::rc::Rc,
+    std::{cell::RefCell, collections::HashMap, pin::pin, rc::Rc, time::Duration},
 };
 
+/// How long a place is held for the word that it is to be used. Nobody else gets it meanwhile.
+const HOLD_LIMIT: Duration = Duration::from_secs(1);
+
+/// How often the calling gateway is told of a run from which nothing comes.
+const REPORT_INTERVAL: Duration = Duration::from_millis(400);
+
 /// Makes attempts for gateways of other regions.
-pub struct ForwardServer(Proxy);
+pub struct ForwardServer {
+    proxy: Proxy,
+    /// By the numbers of the places that are held: who is told that one is to be used.
+    held: RefCell<HashMap<u64, oneshot::Sender<()>>>,
+}
 
 impl ForwardServer {
     /// Serves the gateways of other regions with `proxy`.
     pub fn register(proxy: &Proxy, handlers: &HandlerTable) {
-        handlers.register(PROXY_PREFIX, Rc::new(Self(proxy.clone())));
+        handlers.register(
+            PROXY_PREFIX,
+            Rc::new(Self { proxy: proxy.clone(), held: RefCell::default() }),
+        );
     }
 
     /// What this region offers of a service, for the word that a request has arrived.
     fn offer_millis(&self, service: &ServiceName) -> Vec<u32> {
-        let offer = self.0.dispatcher().ask(|scheduler, now| scheduler.offer(service, now));
+        let offer = self.proxy.dispatcher().ask(|scheduler, now| scheduler.offer(service, now));
         offer.map(|offer| offer.first_byte.to_millis()).unwrap_or_default()
     }
 
     async fn serve(&self, body: &[u8], reply: &mut PeerReplySink) -> Result<(), PeerFault> {
-        let _in_progress = self.0.begin_forward();
+        let _in_progress = self.proxy.begin_forward();
         let forward: ForwardCall = decode(body).map_err(PeerFault::malformed)?;
         put(reply, &ForwardPiece::Accepted(self.offer_millis(&forward.service))).await?;
         let method = Method::from_bytes(forward.method.as_bytes()).map_err(PeerFault::malformed)?;
@@ -51,7 +67,7 @@
             resume_after: forward.resume_after,
         };
         let journey = Journey::forwarded(
-            &self.0,
+            &self.proxy,
             call,
             ForwardedWork {
                 print: forward.print,
@@ -59,37 +75,115 @@
                 workspace: forward.workspace,
                 waited: forward.waited,
                 left: forward.left,
+                tried: forward.tried,
             },
         );
-        let end = match journey {
-            Some(mut journey) => journey.single_attempt().await,
-            None => AttemptEnd::NotRun(NotRunReason::RefusedAway, None),
+        let Some(mut journey) = journey else {
+            return put(reply, &ForwardPiece::NotRun(NotRunReason::RefusedAway, None)).await;
         };
-        match end {
-            AttemptEnd::NotRun(reason, wait) => {
-                put(reply, &ForwardPiece::NotRun(reason, wait)).await
+        let found = match journey.single_place().await {
+            Ok(found) => found,
+            Err(end) => return put_end(reply, end).await,
+        };
+        if let Some(token) = forward.hold
+            && !self.is_used(token, reply).await?
+        {
+            return put(reply, &ForwardPiece::NotRun(NotRunReason::Revoked, None)).await;
+        }
+        let SentRun { watch, end } = journey.send(found);
+        match self.reported(&watch, reply, end).await? {
+            AttemptEnd::Answer(answer) => self.relay(*answer, reply).await,
+            end => {
+                journey.note_place(&watch, &end);
+                put_end(reply, end).await
             }
-            AttemptEnd::Unknown(reason) => put(reply, &ForwardPiece::Unknown(reason)).await,
-            AttemptEnd::Answer(answer) => relay(*answer, reply).await,
         }
     }
-}
 
-async fn relay(answer: AttemptAnswer, reply: &mut PeerReplySink) -> Result<(), PeerFault> {
-    let AttemptAnswer { source, status, headers, mut body } = answer;
-    let crate::answer::AnswerSource::Backend(backend) = source else {
-        // A forwarded request is never forwarded again.
-        return put(reply, &ForwardPiece::Unknown(UnknownReason::LostAway)).await;
-    };
-    let headers = pack_headers(&headers);
-    put(reply, &ForwardPiece::Head { status: status.as_u16(), headers, backend }).await?;
-    while let Some(piece) = body.next().await {
-        let Ok(bytes) = piece else {
-            return put(reply, &ForwardPiece::Unknown(UnknownReason::Incomplete)).await;
+    /// Tells that a place is held, and waits for whether it is to be used.
+    async fn is_used(&self, token: u64, reply: &mut PeerReplySink) -> Result<bool, PeerFault> {
+        let (sender, used) = oneshot::channel();
+        self.held.borrow_mut().insert(token, sender);
+        let _forgotten = HeldToken { held: &self.held, token };
+        put(reply, &ForwardPiece::Placed).await?;
+        let clock = Rc::clone(&self.proxy.context().clock);
+        Ok(matches!(timeout(&*clock, HOLD_LIMIT, used).await, Some(Ok(()))))
+    }
+
+    /// Waits for `next`, the next thing of `run`, and tells the calling gateway meanwhile whether the
+    /// backend server is at work. That gateway decides whether to wait on.
+    async fn reported<T>(
+        &self,
+        run: &RunWatch,
+        reply: &mut PeerReplySink,
+        next: impl Future<Output = T>,
+    ) -> Result<T, PeerFault> {
+        let mut next = pin!(next);
+        let clock = Rc::clone(&self.proxy.context().clock);
+        let began = clock.now();
+        loop {
+            if let Some(output) = timeout(&*clock, REPORT_INTERVAL, next.as_mut()).await {
+                return Ok(output);
+            }
+            let is_due = clock.now().since(began) >= run.patience;
+            if let AttemptPlace::Here(backend) = &run.place {
+                let is_at_work = !is_due || run.pulse.is_at_work();
+                put(reply, &ForwardPiece::Waiting { backend: backend.clone(), is_at_work }).await?;
+            }
+        }
+    }
+
+    async fn relay(
+        &self,
+        answer: AttemptAnswer,
+        reply: &mut PeerReplySink,
+    ) -> Result<(), PeerFault> {
+        let AttemptAnswer { place, pulse, status, headers, mut body } = answer;
+        let AttemptPlace::Here(backend) = &place else {
+            // A forwarded request is never forwarded again.
+            return put(reply, &ForwardPiece::Unknown(UnknownReason::LostAway)).await;
         };
-        put(reply, &ForwardPiece::Chunk(bytes)).await?;
+        let (backend, headers) = (backend.clone(), pack_headers(&headers));
+        put(reply, &ForwardPiece::Head { status: status.as_u16(), headers, backend }).await?;
+        let run = RunWatch { place, pulse, patience: Duration::ZERO };
+        while let Some(piece) = self.reported(&run, reply, body.next()).await? {
+            let Ok(bytes) = piece else {
+                return put(reply, &ForwardPiece::Unknown(UnknownReason::Incomplete)).await;
+            };
+            put(reply, &ForwardPiece::Chunk(bytes)).await?;
+        }
+        Ok(())
+    }
+
+    /// Has the place used that `body` names, where it is still held.
+    fn commit(&self, body: &[u8]) -> Result<Bytes, PeerFault> {
+        let token: u64 = decode(body).map_err(PeerFault::malformed)?;
+        let sender = self.held.borrow_mut().remove(&token);
+        let is_held = sender.is_some_and(|sender| sender.send(()).is_ok());
+        Ok(Bytes::from(encode(&is_held)))
     }
-    Ok(())
+}
+
+/// The number of a place that is held. Dropped, it means nothing any more.
+struct HeldToken<'a> {
+    held: &'a RefCell<HashMap<u64, oneshot::Sender<()>>>,
+    token: u64,
+}
+
+impl Drop for HeldToken<'_> {
+    fn drop(&mut self) {
+        self.held.borrow_mut().remove(&self.token);
+    }
+}
+
+/// Tells how an attempt ended without an answer.
+async fn put_end(reply: &mut PeerReplySink, end: AttemptEnd) -> Result<(), PeerFault> {
+    let piece = match end {
+        AttemptEnd::NotRun(reason, wait) => ForwardPiece::NotRun(reason, wait),
+        AttemptEnd::Unknown(reason) => ForwardPiece::Unknown(reason),
+        AttemptEnd::Answer(_) => ForwardPiece::Unknown(UnknownReason::LostAway),
+    };
+    put(reply, &piece).await
 }
 
 async fn put(reply: &mut PeerReplySink, piece: &ForwardPiece) -> Result<(), PeerFault> {
@@ -101,11 +195,12 @@
         &'a self,
         _from: &'a PeerIdentity,
         method: &'a str,
-        _body: Bytes,
+        body: Bytes,
     ) -> LocalFuture<'a, Result<Bytes, PeerFault>> {
         Box::pin(async move {
             match method {
                 WARM => Ok(Bytes::new()),
+                COMMIT => self.commit(&body),
                 _ => Err(PeerFault::unknown_method(method)),
             }
         })
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -12,13 +12,18 @@
             AttemptEnd, AttemptPlace, FinalWord, NotRunReason, RepeatReason, UnknownReason,
             WaitLimit,
         },
+        pulse::{AwayPulse, RunPulse, RunWatch},
         quota::ChargeGuard,
+        search::{FoundPlace, PlacedRun},
         send_watch::SendWatch,
+        silence::WaitEnd,
     },
     gullglade_dispatch::{Verdict, WorkItem},
     gullglade_poison::{RequestHold, RequestPrint},
     gullglade_traffic::{TrafficRoute, TrafficWorkspace},
-    gullglade_units::{BackendRun, MonotonicTime, ServiceName, WorkspaceName},
+    gullglade_units::{
+        BackendName, BackendRun, LocalFuture, MonotonicTime, RegionName, ServiceName, WorkspaceName,
+    },
     std::{rc::Rc, time::Duration},
 };
 
@@ -26,8 +31,8 @@
 /// request must not go round all backend servers.
 const MOST_REFUSALS: u32 = 4;
 
-/// How much later than expected the head of a repeatable answer may be before it is asked for
-/// elsewhere: this many times the expectation, and the time below.
+/// How much later than expected the head of a repeatable answer may be before another place is
+/// sought: this many times the expectation, and the time below.
 const PATIENCE_FACTOR: f64 = 2.0;
 
 /// A plain answer's least patience.
@@ -57,10 +62,19 @@
     refused: u32,
     /// A repeat that is to be taken out of the budget when there is a place for it.
     pending: Option<PendingRepeat>,
+    /// The place of the next attempt, where it is secured.
+    secured: Option<FoundPlace>,
     /// The last event that the caller has.
     pub(crate) last_event: Option<u64>,
 }
 
+/// A request that was sent.
+pub(crate) struct SentRun {
+    pub(crate) watch: RunWatch,
+    /// How the attempt ends. Dropped, it cancels the work.
+    pub(crate) end: LocalFuture<'static, AttemptEnd>,
+}
+
 /// A request that has arrived at a backend server and is to be sent once more.
 struct PendingRepeat {
     reason: RepeatReason,
@@ -92,6 +106,8 @@
     pub(crate) waited: Duration,
     /// How much longer anyone waits for its answer.
     pub(crate) left: Duration,
+    /// Backend servers that it was sent to and that are not to be tried again.
+    pub(crate) tried: Vec<BackendName>,
 }
 
 impl Journey {
@@ -126,7 +142,7 @@
         call: CallerCall,
         forwarded: ForwardedWork,
     ) -> Option<Self> {
-        let ForwardedWork { print, service, workspace, waited, left } = forwarded;
+        let ForwardedWork { print, service, workspace, waited, left, tried } = forwarded;
         let traffic = proxy.traffic()?;
         let route = traffic.config.routes().find(&call.host, call.path()).cloned()?;
         traffic.config.service(&service)?;
@@ -140,7 +156,8 @@
         // Its time was set where its caller called, by the version that routed it there.
         let bound = WaitLimit::Deadline;
         let work = RoutedWork { route, workspace, service, waited, left, bound, is_own: false };
-        let journey = Self::new(proxy, call, print, work);
+        let mut journey = Self::new(proxy, call, print, work);
+        journey.item.tried = tried;
         journey.item.allows(proxy.region()).then_some(journey)
     }
 
@@ -176,6 +193,7 @@
             ran: 0,
             refused: 0,
             pending: None,
+            secured: None,
             last_event,
         }
     }
@@ -192,7 +210,7 @@
     /// The next answer: attempts until one begins, or none may be made any more.
     pub(crate) async fn next_answer(&mut self) -> Result<AttemptAnswer, FinalWord> {
         loop {
-            let end = self.attempt().await?;
+            let Some(end) = self.attempt().await? else { continue };
             self.note_charge(&end);
             match end {
                 AttemptEnd::Answer(answer) => {
@@ -216,18 +234,18 @@
         }
     }
 
-    /// The only attempt that a gateway makes for one of another region.
-    pub(crate) async fn single_attempt(&mut self) -> AttemptEnd {
-        match self.attempt().await {
-            Ok(end) => end,
-            Err(FinalWord::Refused(_, wait)) => {
+    /// A place for the only attempt that a gateway makes for one of another region; how the attempt
+    /// ends where there is none.
+    pub(crate) async fn single_place(&mut self) -> Result<FoundPlace, AttemptEnd> {
+        self.find_place().await.map_err(|word| match word {
+            FinalWord::Refused(_, wait) => {
                 AttemptEnd::NotRun(NotRunReason::RefusedAway, Some(wait))
             }
-            Err(FinalWord::HeldBack { ends, left, .. }) => {
+            FinalWord::HeldBack { ends, left, .. } => {
                 AttemptEnd::NotRun(NotRunReason::HeldBack { ends }, Some(left))
             }
-            Err(_) => AttemptEnd::NotRun(NotRunReason::RefusedAway, None),
-        }
+            _ => AttemptEnd::NotRun(NotRunReason::RefusedAway, None),
+        })
     }
 
     /// An answer with a status that callers read as "not run", from a backend server that did not
@@ -236,8 +254,25 @@
         promises_not_run(answer.status) && !self.item.route.kind.may_repeat()
     }
 
-    /// Waits for a place and makes one attempt there.
-    async fn attempt(&mut self) -> Result<AttemptEnd, FinalWord> {
+    /// Makes one attempt: at the place that is secured, or at the next one that is given. `None`
+    /// where another place was secured while nothing came from it.
+    async fn attempt(&mut self) -> Result<Option<AttemptEnd>, FinalWord> {
+        let found = match self.secured.take() {
+            Some(found) => found,
+            None => self.find_place().await?,
+        };
+        let SentRun { watch, end } = self.send(found);
+        let end = match self.wait_for(&watch, end).await {
+            WaitEnd::Came(end) => end,
+            WaitEnd::Replaced => return Ok(None),
+            WaitEnd::TimedOut => AttemptEnd::Unknown(UnknownReason::Overdue),
+        };
+        self.note_place(&watch, &end);
+        Ok(Some(end))
+    }
+
+    /// Waits for a place.
+    async fn find_place(&mut self) -> Result<FoundPlace, FinalWord> {
         self.check_hold()?;
         let item = self.item.clone();
         self.item.is_new = false;
@@ -246,9 +281,6 @@
         self.check_hold()?;
         if verdict.is_sent() {
             self.take_repeat()?;
-            if let Some(charge) = &mut self.charge {
-                charge.note_sent();
-            }
         }
         match verdict {
             Verdict::Refuse { reason, retry_after, facts } => {
@@ -259,40 +291,89 @@
                 Err(FinalWord::Refused(reason, retry_after))
             }
             Verdict::Send { run, address, priority, expected_ms, copy } => {
+                let placed = PlacedRun { ticket, run, address, priority, expected_ms, copy };
+                Ok(FoundPlace::Here(placed))
+            }
+            Verdict::SendAway { region, here_ms } => {
+                drop(ticket);
+                self.log.away(&region, here_ms, &self.item);
+                Ok(FoundPlace::Away(region))
+            }
+        }
+    }
+
+    /// Sends it to a place.
+    pub(crate) fn send(&mut self, found: FoundPlace) -> SentRun {
+        if let Some(charge) = &mut self.charge {
+            charge.note_sent();
+        }
+        let left = self.left();
+        let proxy = self.proxy.clone();
+        match found {
+            FoundPlace::Here(placed) => {
+                let PlacedRun { ticket, run, address, priority, expected_ms, copy } = placed;
                 let ticket = ticket.watched(self.watch(&run));
                 self.log.placed(&run.backend, expected_ms, copy);
-                let left = self.left();
+                let watch = RunWatch {
+                    place: AttemptPlace::Here(run.backend.clone()),
+                    pulse: ticket.pulse(),
+                    patience: self.patience(expected_ms),
+                };
                 let attempt = Attempt {
-                    call: &self.call,
-                    backend: &run.backend,
+                    call: Rc::clone(&self.call),
+                    backend: run.backend,
                     address,
                     left,
-                    patience: self.patience(expected_ms, left),
                     priority,
-                    workspace: self.item.workspace.as_ref().map(|workspace| &workspace.name),
+                    workspace: self.item.workspace.clone(),
                     resume_after: self.last_event,
                     copy_from: copy.map(|copy| copy.from),
                     is_once_only: !self.item.route.kind.may_repeat(),
                 };
-                let end = self.proxy.attempts().send(&attempt, ticket).await;
-                self.note_place(AttemptPlace::Here(run.backend), &end);
-                Ok(end)
+                let end = Box::pin(async move { proxy.attempts().send(attempt, ticket).await });
+                SentRun { watch, end }
             }
-            Verdict::SendAway { region, here_ms } => {
-                drop(ticket);
-                self.log.away(&region, here_ms, &self.item);
+            FoundPlace::Away(region) => {
                 let forward = ForwardCall {
                     print: self.print.made(),
                     ..ForwardCall::new(&self.call, &self.item, self.last_event, self.now())
                 };
                 let may_repeat = self.may_be_replaced();
-                let end = self.proxy.forwarder().send(&region, &forward, may_repeat).await;
-                self.note_place(AttemptPlace::Away(region), &end);
-                Ok(end)
+                let watch = self.away_watch(&region);
+                let pulse = watch.pulse.clone();
+                let end = Box::pin(async move {
+                    proxy.forwarder().send(&region, &forward, may_repeat, pulse).await
+                });
+                SentRun { watch, end }
             }
+            FoundPlace::Held(held) => {
+                self.log.away(&held.region, None, &self.item);
+                let watch = self.away_watch(&held.region);
+                let pulse = watch.pulse.clone();
+                let service = self.item.service.clone();
+                let end =
+                    Box::pin(
+                        async move { proxy.forwarder().commit(held, &service, left, pulse).await },
+                    );
+                SentRun { watch, end }
+            }
+        }
+    }
+
+    fn away_watch(&self, region: &RegionName) -> RunWatch {
+        RunWatch {
+            place: AttemptPlace::Away(region.clone()),
+            pulse: RunPulse::Away(AwayPulse::new(&self.proxy.context().clock)),
+            patience: self.proxy.forwarder().accept_limit(region),
         }
     }
 
+    /// Has the next attempt made at `found`, in place of the run that is under way.
+    pub(crate) fn replace_with(&mut self, found: FoundPlace) {
+        self.ran += 1;
+        self.secured = Some(found);
+    }
+
     /// Whether it may be sent. One under which backend servers ended would end the next one, with
     /// everything that runs there, whatever its id and wherever it came in.
     fn check_hold(&self) -> Result<(), FinalWord> {
@@ -317,34 +398,26 @@
         }
     }
 
-    /// How long the head of an answer is waited for. A request that may run only once, or not
-    /// once more, is waited for to the end.
-    fn patience(&self, expected_ms: f64, left: Duration) -> Duration {
-        if !self.may_be_replaced() {
-            return left;
-        }
+    /// How late the head of an answer may be before another place is sought.
+    fn patience(&self, expected_ms: f64) -> Duration {
         let kind = self.item.route.kind;
         let least = if kind.is_stream() { STREAM_PATIENCE } else { PLAIN_PATIENCE };
         let expected = Duration::from_secs_f64(expected_ms.max(0.0) / 1_000.0);
-        (least + expected.mul_f64(PATIENCE_FACTOR)).min(left)
+        least + expected.mul_f64(PATIENCE_FACTOR)
     }
 
     /// Takes note of where an attempt failed, so that the next one goes elsewhere.
-    fn note_place(&mut self, place: AttemptPlace, end: &AttemptEnd) {
+    pub(crate) fn note_place(&mut self, run: &RunWatch, end: &AttemptEnd) {
         let may_return =
             matches!(end, AttemptEnd::NotRun(NotRunReason::Shed | NotRunReason::Revoked, _));
-        match (end, place) {
-            (AttemptEnd::Answer(_), AttemptPlace::Here(backend)) => self.log.source(&backend),
+        match (end, &run.place) {
+            (AttemptEnd::Answer(_), AttemptPlace::Here(backend)) => self.log.source(backend),
             (AttemptEnd::Answer(_), AttemptPlace::Away(_)) => {}
-            (_, AttemptPlace::Here(backend)) => {
-                self.log.failed_at(&backend, end);
-                if !may_return {
-                    self.item.tried.push(backend);
-                }
-            }
-            (_, AttemptPlace::Away(region)) => {
-                self.log.failed_away(&region, end);
-            }
+            (_, AttemptPlace::Here(backend)) => self.log.failed_at(backend, end),
+            (_, AttemptPlace::Away(region)) => self.log.failed_away(region, end),
+        }
+        if !matches!(end, AttemptEnd::Answer(_)) && !may_return {
+            self.item.tried.extend(run.backend());
         }
     }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -25,9 +25,12 @@
 mod notice;
 mod outcome;
 mod proxy;
+mod pulse;
 mod quota;
 mod relay;
+mod search;
 mod send_watch;
+mod silence;
 mod starting;
 mod unread_headers;
 
--- a/crates/proxy/src/outcome.rs
+++ b/crates/proxy/src/outcome.rs
@@ -109,8 +109,8 @@
 /// A limit that ends the wait for an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum WaitLimit {
-    /// The longest pause that is accepted of a run that may be followed by another.
-    Pause,
+    /// The run was silent, and was given up for another one that was secured.
+    Replaced,
     /// The time that the caller said that it would wait.
     Deadline,
     /// The timeout of its route, as the configuration has it that routed the request.
@@ -121,7 +121,7 @@
     /// Its label in the metrics and in the log.
     pub(crate) fn label(self) -> &'static str {
         match self {
-            Self::Pause => "pause",
+            Self::Replaced => "replaced",
             Self::Deadline => "deadline",
             Self::RouteTimeout => "route_timeout",
         }
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -98,7 +98,6 @@
             client: Rc::clone(&parts.client),
             dialect: Rc::clone(&parts.dialect),
             unread: UnreadHeaders::new(Rc::clone(&parts.events)),
-            clock: Rc::clone(&parts.context.clock),
         };
         let forwarder = Forwarder {
             transport: Rc::clone(&parts.transport),
--- /dev/null
+++ b/crates/proxy/src/pulse.rs
@@ -0,0 +1,115 @@
+//! What is known of a run while its answer is waited for.
+
+use {
+    crate::{Dispatcher, outcome::AttemptPlace},
+    gullglade_dispatch::TicketId,
+    gullglade_units::{BackendName, Clock, MonotonicTime},
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        time::Duration,
+    },
+};
+
+/// What another region's gateway told of a run is believed for this long. It tells several times
+/// as often, so without a word the link or the gateway is lost.
+const WORD_AGE: Duration = Duration::from_secs(1);
+
+/// A run that is under way, as the wait for its answer sees it.
+#[derive(Clone)]
+pub(crate) struct RunWatch {
+    /// Where it is.
+    pub(crate) place: AttemptPlace,
+    /// Whether its backend server is at work.
+    pub(crate) pulse: RunPulse,
+    /// How long nothing may come from it before another place is sought.
+    pub(crate) patience: Duration,
+}
+
+/// Whether the backend server of a run is at work.
+#[derive(Clone)]
+pub(crate) enum RunPulse {
+    /// A run in the own region.
+    Here(HerePulse),
+    /// A run in another region.
+    Away(Rc<AwayPulse>),
+}
+
+impl RunWatch {
+    /// The backend server, where it is known.
+    pub(crate) fn backend(&self) -> Option<BackendName> {
+        match (&self.place, &self.pulse) {
+            (AttemptPlace::Here(backend), _) => Some(backend.clone()),
+            (AttemptPlace::Away(_), RunPulse::Away(pulse)) => pulse.backend.borrow().clone(),
+            (AttemptPlace::Away(_), RunPulse::Here(_)) => None,
+        }
+    }
+}
+
+impl RunPulse {
+    /// Whether its backend server has answered anybody lately.
+    pub(crate) fn is_at_work(&self) -> bool {
+        match self {
+            Self::Here(pulse) => pulse.is_at_work(),
+            Self::Away(pulse) => pulse.is_at_work(),
+        }
+    }
+
+    /// The run is given up after it was silent for so long.
+    pub(crate) fn give_up(&self, silence: Duration) {
+        match self {
+            Self::Here(pulse) => pulse.given_up.set(Some(silence)),
+            // The gateway there sees that it is cancelled.
+            Self::Away(_) => {}
+        }
+    }
+}
+
+/// The same of a run in the own region.
+#[derive(Clone)]
+pub(crate) struct HerePulse {
+    pub(crate) dispatcher: Rc<Dispatcher>,
+    pub(crate) ticket: TicketId,
+    /// The silence after which it was given up; its ticket counts that against the backend server.
+    pub(crate) given_up: Rc<Cell<Option<Duration>>>,
+}
+
+impl HerePulse {
+    fn is_at_work(&self) -> bool {
+        self.dispatcher.ask(|scheduler, now| scheduler.is_at_work(self.ticket, now))
+    }
+}
+
+/// The same of a run in another region, as the gateway there tells.
+pub(crate) struct AwayPulse {
+    clock: Rc<dyn Clock>,
+    /// When it last told something, and whether the run was at work by that.
+    told: Cell<Option<(MonotonicTime, bool)>>,
+    backend: RefCell<Option<BackendName>>,
+}
+
+impl AwayPulse {
+    /// That of a request that was not accepted yet.
+    pub(crate) fn new(clock: &Rc<dyn Clock>) -> Rc<Self> {
+        Rc::new(Self {
+            clock: Rc::clone(clock),
+            told: Cell::default(),
+            backend: RefCell::default(),
+        })
+    }
+
+    /// The gateway told something of the run.
+    pub(crate) fn note(&self, is_at_work: bool) {
+        self.told.set(Some((self.clock.now(), is_at_work)));
+    }
+
+    /// The run is at this backend server.
+    pub(crate) fn note_backend(&self, backend: BackendName) {
+        self.backend.replace(Some(backend));
+    }
+
+    fn is_at_work(&self) -> bool {
+        let now = self.clock.now();
+        self.told.get().is_some_and(|(at, is_at_work)| is_at_work && now.since(at) < WORD_AGE)
+    }
+}
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -4,7 +4,9 @@
     crate::{
         answer::{AnswerBody, AttemptAnswer},
         journey::Journey,
-        outcome::{FinalWord, UnknownReason, WaitLimit},
+        outcome::{AttemptPlace, FinalWord, UnknownReason},
+        pulse::{RunPulse, RunWatch},
+        silence::WaitEnd,
     },
     bytes::{Bytes, BytesMut},
     futures::stream::unfold,
@@ -21,7 +23,7 @@
 /// breaks off can still be asked for again, or be told as a failure.
 const WHOLE_BYTES: usize = 1 << 20;
 
-/// A stream that may be resumed is asked for elsewhere after a pause of this many times the
+/// Another place is sought beside a stream that may be resumed after a pause of this many times the
 /// longest one that its callers accept as prompt, and at least the time below.
 const GAP_FACTOR: u32 = 4;
 const LEAST_GAP: Duration = Duration::from_millis(1_200);
@@ -71,7 +73,7 @@
 
     /// Reads an answer whole; `None` where it broke off and is to be asked for again.
     async fn whole(&mut self, answer: AttemptAnswer) -> Result<Option<RelayedReply>, FinalWord> {
-        let AttemptAnswer { source: _, status, headers, mut body } = answer;
+        let AttemptAnswer { status, headers, mut body, .. } = answer;
         let mut whole = BytesMut::new();
         loop {
             let clock = std::rc::Rc::clone(&self.proxy.context().clock);
@@ -103,8 +105,8 @@
         &mut self,
         answer: AttemptAnswer,
     ) -> Result<Option<RelayedReply>, FinalWord> {
-        let AttemptAnswer { source: _, status, headers, body } = answer;
-        let mut events = EventReader::new(body);
+        let AttemptAnswer { place, pulse, status, headers, body } = answer;
+        let mut events = EventReader::new(body, self.stream_watch(place, pulse));
         match self.next_events(&mut events).await {
             EventStep::Events(first) => {
                 self.log.first_event();
@@ -115,65 +117,76 @@
                 let body = RelayedBody::Whole(Bytes::new());
                 Ok(Some(RelayedReply { status, headers, body }))
             }
+            EventStep::Replaced => Ok(None),
             EventStep::Broken(reason) => {
-                drop(events);
                 self.after_unknown(reason)?;
                 Ok(None)
             }
         }
     }
 
-    /// The next whole events, within the time that is left and the longest pause.
-    async fn next_events(&mut self, events: &mut EventReader) -> EventStep {
-        let left = self.left();
+    fn stream_watch(&self, place: AttemptPlace, pulse: RunPulse) -> RunWatch {
         let gap = self.item.route.gap_objective.unwrap_or_default() * GAP_FACTOR;
-        let pause = gap.max(LEAST_GAP);
-        let (limit, wait) = match self.may_be_replaced() && pause < left {
-            true => (WaitLimit::Pause, pause),
-            false => (self.bound, left),
-        };
-        let clock = std::rc::Rc::clone(&self.proxy.context().clock);
-        let Some(step) = timeout(&*clock, wait, events.next()).await else {
-            self.log.reached(limit);
-            return EventStep::Broken(UnknownReason::Overdue);
+        RunWatch { place, pulse, patience: gap.max(LEAST_GAP) }
+    }
+
+    /// The next whole events. A run that ends without them is cancelled here.
+    async fn next_events(&mut self, events: &mut EventReader) -> EventStep {
+        let watch = events.watch.clone();
+        let step = match self.wait_for(&watch, events.next()).await {
+            WaitEnd::Came(EventStep::Events(batch)) => self.take_events(batch),
+            WaitEnd::Came(step) => step,
+            WaitEnd::Replaced => EventStep::Replaced,
+            WaitEnd::TimedOut => EventStep::Broken(UnknownReason::Overdue),
         };
-        if let EventStep::Events(batch) = &step {
-            self.log.piece_came();
-            match batch.follows(self.last_event) {
-                true => self.last_event = batch.last.or(self.last_event),
-                false => return EventStep::Broken(UnknownReason::Garbled),
-            }
+        if matches!(step, EventStep::Broken(_) | EventStep::Replaced) {
+            events.cancel();
         }
         step
     }
 
+    /// Takes note of events that came, where they go on after those that the caller has.
+    fn take_events(&mut self, batch: EventBatch) -> EventStep {
+        self.log.piece_came();
+        if !batch.follows(self.last_event) {
+            return EventStep::Broken(UnknownReason::Garbled);
+        }
+        self.last_event = batch.last.or(self.last_event);
+        EventStep::Events(batch)
+    }
+
     /// The next piece of a stream that has begun, resumed elsewhere where it breaks off.
     async fn next_piece(&mut self, events: &mut EventReader) -> Option<Result<Bytes, BodyError>> {
         loop {
-            match self.next_events(events).await {
+            let (reason, planned) = match self.next_events(events).await {
                 EventStep::Events(batch) => return Some(Ok(batch.bytes)),
                 EventStep::End => return None,
-                EventStep::Broken(reason) => match self.resume(reason).await {
-                    Ok(resumed) => *events = resumed,
-                    Err(word) => {
-                        let is_at_work = events.body.is_at_work();
-                        self.log.broke_off(reason, is_at_work, &self.item);
-                        let reason = format!("{word:?}");
-                        return Some(Err(BodyError::Aborted { reason }));
-                    }
-                },
+                EventStep::Replaced => (UnknownReason::Overdue, Ok(())),
+                EventStep::Broken(reason) => (reason, self.after_unknown(reason)),
+            };
+            let resumed = match planned {
+                Ok(()) => self.resume(reason).await,
+                Err(word) => Err(word),
+            };
+            match resumed {
+                Ok(resumed) => *events = resumed,
+                Err(word) => {
+                    self.log.broke_off(reason, events.was_at_work, &self.item);
+                    let reason = format!("{word:?}");
+                    return Some(Err(BodyError::Aborted { reason }));
+                }
             }
         }
     }
 
     /// Goes on after the last event that the caller has, with another run.
     async fn resume(&mut self, reason: UnknownReason) -> Result<EventReader, FinalWord> {
-        self.after_unknown(reason)?;
         loop {
             let answer = self.next_answer().await?;
             if answer.status.is_success() && is_event_stream(&answer) {
                 self.log.resumed(reason, self.last_event);
-                return Ok(EventReader::new(answer.body));
+                let AttemptAnswer { place, pulse, body, .. } = answer;
+                return Ok(EventReader::new(body, self.stream_watch(place, pulse)));
             }
             drop(answer);
             self.after_unknown(UnknownReason::Garbled)?;
@@ -289,41 +302,57 @@
 enum EventStep {
     Events(EventBatch),
     End,
+    /// Another place is secured.
+    Replaced,
     Broken(UnknownReason),
 }
 
 /// Takes whole events from a body. A run may break off inside an event, and a half one must not
 /// reach the caller: another run sends it again from its beginning.
 struct EventReader {
-    body: AnswerBody,
+    /// `None` once the run is cancelled.
+    body: Option<AnswerBody>,
     buffer: BytesMut,
+    watch: RunWatch,
+    /// Whether its backend server was at work when it was cancelled, where that is known.
+    was_at_work: Option<bool>,
 }
 
 impl EventReader {
-    fn new(body: AnswerBody) -> Self {
-        Self { body, buffer: BytesMut::new() }
+    fn new(body: AnswerBody, watch: RunWatch) -> Self {
+        Self { body: Some(body), buffer: BytesMut::new(), watch, was_at_work: None }
+    }
+
+    /// Ends the run.
+    fn cancel(&mut self) {
+        self.was_at_work = Some(self.watch.pulse.is_at_work());
+        self.body = None;
+        self.buffer.clear();
     }
 
     async fn next(&mut self) -> EventStep {
+        let Some(body) = &mut self.body else {
+            return EventStep::Broken(UnknownReason::Incomplete);
+        };
         loop {
-            match self.body.next().await {
+            match body.next().await {
                 None if self.buffer.is_empty() => return EventStep::End,
                 None => return EventStep::Broken(UnknownReason::Incomplete),
                 Some(Err(_)) => return EventStep::Broken(UnknownReason::Incomplete),
                 Some(Ok(bytes)) => self.buffer.extend_from_slice(&bytes),
             }
-            if let Some(batch) = self.take_whole() {
+            if let Some(batch) = take_whole(&mut self.buffer) {
                 return EventStep::Events(batch);
             }
         }
     }
+}
 
-    fn take_whole(&mut self) -> Option<EventBatch> {
-        let end = whole_end(&self.buffer)?;
-        let bytes = self.buffer.split_to(end).freeze();
-        let (first, last) = event_ids(&bytes);
-        Some(EventBatch { bytes, first, last })
-    }
+fn take_whole(buffer: &mut BytesMut) -> Option<EventBatch> {
+    let end = whole_end(buffer)?;
+    let bytes = buffer.split_to(end).freeze();
+    let (first, last) = event_ids(&bytes);
+    Some(EventBatch { bytes, first, last })
 }
 
 /// Behind the last blank line.
--- /dev/null
+++ b/crates/proxy/src/silence.rs
@@ -0,0 +1,126 @@
+//! The wait for a run, and the search for another place beside it.
+//!
+//! A run is given up only for another one that is secured: its place is held and its repeat is taken
+//! out of the budget. Until then what comes of the old one counts. It is ended before the new one
+//! is sent, as two backend servers must not work on one request.
+
+use {
+    crate::{
+        journey::Journey,
+        outcome::{AttemptEnd, RepeatReason, UnknownReason, WaitLimit},
+        pulse::RunWatch,
+        search::{FoundPlace, PlaceSearch},
+    },
+    futures::future::{Either, select},
+    gullglade_dispatch::{SilenceStep, SilentRun},
+    gullglade_units::{MonotonicTime, timeout},
+    std::{pin::pin, rc::Rc, time::Duration},
+};
+
+/// How a wait for a run ended.
+pub(crate) enum WaitEnd<T> {
+    /// Something came.
+    Came(T),
+    /// Another place is secured. The run is to be ended before anything is sent there.
+    Replaced,
+    /// The time of the request is over.
+    TimedOut,
+}
+
+/// The searches in one silence that found no place.
+#[derive(Default)]
+struct FailedSearches {
+    count: u32,
+    last: Option<MonotonicTime>,
+}
+
+impl Journey {
+    /// Waits for `next`, the next thing of `run`.
+    pub(crate) async fn wait_for<T>(
+        &mut self,
+        run: &RunWatch,
+        next: impl Future<Output = T>,
+    ) -> WaitEnd<T> {
+        let mut next = pin!(next);
+        let clock = Rc::clone(&self.proxy.context().clock);
+        let began = clock.now();
+        let mut failed = FailedSearches::default();
+        loop {
+            match self.silent_run(run, began, &failed).next_step() {
+                SilenceStep::Wait(wait) => {
+                    if let Some(output) = timeout(&*clock, wait, next.as_mut()).await {
+                        return WaitEnd::Came(output);
+                    }
+                }
+                SilenceStep::Search => {
+                    // What comes in the meantime ends the search, and gives back its place.
+                    let found = match self.begin_search(run) {
+                        None => None,
+                        Some(search) => match select(next.as_mut(), pin!(search.run())).await {
+                            Either::Left((output, _)) => return WaitEnd::Came(output),
+                            Either::Right((found, _)) => found,
+                        },
+                    };
+                    if let Some(found) = found
+                        && self.secure(run, found, clock.now().since(began))
+                    {
+                        return WaitEnd::Replaced;
+                    }
+                    failed = FailedSearches { count: failed.count + 1, last: Some(clock.now()) };
+                }
+            }
+            if self.left().is_zero() {
+                run.pulse.give_up(clock.now().since(began));
+                self.log.reached(self.bound);
+                return WaitEnd::TimedOut;
+            }
+        }
+    }
+
+    fn silent_run(
+        &self,
+        run: &RunWatch,
+        began: MonotonicTime,
+        failed: &FailedSearches,
+    ) -> SilentRun {
+        let now = self.now();
+        SilentRun {
+            silence: now.since(began),
+            patience: run.patience,
+            is_at_work: run.pulse.is_at_work(),
+            may_be_replaced: self.may_be_replaced(),
+            left: self.left(),
+            searches: failed.count,
+            searched_ago: failed.last.map_or(Duration::ZERO, |last| now.since(last)),
+        }
+    }
+
+    /// A search for a place beside `run`, where the budget has a repeat left.
+    fn begin_search(&mut self, run: &RunWatch) -> Option<PlaceSearch> {
+        let service = &self.item.service;
+        let dispatcher = self.proxy.dispatcher();
+        let decision = dispatcher.ask(|scheduler, now| scheduler.look_at_repeats(service, now));
+        if !decision.is_granted {
+            self.log.repeat(RepeatReason::Unknown(UnknownReason::Overdue), decision);
+            return None;
+        }
+        Some(PlaceSearch::beside(self, run))
+    }
+
+    /// Takes the repeat for `found`. Without one left the place is given back, and `run` goes on.
+    fn secure(&mut self, run: &RunWatch, found: FoundPlace, silence: Duration) -> bool {
+        let reason = UnknownReason::Overdue;
+        let service = &self.item.service;
+        let dispatcher = self.proxy.dispatcher();
+        let decision = dispatcher.ask(|scheduler, now| scheduler.take_repeat(service, now));
+        self.log.repeat(RepeatReason::Unknown(reason), decision);
+        if !decision.is_granted {
+            return false;
+        }
+        run.pulse.give_up(silence);
+        self.log.reached(WaitLimit::Replaced);
+        self.note_place(run, &AttemptEnd::Unknown(reason));
+        self.replace_with(found);
+        true
+    }
+}
--- a/crates/proxy/tests/silence.rs
+++ b/crates/proxy/tests/silence.rs
@@ -21,6 +21,11 @@
 /// Longer than any wait for a run that another one might replace, shorter than callers wait.
 const LONG_PAUSE: Duration = Duration::from_millis(2_800);
 
+/// Backend servers of their own names in both regions, so many in each.
+fn settings(backends: (u8, u8)) -> BedSettings {
+    BedSettings { backends, east_names: "i-e", ..BedSettings::of(RESUMABLE) }
+}
+
 /// Why no other run can take over.
 struct Hindrance {
     what: &'static str,
@@ -114,7 +119,7 @@
 fn a_run_that_goes_on_while_another_is_sought_keeps_its_stream() {
     // A stream went over to another region though its own run had gone on meanwhile, and the
     // repeat and the other region's backend server were used for nothing.
-    let bed = TestBed::new(&BedSettings { backends: (1, 1), ..BedSettings::of(RESUMABLE) });
+    let bed = TestBed::new(&settings((1, 1)));
     let pause = Duration::from_millis(1_280);
     bed.script(0, &[Deed::Answer(Script::events(&[FIRST, REST]).paused(1, pause))]);
     bed.script(1, &[Deed::Answer(Script::events(&[REST]))]);
@@ -129,7 +134,7 @@
 fn a_silent_run_ends_before_another_one_begins() {
     // Two backend servers worked on one request at the same time.
     for (backends, there) in [((2, 0), 0), ((1, 1), 1)] {
-        let bed = TestBed::new(&BedSettings { backends, ..BedSettings::of(RESUMABLE) });
+        let bed = TestBed::new(&settings(backends));
         let silent = Script::events(&[FIRST, REST]).paused(1, Duration::from_secs(60));
         bed.script(0, &[Deed::Answer(silent)]);
         let rest = Script::events(&[REST]).after(Duration::from_millis(700));
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -73,6 +73,8 @@
     pub(crate) homes: &'static [&'static str],
     /// Backend servers in the first and in the second region.
     pub(crate) backends: (u8, u8),
+    /// What the names of the second region's backend servers begin with.
+    pub(crate) east_names: &'static str,
     /// The backend servers that the second region is said to have, where it has others.
     pub(crate) offered: Option<u8>,
     /// What all gateways together may repeat beyond a part of their requests.
@@ -96,6 +98,7 @@
             later_timeout: None,
             homes: &[],
             backends: (2, 0),
+            east_names: "i-",
             offered: None,
             repeat_slack: 50.0,
             has_neighbour: false,
@@ -270,7 +273,7 @@
         );
         fleet.start();
         fleet.set_phase(GatewayPhase::Ready);
-        let dispatcher = new_dispatcher(&context, vm, place, (own, others), settings.repeat_slack);
+        let dispatcher = new_dispatcher(&context, vm, place, (own, others), settings);
         let backends = ScriptedBackends::new(&context);
         let notices: Rc<RecordedNotices> = Rc::default();
         let proxy = Proxy::new(ProxyParts {
@@ -461,14 +464,15 @@
     vm: VmName,
     place: &str,
     (own, others): (u8, u8),
-    repeat_slack: f64,
+    settings: &BedSettings,
 ) -> Rc<Dispatcher> {
+    let prefix = if place == "west" { "i-" } else { settings.east_names };
     let mut scheduler = Scheduler::new(SchedulerSettings {
         own: vm,
         region: region(place),
         regions: 2,
         repeat_ratio: 0.2,
-        repeat_slack,
+        repeat_slack: settings.repeat_slack,
         repeat_window: Duration::from_secs(10),
         cold_over: 1.5,
         cold_slack: 3.0,
@@ -484,7 +488,7 @@
     scheduler.set_configuration([Rc::new(pool)], &Rc::new(BTreeSet::new()), context.clock.now());
     scheduler.set_backends(
         (0..own).map(|index| BackendFacts {
-            name: BackendName::try_from(format!("i-{index}")).expect("a name"),
+            name: BackendName::try_from(format!("{prefix}{index}")).expect("a name"),
             incarnation: Incarnation(0),
             service: service.clone(),
             address: address(100 + index),
