--- a/crates/proxy/tests/support/configuration.rs
+++ b/crates/proxy/tests/support/configuration.rs
@@ -16,6 +16,7 @@
 pub(super) struct FixedFormat {
     pub(super) kind: RequestKind,
     pub(super) timeout: Duration,
+    pub(super) objective: Duration,
     /// The timeout of versions after the first.
     pub(super) later_timeout: Option<Duration>,
     pub(super) homes: Vec<String>,
@@ -42,7 +43,7 @@
             prefix: "/a/".to_owned(),
             kind: self.kind,
             timeout,
-            objective: Duration::from_millis(300),
+            objective: self.objective,
             priority: 0,
             targets: vec![("pool".to_owned(), 1)],
             max_attempts: 2,
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -68,6 +68,7 @@
 pub(crate) struct BedSettings {
     pub(crate) kind: RequestKind,
     pub(crate) timeout: Duration,
+    pub(crate) objective: Duration,
     /// The timeout of every version of the configuration after the first.
     pub(crate) later_timeout: Option<Duration>,
     pub(crate) homes: &'static [&'static str],
@@ -95,6 +96,7 @@
         Self {
             kind,
             timeout: Duration::from_secs(5),
+            objective: Duration::from_millis(300),
             later_timeout: None,
             homes: &[],
             backends: (2, 0),
@@ -253,6 +255,7 @@
         let format = FixedFormat {
             kind: settings.kind,
             timeout: settings.timeout,
+            objective: settings.objective,
             later_timeout: settings.later_timeout,
             homes: settings.homes.iter().map(|home| (*home).to_owned()).collect(),
             is_public: settings.is_public,
