Blame a backend server only for a run that is overdue, in any region

Callers waited 0.4 s and more for a backend server that had sent an event a millisecond before: a stream that reached its time counted against it as if it hung. And one that hung in another region was blamed for nothing, so the next four of four requests went there. Cause: the ticket took the end of the wait for the fault of the backend server, and only at the caller's gateway. Now a run counts as overdue while it is silent for longer than is usual and its backend server answers nobody, at the gateway that sent it, whoever cancels it then.

--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -70,7 +70,7 @@
             dispatcher: Rc::clone(self),
             ticket,
             watch: None,
-            given_up: Rc::default(),
+            overdue: Rc::default(),
             is_over: false,
         };
         self.pump();
@@ -147,8 +147,8 @@
     dispatcher: Rc<Dispatcher>,
     ticket: TicketId,
     watch: Option<SendWatch>,
-    /// The silence after which the wait for it ended.
-    given_up: Rc<Cell<Option<Duration>>>,
+    /// The silence after which it counts against the backend server where it is cancelled.
+    overdue: Rc<Cell<Option<Duration>>>,
     is_over: bool,
 }
 
@@ -195,7 +195,7 @@
         RunPulse::Here(HerePulse {
             dispatcher: Rc::clone(&self.dispatcher),
             ticket: self.ticket,
-            given_up: Rc::clone(&self.given_up),
+            overdue: Rc::clone(&self.overdue),
         })
     }
 
@@ -222,7 +222,7 @@
 
 impl Drop for SentTicket {
     fn drop(&mut self) {
-        self.end(match self.given_up.get() {
+        self.end(match self.overdue.get() {
             Some(waited) => WorkOutcome::Overdue { waited },
             None => WorkOutcome::Cancelled,
         });
--- a/crates/proxy/src/forward_server.rs
+++ b/crates/proxy/src/forward_server.rs
@@ -123,9 +123,13 @@
         let began = clock.now();
         loop {
             if let Some(output) = timeout(&*clock, REPORT_INTERVAL, next.as_mut()).await {
+                run.pulse.set_overdue(None);
                 return Ok(output);
             }
-            let is_due = clock.now().since(began) >= run.patience;
+            let silence = clock.now().since(began);
+            // The calling gateway may cancel it at any moment.
+            run.note_silence(silence);
+            let is_due = silence >= run.patience;
             if let AttemptPlace::Here(backend) = &run.place {
                 let is_at_work = !is_due || run.pulse.is_at_work();
                 put(reply, &ForwardPiece::Waiting { backend: backend.clone(), is_at_work }).await?;
--- a/crates/proxy/src/pulse.rs
+++ b/crates/proxy/src/pulse.rs
@@ -36,6 +36,13 @@
 }
 
 impl RunWatch {
+    /// Takes note of how long nothing has come from the run. Where its backend server answers
+    /// nobody, that counts against it if the run is cancelled now.
+    pub(crate) fn note_silence(&self, silence: Duration) {
+        let is_overdue = silence >= self.patience && !self.pulse.is_at_work();
+        self.pulse.set_overdue(is_overdue.then_some(silence));
+    }
+
     /// The backend server, where it is known.
     pub(crate) fn backend(&self) -> Option<BackendName> {
         match (&self.place, &self.pulse) {
@@ -55,10 +62,10 @@
         }
     }
 
-    /// The run is given up after it was silent for so long.
-    pub(crate) fn give_up(&self, silence: Duration) {
+    /// Whether the run, were it cancelled now, is to count as overdue: after this silence.
+    pub(crate) fn set_overdue(&self, silence: Option<Duration>) {
         match self {
-            Self::Here(pulse) => pulse.given_up.set(Some(silence)),
+            Self::Here(pulse) => pulse.overdue.set(silence),
             // The gateway there sees that it is cancelled.
             Self::Away(_) => {}
         }
@@ -70,8 +77,8 @@
 pub(crate) struct HerePulse {
     pub(crate) dispatcher: Rc<Dispatcher>,
     pub(crate) ticket: TicketId,
-    /// The silence after which it was given up; its ticket counts that against the backend server.
-    pub(crate) given_up: Rc<Cell<Option<Duration>>>,
+    /// The silence after which it counts against the backend server where it is cancelled.
+    pub(crate) overdue: Rc<Cell<Option<Duration>>>,
 }
 
 impl HerePulse {
--- a/crates/proxy/src/silence.rs
+++ b/crates/proxy/src/silence.rs
@@ -70,7 +70,7 @@
                 }
             }
             if self.left().is_zero() {
-                run.pulse.give_up(clock.now().since(began));
+                run.note_silence(clock.now().since(began));
                 self.log.reached(self.bound);
                 return WaitEnd::TimedOut;
             }
@@ -117,7 +117,7 @@
         if !decision.is_granted {
             return false;
         }
-        run.pulse.give_up(silence);
+        run.note_silence(silence);
         self.log.reached(WaitLimit::Replaced);
         self.note_place(run, &AttemptEnd::Unknown(reason));
         self.replace_with(found);
