--- a/crates/proxy/tests/support/configuration.rs
+++ b/crates/proxy/tests/support/configuration.rs
@@ -23,6 +23,9 @@
     pub(super) is_public: bool,
     /// The workspaces of each version.
     pub(super) workspaces: fn(u64) -> Vec<RawWorkspace>,
+    pub(super) max_attempts: u32,
+    /// Where a second route begins, of idempotent requests.
+    pub(super) plain_prefix: Option<&'static str>,
 }
 
 impl TrafficFormat for FixedFormat {
@@ -46,12 +49,19 @@
             objective: self.objective,
             priority: 0,
             targets: vec![("pool".to_owned(), 1)],
-            max_attempts: 2,
+            max_attempts: self.max_attempts,
             has_affinity: false,
             gap_objective: Some(Duration::from_millis(300)),
             homes: self.homes.clone(),
             is_public: self.is_public,
         };
+        let plain = self.plain_prefix.map(|prefix| RawRoute {
+            name: "plain".to_owned(),
+            prefix: prefix.to_owned(),
+            kind: RequestKind::Idempotent,
+            gap_objective: None,
+            ..route.clone()
+        });
         let limits = CallerLimits {
             head_bytes: 1 << 14,
             body_bytes: 1 << 20,
@@ -60,7 +70,7 @@
         };
         Ok(RawTraffic {
             version,
-            routes: vec![route],
+            routes: [route].into_iter().chain(plain).collect(),
             services: vec![service],
             workspaces: (self.workspaces)(version),
             limits,
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -4,9 +4,14 @@
 #![allow(dead_code)] // Each test program uses a part of it.
 
 mod configuration;
+mod own_parts;
 mod servers;
 
-pub(crate) use servers::{Deed, Script, ScriptedBackends};
+#[allow(unused_imports)] // Each test program uses a part of them.
+pub(crate) use {
+    own_parts::OwnParts,
+    servers::{Deed, Script, ScriptedBackends},
+};
 
 use {
     bytes::Bytes,
@@ -89,6 +94,8 @@
     /// The workspaces of each version of the configuration.
     pub(crate) workspaces: fn(u64) -> Vec<RawWorkspace>,
     pub(crate) revocation: Option<Duration>,
+    /// What a test puts in place of parts of the bed.
+    pub(crate) own: OwnParts,
 }
 
 impl BedSettings {
@@ -108,6 +115,7 @@
             is_public: false,
             workspaces: |_| Vec::new(),
             revocation: None,
+            own: OwnParts::default(),
         }
     }
 }
@@ -198,9 +206,9 @@
 
 impl TestBed {
     pub(crate) fn new(settings: &BedSettings) -> Self {
-        let (world, _) = FakeWorld::new(1);
+        let (world, _) = FakeWorld::new(settings.own.seed);
         let link = Rc::new(FakeLink::new(LINK));
-        let network = Rc::new(FakeNetwork::new(Rc::clone(&link) as _));
+        let network = Rc::new(FakeNetwork::new(settings.own.policy(&link)));
         let events: Rc<MemorySink> = Rc::default();
         let control = world.process();
         let wait = match settings.control_after {
@@ -226,6 +234,12 @@
         if settings.has_neighbour {
             bed.add_gateway(&network, settings, 4, "west", west, offered);
         }
+        for host in settings.own.more_hosts(bed.gateways.len()) {
+            match OwnParts::is_west(host) {
+                true => bed.add_gateway(&network, settings, host, "west", west, offered),
+                false => bed.add_gateway(&network, settings, host, "east", east, west),
+            }
+        }
         bed.world.run_for(SETTLED);
         bed
     }
@@ -260,6 +274,8 @@
             homes: settings.homes.iter().map(|home| (*home).to_owned()).collect(),
             is_public: settings.is_public,
             workspaces: settings.workspaces,
+            max_attempts: settings.own.max_attempts,
+            plain_prefix: settings.own.plain_prefix,
         };
         let events = Rc::clone(&self.events) as Rc<dyn EventSink>;
         let crashes = new_ledger(&context, &events);
@@ -277,13 +293,15 @@
         fleet.start();
         fleet.set_phase(GatewayPhase::Ready);
         let dispatcher = new_dispatcher(&context, vm, place, (own, others), settings);
+        settings.own.tell_total(&dispatcher);
         let backends = ScriptedBackends::new(&context);
+        let client = settings.own.client(host, &context);
         let notices: Rc<RecordedNotices> = Rc::default();
         let proxy = Proxy::new(ProxyParts {
             context,
             fleet,
             dispatcher,
-            client: Rc::clone(&backends) as _,
+            client: client.unwrap_or_else(|| Rc::clone(&backends) as _),
             transport,
             notices: Rc::clone(&notices) as _,
             dialect: Rc::new(PlainDialect),
