Plays tell how many requests were answered whole, and the seeds by rule

A rule that is kept by giving up fewer runs may be paid for with fewer whole answers; the sums show both beside each other for the same seeds.

--- a/crates/proxy/tests/plays/mod.rs
+++ b/crates/proxy/tests/plays/mod.rs
@@ -74,9 +74,21 @@
     lines: Vec<String>,
 }
 
-/// Plays `seed` with so many gateways; the rules that it breaks.
-pub(crate) fn play(seed: u64, gateways: usize) -> Vec<Breach> {
-    Play::draw(seed, gateways).run().check()
+/// What came of a play.
+#[derive(Default)]
+pub(crate) struct PlayReport {
+    pub(crate) breaches: Vec<Breach>,
+    pub(crate) requests: usize,
+    /// Requests that got a whole answer.
+    pub(crate) whole: usize,
+    /// Arrivals at engines, and how many of these runs were silent for a second or more.
+    pub(crate) arrivals: usize,
+    pub(crate) silent: usize,
+}
+
+/// Plays `seed` with so many gateways.
+pub(crate) fn play(seed: u64, gateways: usize) -> PlayReport {
+    Play::draw(seed, gateways).run().report()
 }
 
 fn millis(random: &SeededRandom, range: Range<u64>) -> Duration {
--- a/crates/proxy/tests/plays/oracle.rs
+++ b/crates/proxy/tests/plays/oracle.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        PlayOutcome, PlayRecord,
+        PlayOutcome, PlayRecord, PlayReport,
         engines::{RunEnd, RunRecord, plain_answer},
     },
     gullglade_units::MonotonicTime,
@@ -80,8 +80,19 @@
 }
 
 impl PlayRecord {
+    pub(super) fn report(&self) -> PlayReport {
+        let requests = self.outcomes.len();
+        PlayReport {
+            breaches: self.check(),
+            requests,
+            whole: (0..requests).filter(|number| self.is_whole(*number)).count(),
+            arrivals: self.runs.iter().filter(|run| run.end.is_arrival()).count(),
+            silent: self.runs.iter().filter(|run| run.is_silent).count(),
+        }
+    }
+
     /// The rules that it breaks.
-    pub(super) fn check(&self) -> Vec<Breach> {
+    fn check(&self) -> Vec<Breach> {
         let mut breaches = Vec::new();
         for number in 0..self.outcomes.len() {
             let mut note = |rule, found: Option<String>| {
--- a/crates/proxy/tests/silent_plays.rs
+++ b/crates/proxy/tests/silent_plays.rs
@@ -7,9 +7,9 @@
 mod support;
 
 use {
-    plays::Rule,
+    plays::{Breach, PlayReport, Rule},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         env,
         panic::{AssertUnwindSafe, catch_unwind},
         thread,
@@ -24,11 +24,25 @@
 /// Breaches that are printed in full.
 const MOST_PRINTED: usize = 12;
 
-/// The rules that one play broke, as text; a panic breaks the rule `None`.
-fn breaches(seed: u64, gateways: usize) -> Vec<(Option<Rule>, String)> {
-    match catch_unwind(AssertUnwindSafe(|| plays::play(seed, gateways))) {
-        Ok(found) => found.into_iter().map(|b| (Some(b.rule), b.to_string())).collect(),
-        Err(_) => vec![(None, "panicked".to_owned())],
+/// A play, the rules that it broke as text; a panic breaks the rule `None`.
+struct PlayedSeed {
+    seed: u64,
+    found: Vec<(Option<Rule>, String)>,
+    report: PlayReport,
+}
+
+impl PlayedSeed {
+    fn new(seed: u64, gateways: usize) -> Self {
+        match catch_unwind(AssertUnwindSafe(|| plays::play(seed, gateways))) {
+            Ok(report) => {
+                let text = |breach: &Breach| (Some(breach.rule), breach.to_string());
+                Self { seed, found: report.breaches.iter().map(text).collect(), report }
+            }
+            Err(_) => {
+                let found = vec![(None, "panicked".to_owned())];
+                Self { seed, found, report: PlayReport::default() }
+            }
+        }
     }
 }
 
@@ -36,35 +50,59 @@
     env::var(name).ok().map(|text| text.parse().expect("a number"))
 }
 
-/// Plays `count` seeds.
-fn check(count: u64, gateways: usize) {
-    let seeds: Vec<u64> = match setting("GULLGLADE_SEED") {
-        Some(seed) => vec![seed],
-        None => (0..count).collect(),
-    };
+/// Plays the seeds in some threads.
+fn play_all(seeds: &[u64], gateways: usize) -> Vec<PlayedSeed> {
     let thread_of = |thread: u64| {
         let seeds: Vec<u64> = seeds.iter().copied().filter(|s| s % THREADS == thread).collect();
         thread::spawn(move || {
-            let found = |seed| breaches(seed, gateways).into_iter().map(move |b| (seed, b));
-            seeds.into_iter().flat_map(found).collect::<Vec<_>>()
+            seeds.into_iter().map(|seed| PlayedSeed::new(seed, gateways)).collect::<Vec<_>>()
         })
     };
     let threads: Vec<_> = (0..THREADS).map(thread_of).collect();
-    let mut found: Vec<_> = threads.into_iter().flat_map(|t| t.join().expect("plays")).collect();
-    found.sort();
-    let mut plays: BTreeMap<Option<Rule>, Vec<u64>> = BTreeMap::new();
-    for (seed, (rule, _)) in &found {
-        plays.entry(*rule).or_default().push(*seed);
-    }
-    for seeds in plays.values_mut() {
-        seeds.dedup();
+    threads.into_iter().flat_map(|thread| thread.join().expect("plays")).collect()
+}
+
+/// Prints what all plays came to.
+fn print_sums(played: &[PlayedSeed], gateways: usize) {
+    let sum = |part: fn(&PlayReport) -> usize| -> usize {
+        played.iter().map(|played| part(&played.report)).sum()
+    };
+    println!(
+        "{} plays of {gateways} gateways: {} of {} requests answered whole, {} arrivals, {} silent",
+        played.len(),
+        sum(|report| report.whole),
+        sum(|report| report.requests),
+        sum(|report| report.arrivals),
+        sum(|report| report.silent),
+    );
+}
+
+/// Prints the seeds that broke each rule.
+fn print_rules(played: &[PlayedSeed]) {
+    let mut seeds: BTreeMap<Option<Rule>, BTreeSet<u64>> = BTreeMap::new();
+    for PlayedSeed { seed, found, .. } in played {
+        for (rule, _) in found {
+            seeds.entry(*rule).or_default().insert(*seed);
+        }
     }
-    for (rule, seeds) in &plays {
-        println!("{rule:?}: {} of {count} plays, seeds {seeds:?}", seeds.len());
+    for (rule, seeds) in &seeds {
+        println!("{rule:?}: {} of {} plays, seeds {seeds:?}", seeds.len(), played.len());
     }
-    for (seed, (_, what)) in
-        found.iter().take(setting("GULLGLADE_PRINT").map_or(MOST_PRINTED, |n| n as usize))
-    {
+}
+
+/// Plays `count` seeds.
+fn check(count: u64, gateways: usize) {
+    let seeds: Vec<u64> = match setting("GULLGLADE_SEED") {
+        Some(seed) => vec![seed],
+        None => (0..count).collect(),
+    };
+    let played = play_all(&seeds, gateways);
+    print_sums(&played, gateways);
+    print_rules(&played);
+    let found = |played: PlayedSeed| played.found.into_iter().map(move |f| (played.seed, f));
+    let mut found: Vec<_> = played.into_iter().flat_map(found).collect();
+    found.sort();
+    for (seed, (_, what)) in found.iter().take(MOST_PRINTED) {
         println!("GULLGLADE_SEED={seed}, {gateways} gateways: {what}");
     }
     assert!(found.is_empty(), "{} breaches with {gateways} gateways", found.len());
