Plays: backend servers of their own names in both regions

A stream that goes over to another region names the backend servers to leave out; equal names kept it from engines of that region that it had never been sent to.

--- a/crates/proxy/tests/plays/mod.rs
+++ b/crates/proxy/tests/plays/mod.rs
@@ -211,6 +211,7 @@
             timeout: self.timeout,
             later_timeout: self.later.map(|(_, timeout)| timeout),
             backends: (count(0), count(1)),
+            east_names: "i-e",
             offered: self.offered,
             repeat_slack: self.repeat_slack,
             own: OwnParts {
