--- a/crates/proxy/tests/plays/links.rs
+++ b/crates/proxy/tests/plays/links.rs
@@ -32,7 +32,7 @@
     pub(crate) clock: RefCell<Option<Rc<dyn Clock>>>,
     /// What was lost, and between which gateways.
     pub(crate) lost: RefCell<Vec<(MonotonicTime, usize, usize)>>,
-    /// Requests that a gateway sent to another one.
+    /// How often the fate of a request to another gateway was asked for.
     pub(crate) asked: Cell<usize>,
 }
 
@@ -53,6 +53,13 @@
         let lost = self.lost.borrow();
         lost.iter().any(|(at, x, y)| (*x, *y) == (a, b) && *at <= time && time.since(*at) <= LATE)
     }
+
+    /// Whether something was lost in that time on the way from or to a gateway.
+    pub(crate) fn lost_between(&self, time: Window, gateway: usize) -> bool {
+        let is_there =
+            |(at, a, b): &(_, usize, usize)| time.contains(at) && [*a, *b].contains(&gateway);
+        self.lost.borrow().iter().any(is_there)
+    }
 }
 
 impl FakePolicy for PlayLinks {
