A search and a forward keep to the time of their request

Callers saw: a stream whose run was silent ended up to 0.7 s after its deadline, as its search waited for another region. Cause: nothing limited the search as a whole, and each step of a forward was given the time that was left when it began. Now a search ends with the request's time, and what an opening took is taken off what the other region is told.

--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -138,6 +138,14 @@
     }
 }
 
+impl ForwardCall {
+    /// So much more of its time is over.
+    fn spend(&mut self, time: Duration) {
+        self.waited += time;
+        self.left = self.left.saturating_sub(time);
+    }
+}
+
 pub(crate) fn pack_headers(headers: &HeaderMap) -> Vec<(String, Bytes)> {
     let pack = |(name, value): (&HeaderName, &HeaderValue)| {
         (name.as_str().to_owned(), Bytes::copy_from_slice(value.as_bytes()))
@@ -168,11 +176,11 @@
     pub(crate) async fn send(
         &self,
         region: &RegionName,
-        call: &ForwardCall,
+        mut call: ForwardCall,
         may_repeat: bool,
         pulse: RunPulse,
     ) -> AttemptEnd {
-        match self.open(region, call).await {
+        match self.open(region, &mut call).await {
             OpenedForward::Stream(_, stream) => {
                 let mut pieces = PieceStream { stream, pulse };
                 let Some(first) =
@@ -191,8 +199,8 @@
     /// says nothing. Dropped, it is given back.
     pub(crate) async fn hold(&self, region: &RegionName, call: ForwardCall) -> Option<HeldForward> {
         let token = self.context.random.next_u64();
-        let call = ForwardCall { hold: Some(token), ..call };
-        let OpenedForward::Stream(gateway, stream) = self.open(region, &call).await else {
+        let mut call = ForwardCall { hold: Some(token), ..call };
+        let OpenedForward::Stream(gateway, stream) = self.open(region, &mut call).await else {
             return None;
         };
         let pulse = RunPulse::Away(AwayPulse::new(&self.context.clock));
@@ -239,13 +247,15 @@
     }
 
     /// Sends the request to a gateway of `region`.
-    async fn open(&self, region: &RegionName, call: &ForwardCall) -> OpenedForward {
-        let body = Bytes::from(encode(call));
+    async fn open(&self, region: &RegionName, call: &mut ForwardCall) -> OpenedForward {
         for gateway in self.some_gateways(region) {
+            let began = self.context.clock.now();
             let to = gateway.profile.peer_address;
-            let opening = self.transport.open(to, FORWARD, body.clone());
+            let opening = self.transport.open(to, FORWARD, Bytes::from(encode(call)));
             let limit = call.left.min(self.accept_limit(region));
-            match timeout(&*self.context.clock, limit, opening).await {
+            let opened = timeout(&*self.context.clock, limit, opening).await;
+            call.spend(self.context.clock.now().since(began));
+            match opened {
                 Some(Ok(stream)) => return OpenedForward::Stream(to, stream),
                 // A session that does not come about in this time has sent nothing.
                 Some(Err(error)) if error.nothing_sent() => {}
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -342,7 +342,7 @@
                 let watch = self.away_watch(&region);
                 let pulse = watch.pulse.clone();
                 let end = Box::pin(async move {
-                    proxy.forwarder().send(&region, &forward, may_repeat, pulse).await
+                    proxy.forwarder().send(&region, forward, may_repeat, pulse).await
                 });
                 SentRun { watch, end }
             }
--- a/crates/proxy/src/silence.rs
+++ b/crates/proxy/src/silence.rs
@@ -56,10 +56,14 @@
                     // What comes in the meantime ends the search, and gives back its place.
                     let found = match self.begin_search(run) {
                         None => None,
-                        Some(search) => match select(next.as_mut(), pin!(search.run())).await {
-                            Either::Left((output, _)) => return WaitEnd::Came(output),
-                            Either::Right((found, _)) => found,
-                        },
+                        Some(search) => {
+                            let search = timeout(&*clock, self.left(), search.run());
+                            // Boxed: a search is rare, and every wait would keep room for it.
+                            match select(next.as_mut(), Box::pin(search)).await {
+                                Either::Left((output, _)) => return WaitEnd::Came(output),
+                                Either::Right((found, _)) => found.flatten(),
+                            }
+                        }
                     };
                     if let Some(found) = found
                         && self.secure(run, found, clock.now().since(began))
