Try on where a run was given up for one that was turned away

Callers saw: a stream broke off, or 502, with seconds left, right after its silent run had been given up: the backend server that had been chosen turned the request away, four times within milliseconds, or the budget had no repeat left for the next try. Cause: secured means that the dispatcher holds a place, not that the backend server takes the request, and the refusals of a request that nothing runs for were counted as those of any other. Now the gateway that gave up a run tries on, with pauses and within the budget, until another one has begun or the time is over.

--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -42,6 +42,9 @@
 /// as long again.
 const STREAM_PATIENCE: Duration = Duration::from_millis(600);
 
+/// The pause between two tries to replace a run that was given up.
+const PERSIST_PAUSE: Duration = Duration::from_millis(200);
+
 /// When a caller may come back to what backend servers turned away.
 const SHED_RETRY: Duration = Duration::from_millis(400);
 
@@ -64,6 +67,8 @@
     pending: Option<PendingRepeat>,
     /// The place of the next attempt, where it is secured.
     secured: Option<FoundPlace>,
+    /// Whether a run was given up here for another one that has not begun yet.
+    owes_run: bool,
     /// The last event that the caller has.
     pub(crate) last_event: Option<u64>,
 }
@@ -194,6 +199,7 @@
             refused: 0,
             pending: None,
             secured: None,
+            owes_run: false,
             last_event,
         }
     }
@@ -210,7 +216,14 @@
     /// The next answer: attempts until one begins, or none may be made any more.
     pub(crate) async fn next_answer(&mut self) -> Result<AttemptAnswer, FinalWord> {
         loop {
-            let Some(end) = self.attempt().await? else { continue };
+            let end = match self.attempt().await {
+                Ok(Some(end)) => end,
+                Ok(None) => continue,
+                Err(word) => {
+                    self.persist(word).await?;
+                    continue;
+                }
+            };
             self.note_charge(&end);
             match end {
                 AttemptEnd::Answer(answer) => {
@@ -218,14 +231,41 @@
                         self.ran += 1;
                         return Err(self.unknown(UnknownReason::Garbled));
                     }
+                    self.owes_run = false;
                     return Ok(*answer);
                 }
-                AttemptEnd::NotRun(reason, wait) => self.after_refusal(reason, wait)?,
-                AttemptEnd::Unknown(reason) => self.after_unknown(reason)?,
+                AttemptEnd::NotRun(reason, wait) => {
+                    if let Err(word) = self.after_refusal(reason, wait) {
+                        self.persist(word).await?;
+                    }
+                }
+                AttemptEnd::Unknown(reason) => {
+                    self.owes_run = false;
+                    self.after_unknown(reason)?;
+                }
             }
         }
     }
 
+    /// Waits before another try where this gateway gave up a run for one that was turned away: what
+    /// the caller had is gone, so the request is tried until its time is over. `word` otherwise.
+    async fn persist(&mut self, word: FinalWord) -> Result<(), FinalWord> {
+        let is_final = !matches!(word, FinalWord::Unknown(_));
+        if is_final || !self.owes_run {
+            return Err(word);
+        }
+        self.proxy.context().clock.sleep(PERSIST_PAUSE.min(self.left())).await;
+        if self.left().is_zero() {
+            self.log.reached(self.bound);
+            return Err(FinalWord::TimedOut);
+        }
+        if self.pending.is_none() {
+            let reason = RepeatReason::Unknown(UnknownReason::Overdue);
+            self.pending = Some(PendingRepeat { reason, otherwise: word });
+        }
+        Ok(())
+    }
+
     /// Takes note of whether what was charged may have been used.
     fn note_charge(&mut self, end: &AttemptEnd) {
         let has_run = self.ran > 0 || !matches!(end, AttemptEnd::NotRun(..));
@@ -371,6 +411,7 @@
     /// Has the next attempt made at `found`, in place of the run that is under way.
     pub(crate) fn replace_with(&mut self, found: FoundPlace) {
         self.ran += 1;
+        self.owes_run = true;
         self.secured = Some(found);
     }
 
