A stream that hangs alone is replaced, too

Callers saw: a stream that hung at a backend server that answered others was waited for to its deadline; before the mend it was resumed after 1.2 s. Cause: being at work excluded a search for ever.

--- a/crates/dispatch/src/silence.rs
+++ b/crates/dispatch/src/silence.rs
@@ -22,6 +22,8 @@
     pub silence: Duration,
     /// How long that is usual.
     pub patience: Duration,
+    /// How long it is waited for where its backend server is at work; `None`: to the end.
+    pub work_patience: Option<Duration>,
     /// Whether its backend server has answered anybody lately.
     pub is_at_work: bool,
     /// Whether another run may take its place.
@@ -51,8 +53,9 @@
         }
         let due = self.patience.saturating_sub(self.silence);
         let again = self.search_pause().saturating_sub(self.searched_ago);
+        let is_waited_for = self.work_patience.is_none_or(|most| self.silence < most);
         let wait = match due.max(again) {
-            Duration::ZERO if self.is_at_work => LOOK_INTERVAL,
+            Duration::ZERO if self.is_at_work && is_waited_for => LOOK_INTERVAL,
             wait => wait,
         };
         match wait {
--- a/crates/dispatch/tests/silence.rs
+++ b/crates/dispatch/tests/silence.rs
@@ -13,6 +13,7 @@
 const DUE: SilentRun = SilentRun {
     silence: ms(1_200),
     patience: ms(1_200),
+    work_patience: None,
     is_at_work: false,
     may_be_replaced: true,
     left: ms(20_000),
@@ -20,6 +21,9 @@
     searched_ago: Duration::ZERO,
 };
 
+/// The same, at a backend server that answers others, for a while longer.
+const AT_WORK: SilentRun = SilentRun { is_at_work: true, work_patience: Some(ms(2_400)), ..DUE };
+
 #[test]
 fn a_run_at_work_or_without_a_successor_is_waited_for() {
     // Streams were ended after a pause while their backend servers were at work on them.
@@ -54,6 +58,16 @@
             SilentRun { is_at_work: true, silence: ms(200), ..DUE },
             wait(1_000),
         ),
+        case(
+            "its server answers others, and it was waited for nearly as long as such ones are",
+            SilentRun { silence: ms(2_399), ..AT_WORK },
+            wait(100),
+        ),
+        case(
+            "its server answers others, and it hangs",
+            SilentRun { silence: ms(2_400), ..AT_WORK },
+            SilenceStep::Search,
+        ),
         case(
             "nothing may follow it",
             SilentRun { may_be_replaced: false, silence: ms(9_000), ..DUE },
--- a/crates/proxy/src/forward_server.rs
+++ b/crates/proxy/src/forward_server.rs
@@ -149,7 +149,7 @@
         };
         let (backend, headers) = (backend.clone(), pack_headers(&headers));
         put(reply, &ForwardPiece::Head { status: status.as_u16(), headers, backend }).await?;
-        let run = RunWatch { place, pulse, patience: Duration::ZERO };
+        let run = RunWatch { place, pulse, patience: Duration::ZERO, work_patience: None };
         while let Some(piece) = self.reported(&run, reply, body.next()).await? {
             let Ok(bytes) = piece else {
                 return put(reply, &ForwardPiece::Unknown(UnknownReason::Incomplete)).await;
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -358,6 +358,7 @@
                     place: AttemptPlace::Here(run.backend.clone()),
                     pulse: ticket.pulse(),
                     patience: self.patience(expected_ms),
+                    work_patience: None,
                 };
                 let attempt = Attempt {
                     call: Rc::clone(&self.call),
@@ -405,6 +406,7 @@
             place: AttemptPlace::Away(region.clone()),
             pulse: RunPulse::Away(AwayPulse::new(&self.proxy.context().clock)),
             patience: self.proxy.forwarder().accept_limit(region),
+            work_patience: None,
         }
     }
 
--- a/crates/proxy/src/pulse.rs
+++ b/crates/proxy/src/pulse.rs
@@ -24,6 +24,8 @@
     pub(crate) pulse: RunPulse,
     /// How long nothing may come from it before another place is sought.
     pub(crate) patience: Duration,
+    /// The same where its backend server is at work; `None`: to the end of the request.
+    pub(crate) work_patience: Option<Duration>,
 }
 
 /// Whether the backend server of a run is at work.
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -28,6 +28,10 @@
 const GAP_FACTOR: u32 = 4;
 const LEAST_GAP: Duration = Duration::from_millis(1_200);
 
+/// A stream whose backend server answers others is waited for so many times as long: it may have
+/// been preempted there, or hang alone.
+const WORK_FACTOR: u32 = 2;
+
 /// The type of a stream of events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
@@ -127,7 +131,8 @@
 
     fn stream_watch(&self, place: AttemptPlace, pulse: RunPulse) -> RunWatch {
         let gap = self.item.route.gap_objective.unwrap_or_default() * GAP_FACTOR;
-        RunWatch { place, pulse, patience: gap.max(LEAST_GAP) }
+        let patience = gap.max(LEAST_GAP);
+        RunWatch { place, pulse, patience, work_patience: Some(patience * WORK_FACTOR) }
     }
 
     /// The next whole events. A run that ends without them is cancelled here.
--- a/crates/proxy/src/silence.rs
+++ b/crates/proxy/src/silence.rs
@@ -91,6 +91,7 @@
         SilentRun {
             silence: now.since(began),
             patience: run.patience,
+            work_patience: run.work_patience,
             is_at_work: run.pulse.is_at_work(),
             may_be_replaced: self.may_be_replaced(),
             left: self.left(),
