A search sends nothing that is held back

A request under which three backend servers had ended was refused when it came anew, and sent to another one by the search beside its silent run. Cause: the search went around the question that every placement asks. It is asked when a search begins, when its place is to be used, and in the other region once the place there is to be used. a_search_sends_nothing_that_is_held_back failed before.

--- a/crates/proxy/src/forward_server.rs
+++ b/crates/proxy/src/forward_server.rs
@@ -86,7 +86,7 @@
             Err(end) => return put_end(reply, end).await,
         };
         if let Some(token) = forward.hold
-            && !self.is_used(token, reply).await?
+            && (!self.is_used(token, reply).await? || journey.check_hold().is_err())
         {
             return put(reply, &ForwardPiece::NotRun(NotRunReason::Revoked, None)).await;
         }
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -419,7 +419,7 @@
 
     /// Whether it may be sent. One under which backend servers ended would end the next one, with
     /// everything that runs there, whatever its id and wherever it came in.
-    fn check_hold(&self) -> Result<(), FinalWord> {
+    pub(crate) fn check_hold(&self) -> Result<(), FinalWord> {
         let crashes = self.proxy.crashes();
         if crashes.is_empty() {
             return Ok(());
--- a/crates/proxy/src/silence.rs
+++ b/crates/proxy/src/silence.rs
@@ -102,6 +102,9 @@
 
     /// A search for a place beside `run`, where the budget has a repeat left.
     fn begin_search(&mut self, run: &RunWatch) -> Option<PlaceSearch> {
+        if self.check_hold().is_err() {
+            return None;
+        }
         let service = &self.item.service;
         let dispatcher = self.proxy.dispatcher();
         let decision = dispatcher.ask(|scheduler, now| scheduler.look_at_repeats(service, now));
@@ -114,6 +117,9 @@
 
     /// Takes the repeat for `found`. Without one left the place is given back, and `run` goes on.
     fn secure(&mut self, run: &RunWatch, found: FoundPlace, silence: Duration) -> bool {
+        if self.check_hold().is_err() {
+            return false;
+        }
         let reason = UnknownReason::Overdue;
         let service = &self.item.service;
         let dispatcher = self.proxy.dispatcher();
