Ask once more before a run is replaced, and keep that on the log line

Callers saw: a stream broke off whose backend server had answered others again before the place for its replacement was found, in another region 110 ms later. Cause: whether the run is at work was asked before the search and not after it; and the alert could not see it, since the end of the second run overwrote what ended the first. Now the decision is asked again with the place in hand, which goes back if the run is to be waited for; the line and the counter keep that a run was replaced and whether its backend server was at work then. a_run_whose_backend_server_is_at_work_again_is_not_replaced failed before.

--- a/crates/dispatch/tests/silence.rs
+++ b/crates/dispatch/tests/silence.rs
@@ -127,6 +127,7 @@
                         flags.into_iter().map(move |may_be_replaced| SilentRun {
                             silence,
                             patience: ms(1_200),
+                            work_patience: None,
                             is_at_work,
                             may_be_replaced,
                             left,
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -38,6 +38,9 @@
     bound: WaitLimit,
     /// The limit that ended the last wait for a run.
     limit: Option<WaitLimit>,
+    /// Whether the backend server was at work of the run that was given up for another one, where
+    /// nothing has come since.
+    replaced_at_work: Option<bool>,
     /// What the budget of repeats last said.
     repeat: Option<&'static str>,
     /// The backend server or region that was last asked.
@@ -66,6 +69,7 @@
             gap_objective: item.route.gap_objective,
             bound,
             limit: None,
+            replaced_at_work: None,
             repeat: None,
             last_place: None,
             // The gateway that forwarded a request tells of it; this one only of its attempt.
@@ -89,6 +93,7 @@
         let event = event.field("sends", self.sends).field("allowed", self.allowed);
         let event = event.field("pieces", self.pieces).millis("pause_ms", self.pause());
         let event = event.optional("limit", self.limit.map(WaitLimit::label));
+        let event = event.optional("replaced_at_work", self.replaced_at_work);
         let event = event.field("bound", self.bound.label()).optional("repeat", self.repeat);
         event.optional("last_place", self.last_place.as_ref()).optional("version", self.version)
     }
@@ -103,6 +108,11 @@
         self.limit = Some(limit);
     }
 
+    /// The run was given up for another one that is secured.
+    pub(crate) fn replaced(&mut self, is_at_work: bool) {
+        self.replaced_at_work = Some(is_at_work);
+    }
+
     /// A piece with whole events has come.
     pub(crate) fn piece_came(&mut self) {
         let pause = self.pause();
@@ -112,6 +122,7 @@
         self.pieces += 1;
         self.heard = self.clock.now();
         self.limit = None;
+        self.replaced_at_work = None;
     }
 
     pub(crate) fn placed(
@@ -208,7 +219,12 @@
         let event = self.event("stream.broke_off").level(Level::Warn).field("reason", reason);
         let event = event.optional("backend", self.backend.as_ref());
         self.events.emit(self.with_progress(event.optional("at_work", is_at_work)));
-        let limit = self.limit.map_or("none", WaitLimit::label);
+        // What this gateway did itself comes before a limit that was reached later.
+        let limit = match self.replaced_at_work {
+            Some(_) => "replaced",
+            None => self.limit.map_or("none", WaitLimit::label),
+        };
+        let is_at_work = self.replaced_at_work.or(is_at_work);
         self.metrics.stream_broke_off(&item.service, limit, is_at_work);
         self.end(RequestOutcome::Failed, item);
     }
--- a/crates/proxy/src/outcome.rs
+++ b/crates/proxy/src/outcome.rs
@@ -109,8 +109,6 @@
 /// A limit that ends the wait for an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum WaitLimit {
-    /// The run was silent, and was given up for another one that was secured.
-    Replaced,
     /// The time that the caller said that it would wait.
     Deadline,
     /// The timeout of its route, as the configuration has it that routed the request.
@@ -121,7 +119,6 @@
     /// Its label in the metrics and in the log.
     pub(crate) fn label(self) -> &'static str {
         match self {
-            Self::Replaced => "replaced",
             Self::Deadline => "deadline",
             Self::RouteTimeout => "route_timeout",
         }
--- a/crates/proxy/src/silence.rs
+++ b/crates/proxy/src/silence.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         journey::Journey,
-        outcome::{AttemptEnd, RepeatReason, UnknownReason, WaitLimit},
+        outcome::{AttemptEnd, RepeatReason, UnknownReason},
         pulse::RunWatch,
         search::{FoundPlace, PlaceSearch},
     },
@@ -65,7 +65,9 @@
                             }
                         }
                     };
-                    if let Some(found) = found
+                    // Its backend server may have answered others during the search.
+                    let step = self.silent_run(run, began, &failed).next_step();
+                    if let Some(found) = found.filter(|_| step == SilenceStep::Search)
                         && self.secure(run, found, clock.now().since(began))
                     {
                         return WaitEnd::Replaced;
@@ -129,7 +131,7 @@
             return false;
         }
         run.note_silence(silence);
-        self.log.reached(WaitLimit::Replaced);
+        self.log.replaced(run.pulse.is_at_work());
         self.note_place(run, &AttemptEnd::Unknown(reason));
         self.replace_with(found);
         true
