Tell the calling gateway that a request waits in another region's queue

A request that waited for its turn in another region was taken for one that hung there: nothing was told while it was in the queue, so after a second a search put it into the same queue again, and the first of the two runs was cancelled when both were placed.

--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -103,6 +103,8 @@
     Unknown(UnknownReason),
     /// A place is held for it.
     Placed,
+    /// It waits for a place.
+    Queued,
     /// Nothing has come from the backend server for a while.
     Waiting {
         backend: BackendName,
@@ -111,6 +113,13 @@
     },
 }
 
+impl ForwardPiece {
+    /// Whether it only tells that the request is in hand.
+    fn is_sign_of_life(&self) -> bool {
+        matches!(self, Self::Accepted(_) | Self::Queued | Self::Waiting { .. })
+    }
+}
+
 impl ForwardCall {
     pub(crate) fn new(
         call: &CallerCall,
@@ -454,7 +463,7 @@
     async fn next_content(&mut self) -> Option<NextPiece> {
         loop {
             match self.next().await {
-                Some(Ok(ForwardPiece::Accepted(_) | ForwardPiece::Waiting { .. })) => {}
+                Some(Ok(piece)) if piece.is_sign_of_life() => {}
                 piece => return piece,
             }
         }
@@ -479,9 +488,7 @@
 /// The piece after the word that the request has arrived. `first`: what came in time for it.
 async fn next_content(pieces: &mut PieceStream, first: FirstPiece) -> FirstPiece {
     match first {
-        Some(Ok(ForwardPiece::Accepted(_) | ForwardPiece::Waiting { .. })) => {
-            pieces.next_content().await
-        }
+        Some(Ok(piece)) if piece.is_sign_of_life() => pieces.next_content().await,
         first => first,
     }
 }
--- a/crates/proxy/src/forward_server.rs
+++ b/crates/proxy/src/forward_server.rs
@@ -12,6 +12,7 @@
         outcome::{AttemptEnd, AttemptPlace, NotRunReason, UnknownReason},
         proxy::Proxy,
         pulse::RunWatch,
+        search::FoundPlace,
     },
     bytes::Bytes,
     futures::channel::oneshot,
@@ -81,7 +82,7 @@
         let Some(mut journey) = journey else {
             return put(reply, &ForwardPiece::NotRun(NotRunReason::RefusedAway, None)).await;
         };
-        let found = match journey.single_place().await {
+        let found = match self.placed(&mut journey, reply).await? {
             Ok(found) => found,
             Err(end) => return put_end(reply, end).await,
         };
@@ -100,6 +101,22 @@
         }
     }
 
+    /// Waits for a place, and tells the calling gateway meanwhile that the request is in the queue.
+    async fn placed(
+        &self,
+        journey: &mut Journey,
+        reply: &mut PeerReplySink,
+    ) -> Result<Result<FoundPlace, AttemptEnd>, PeerFault> {
+        let clock = Rc::clone(&self.proxy.context().clock);
+        let mut place = pin!(journey.single_place());
+        loop {
+            if let Some(found) = timeout(&*clock, REPORT_INTERVAL, place.as_mut()).await {
+                return Ok(found);
+            }
+            put(reply, &ForwardPiece::Queued).await?;
+        }
+    }
+
     /// Tells that a place is held, and waits for whether it is to be used.
     async fn is_used(&self, token: u64, reply: &mut PeerReplySink) -> Result<bool, PeerFault> {
         let (sender, used) = oneshot::channel();
