--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -32,7 +32,7 @@
 const ENGINE_REQUEST_HEADER: HeaderName = HeaderName::from_static("x-request-id");
 
 /// The token at which the answer is to begin.
-const OFFSET_HEADER: HeaderName = HeaderName::from_static("gullglade-resume-offset");
+pub(crate) const OFFSET_HEADER: HeaderName = HeaderName::from_static("gullglade-resume-offset");
 
 /// How urgent the request is.
 const PRIORITY_HEADER: HeaderName = HeaderName::from_static("gullglade-priority");
--- a/crates/gateway/src/forward_server/tests.rs
+++ b/crates/gateway/src/forward_server/tests.rs
@@ -3,14 +3,16 @@
 use {
     crate::{
         forward::{FORWARD_METHOD, ForwardReply, ForwardRequest},
-        testing::{BackendFate, DOCUMENT, HERE, TestGateway, domain, region},
+        testing::{
+            AnswerPause, BackendFate, DOCUMENT, HERE, TestGateway, TestSetup, domain, region,
+        },
     },
     bytes::Bytes,
     gullglade_document::ServiceTarget,
     gullglade_event::Promise,
     gullglade_peer::{PeerFault, PeerHandler, PeerIdentity, PeerReplySink, ReplySender},
     gullglade_units::{Incarnation, LocalFuture, RequestId, VmName, decode, encode},
-    std::{cell::RefCell, rc::Rc},
+    std::{cell::RefCell, rc::Rc, time::Duration},
 };
 
 const ALL_REGIONS: &str = r#"["puget", "columbia", "inland"]"#;
@@ -190,6 +192,72 @@
     assert_eq!(receiver.client.sends.get(), 0);
 }
 
+struct SilentCase {
+    name: &'static str,
+    /// Replaced in the receiver's document, and by what.
+    change: (&'static str, &'static str),
+    attempt_limit: u32,
+    remaining_millis: u64,
+    is_served: bool,
+}
+
+/// Guards against runs for another region's caller that end before the limit of the gateway that
+/// has this caller.
+#[test]
+fn the_senders_limit_binds_a_silent_run() {
+    let shorter = ("[[models]]", "limits = { deadline_ms = 500 }\n[[models]]");
+    let same = ("", "");
+    let cases = [
+        SilentCase {
+            name: "in time",
+            change: same,
+            attempt_limit: 4,
+            remaining_millis: 10_000,
+            is_served: true,
+        },
+        SilentCase {
+            name: "last attempt",
+            change: same,
+            attempt_limit: 1,
+            remaining_millis: 10_000,
+            is_served: true,
+        },
+        SilentCase {
+            name: "shorter limit in the receiver's version",
+            change: shorter,
+            attempt_limit: 4,
+            remaining_millis: 10_000,
+            is_served: true,
+        },
+        SilentCase {
+            name: "the sender gives up",
+            change: same,
+            attempt_limit: 1,
+            remaining_millis: 5_000,
+            is_served: false,
+        },
+    ];
+    for case in cases {
+        let document = DOCUMENT.replacen(case.change.0, case.change.1, 1);
+        let pause = AnswerPause { before: 0, length: Duration::from_secs(6) };
+        let receiver = TestGateway::with(&TestSetup {
+            document: &document,
+            fate: BackendFate::Pauses(pause),
+            attempt_limit: case.attempt_limit,
+            ..TestSetup::default()
+        });
+        let remaining_millis = case.remaining_millis;
+        let request = ForwardRequest { remaining_millis, ..caller_request(&receiver) };
+        let began = receiver.world.now();
+        let outcome = forward(&receiver, "puget", &request);
+        let is_served = matches!(outcome.head, ForwardReply::Answer { .. });
+        assert_eq!(is_served, case.is_served, "{}: {:?}", case.name, outcome.head);
+        let took = receiver.world.now().since(began);
+        assert!(took >= Duration::from_millis(5_000), "{}: {took:?}", case.name);
+        assert_eq!(receiver.client.sends.get(), 1, "{}", case.name);
+    }
+}
+
 /// Why it was not run; empty where it may have.
 fn refusal(head: &ForwardReply) -> &str {
     match head {
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -255,3 +255,6 @@
         Priority::Low => AdmissionPriority::Low,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -218,3 +218,6 @@
     event.push('\n');
     Bytes::from(event)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/relay/tests.rs
@@ -0,0 +1,87 @@
+//! Answers that stand still, and answers that are given up.
+
+use {
+    crate::testing::{AnswerPause, BackendFate, DOCUMENT, PeerFate, TestGateway, TestSetup},
+    http::StatusCode,
+    std::time::Duration,
+};
+
+const STREAMED: &str =
+    r#"{"model":"ballast","stream":true,"messages":[{"role":"user","content":"Quote."}]}"#;
+const WHOLE: &str = r#"{"model":"ballast","messages":[{"role":"user","content":"Quote."}]}"#;
+
+struct PauseCase<'a> {
+    name: &'static str,
+    setup: TestSetup<'a>,
+    has_budget: bool,
+}
+
+/// The neighbours that leave a request nothing but the run it has.
+fn lonely_setups(pause: AnswerPause, here_only: &str) -> Vec<PauseCase<'_>> {
+    let fate = BackendFate::Pauses(pause);
+    let refuses = PeerFate::Refuses(Duration::from_millis(100));
+    let base = || TestSetup { fate, peers: refuses, ..TestSetup::default() };
+    let away = || TestSetup { engines: false, peers: PeerFate::Pauses(pause), ..base() };
+    vec![
+        PauseCase {
+            name: "no other backend server and no other region",
+            setup: TestSetup { document: here_only, ..base() },
+            has_budget: true,
+        },
+        PauseCase { name: "the other region refuses", setup: base(), has_budget: true },
+        PauseCase {
+            name: "last attempt",
+            setup: TestSetup { attempt_limit: 1, ..base() },
+            has_budget: true,
+        },
+        PauseCase { name: "no budget", setup: base(), has_budget: false },
+        PauseCase { name: "in the other region", setup: away(), has_budget: true },
+        PauseCase {
+            name: "in the other region, last attempt",
+            setup: TestSetup { attempt_limit: 1, ..away() },
+            has_budget: true,
+        },
+        PauseCase { name: "in the other region, no budget", setup: away(), has_budget: false },
+    ]
+}
+
+/// Guards against runs that are given up after a pause though nobody else can answer.
+#[test]
+fn a_pause_ends_no_run_that_nobody_can_take_over() {
+    let here_only = DOCUMENT.replace(r#"["puget", "columbia", "inland"]"#, r#"["columbia"]"#);
+    let paths = [
+        ("/v1/chat/completions", STREAMED),
+        ("/v1/chat/completions", WHOLE),
+        ("/services/order-desk/list", "{}"),
+    ];
+    for millis in [500, 1_200, 1_300, 2_600, 6_000] {
+        for before in 0..5 {
+            let pause = AnswerPause { before, length: Duration::from_millis(millis) };
+            for PauseCase { name, setup, has_budget } in lonely_setups(pause, &here_only) {
+                for (path, body) in paths {
+                    let gateway = TestGateway::with(&setup);
+                    let answering = gateway.answer(path, body);
+                    let spending = gateway.spend_budget(has_budget);
+                    let ((head, answer), ()) =
+                        gateway.world.run_until(async { futures::join!(answering, spending) });
+                    let name = format!("{name}, {pause:?}, {path} {body}");
+                    assert_eq!(head.status, StatusCode::OK, "{name}");
+                    assert!(answer.is_some(), "{name}: the answer broke off");
+                    let runs = gateway.client.sends.get() + gateway.transport.opened.get();
+                    assert_eq!(runs, 1, "{name}");
+                }
+            }
+        }
+    }
+}
+
+/// Guards against two backend servers at work on one request: the one whose answer cannot be used,
+/// and the next.
+#[test]
+fn a_run_that_cannot_be_used_ends_before_the_next_begins() {
+    let gateway =
+        TestGateway::with(&TestSetup { fate: BackendFate::Disorders, ..TestSetup::default() });
+    let (head, _) = gateway.ask("/v1/chat/completions", STREAMED);
+    assert!(gateway.client.sends.get() > 1, "{}", head.status);
+    assert_eq!(gateway.client.runs.most.get(), 1, "{}", head.status);
+}
--- a/crates/gateway/src/testing.rs
+++ b/crates/gateway/src/testing.rs
@@ -3,10 +3,13 @@
 use {
     crate::{
         EntryAnswer, Gateway, GatewayConfig, GatewayParts, RegionDirectory, RegionRow,
-        attempt::REQUEST_HEADER, completion::collect,
+        attempt::{OFFSET_HEADER, REQUEST_HEADER},
+        call::ContentHeader,
+        completion::collect,
+        forward::{ForwardReply, ForwardRequest},
     },
     bytes::Bytes,
-    futures::stream,
+    futures::{Stream, StreamExt, stream},
     gullglade_admission::{AdmissionQueue, AdmissionSettings},
     gullglade_backend::{
         Announcement, BackendConfig, BackendRelay, BackendTable, GatewayProfile, OwnGateway,
@@ -16,17 +19,18 @@
     gullglade_document::{ConfigView, FixedConfig, ServiceDocument, ServiceTarget},
     gullglade_event::{MetricSet, NullSink},
     gullglade_http::{
-        BodyError, ClientBody, ClientError, ClientReply, HttpClient, ReplyBody, RequestBody,
-        RequestHandler,
+        BodyError, ClientBody, ClientError, ClientReply, HeadTimeout, HttpClient, ReplyBody,
+        RequestBody, RequestHandler,
     },
     gullglade_peer::{PeerError, PeerStream, PeerTransport},
     gullglade_units::{
-        FailureDomain, Incarnation, LocalFuture, ProcessContext, RegionName, VmName,
-        fake::FakeWorld,
+        BackendName, Clock, FailureDomain, Incarnation, LocalFuture, MonotonicTime, ProcessContext,
+        RegionName, VmName, decode, encode, fake::FakeWorld, timeout,
     },
     http::{
         HeaderValue, Request, Response,
         header::{AUTHORIZATION, CONTENT_TYPE},
+        request::Builder,
         response::Parts,
     },
     std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration},
@@ -35,6 +39,9 @@
 /// The most bytes of a reply in these tests.
 const BODY_LIMIT: usize = 1 << 20;
 
+/// How long backend servers have served when a test begins.
+const SETTLED: Duration = Duration::from_secs(15);
+
 /// The gateway's region.
 pub(crate) const HERE: &str = "columbia";
 
@@ -61,12 +68,144 @@
     Loses,
     /// Streams one token and `[DONE]`, without a finish reason.
     Unfinished,
+    /// Answers whole, after a pause.
+    Pauses(AnswerPause),
+    /// Streams a token out of order, and goes on without an end.
+    Disorders,
+}
+
+/// Where an answer stands still, and for how long.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct AnswerPause {
+    /// 0: before its head; else before this piece of its body, counted from 1.
+    pub(crate) before: usize,
+    pub(crate) length: Duration,
+}
+
+impl AnswerPause {
+    /// The time before a part of the answer.
+    fn at(self, part: usize) -> Duration {
+        if part == self.before { self.length } else { Duration::ZERO }
+    }
+}
+
+/// Runs that are at work.
+#[derive(Default)]
+pub(crate) struct RunCount {
+    now: Cell<u32>,
+    pub(crate) most: Cell<u32>,
+}
+
+/// One run, at work until it is dropped.
+struct CountedRun(Rc<RunCount>);
+
+impl CountedRun {
+    fn begin(runs: &Rc<RunCount>) -> Self {
+        runs.now.set(runs.now.get() + 1);
+        runs.most.set(runs.most.get().max(runs.now.get()));
+        Self(Rc::clone(runs))
+    }
+}
+
+impl Drop for CountedRun {
+    fn drop(&mut self) {
+        self.0.now.set(self.0.now.get() - 1);
+    }
 }
 
 /// A backend server that counts what reaches it.
 pub(crate) struct CountedClient {
     pub(crate) sends: Cell<u32>,
+    pub(crate) runs: Rc<RunCount>,
     fate: BackendFate,
+    clock: Rc<dyn Clock>,
+}
+
+impl CountedClient {
+    async fn pausing_reply(
+        &self,
+        address: SocketAddr,
+        request: &Request<Bytes>,
+        pause: AnswerPause,
+    ) -> Result<ClientReply, ClientError> {
+        let run = CountedRun::begin(&self.runs);
+        let limit = request.extensions().get::<HeadTimeout>().unwrap().0;
+        if timeout(&*self.clock, limit, self.clock.sleep(pause.at(0))).await.is_none() {
+            return Err(ClientError::HeadTimeout { address, limit });
+        }
+        let (mut head, ()) = Response::new(()).into_parts();
+        if is_streamed(request.body()) {
+            head.headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+        }
+        let header = |name| request.headers().get(name)?.to_str().ok();
+        let id = header(REQUEST_HEADER).unwrap();
+        let first = header(OFFSET_HEADER).map_or(0, |offset| offset.parse().unwrap());
+        let pieces = match is_streamed(request.body()) {
+            true => event_pieces(id, first),
+            false => whole_pieces(id),
+        };
+        let body = paced(pieces, pause, Rc::clone(&self.clock));
+        let body = body.map(move |piece| {
+            let _at_work = &run;
+            Ok(piece)
+        });
+        Ok(ClientReply { head, body: ClientBody::from_stream(body) })
+    }
+
+    fn disordered_reply(&self, request: &Request<Bytes>) -> ClientReply {
+        let run = CountedRun::begin(&self.runs);
+        let (mut head, ()) = Response::new(()).into_parts();
+        head.headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+        let id = request.headers()[REQUEST_HEADER].to_str().unwrap();
+        let body = stream::iter([Ok(token_event(id, 7))]).chain(stream::pending());
+        let body = body.map(move |piece| {
+            let _at_work = &run;
+            piece
+        });
+        ClientReply { head, body: ClientBody::from_stream(body) }
+    }
+}
+
+/// How many tokens an answer has.
+const TOKENS: u64 = 3;
+
+fn is_streamed(body: &[u8]) -> bool {
+    body.windows(13).any(|part| part == br#""stream":true"#)
+}
+
+fn token_event(id: &str, index: u64) -> Bytes {
+    let choices = serde_json::json!([{"index": 0, "delta": {"content": "a"}}]);
+    let event = serde_json::json!({"id": id, "token_index": index, "choices": choices});
+    Bytes::from(format!("data: {event}\n\n"))
+}
+
+/// The pieces of a streamed answer.
+fn event_pieces(id: &str, first: u64) -> Vec<Bytes> {
+    let choices = serde_json::json!([{"index": 0, "delta": {}, "finish_reason": "stop"}]);
+    let last = serde_json::json!({"id": id, "choices": choices});
+    let tokens = (first..TOKENS).map(|index| token_event(id, index));
+    tokens.chain([Bytes::from(format!("data: {last}\n\ndata: [DONE]\n\n"))]).collect()
+}
+
+/// The pieces of an answer that is not streamed.
+fn whole_pieces(id: &str) -> Vec<Bytes> {
+    let whole = Bytes::from(serde_json::json!({"id": id, "choices": []}).to_string());
+    vec![whole.slice(..5), whole.slice(5..9), whole.slice(9..)]
+}
+
+/// The pieces with the pause between them.
+fn paced(
+    pieces: Vec<Bytes>,
+    pause: AnswerPause,
+    clock: Rc<dyn Clock>,
+) -> impl Stream<Item = Bytes> + 'static {
+    stream::iter(pieces.into_iter().enumerate()).then(move |(index, piece)| {
+        let waiting = clock.sleep(pause.at(index + 1));
+        async move {
+            waiting.await;
+            piece
+        }
+    })
 }
 
 impl HttpClient for CountedClient {
@@ -79,6 +218,13 @@
         let (mut head, ()) = Response::new(()).into_parts();
         let cut = BodyError::Incomplete { reason: "reset".to_owned() };
         let reply = match self.fate {
+            BackendFate::Pauses(pause) => {
+                let reply = async move { self.pausing_reply(address, &request, pause).await };
+                return Box::pin(reply);
+            }
+            BackendFate::Disorders => {
+                return Box::pin(std::future::ready(Ok(self.disordered_reply(&request))));
+            }
             BackendFate::Answers => Ok(ClientBody::from_bytes("{}")),
             BackendFate::Breaks => {
                 Ok(ClientBody::from_stream(stream::iter([Ok(Bytes::from("{")), Err(cut)])))
@@ -101,10 +247,63 @@
     format!("data: {event}\n\ndata: [DONE]\n\n")
 }
 
-/// Counts the calls to other gateways, and lets none through.
-#[derive(Default)]
+/// What the gateways of other regions do with a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum PeerFate {
+    /// Their answer ends without a head.
+    Ends,
+    /// Certainly not run, after this time.
+    Refuses(Duration),
+    /// A backend server there answers whole, after a pause.
+    Pauses(AnswerPause),
+}
+
+/// Counts the calls to other gateways.
 pub(crate) struct CountedTransport {
     pub(crate) opened: Cell<u32>,
+    fate: PeerFate,
+    clock: Rc<dyn Clock>,
+}
+
+impl CountedTransport {
+    fn reply(&self, request: &ForwardRequest) -> PeerStream {
+        let (head, pieces, pause) = match self.fate {
+            PeerFate::Ends => return PeerStream::new(stream::empty()),
+            PeerFate::Refuses(after) => {
+                let reason = "no slot".to_owned();
+                let head = ForwardReply::NotRun { reason, retry_millis: 1_000 };
+                (head, Vec::new(), AnswerPause { before: 0, length: after })
+            }
+            PeerFate::Pauses(pause) => self.answer(request, pause),
+        };
+        let waiting = self.clock.sleep(pause.at(0));
+        let head = stream::once(async move {
+            waiting.await;
+            Bytes::from(encode(&head))
+        });
+        PeerStream::new(head.chain(paced(pieces, pause, Rc::clone(&self.clock))).map(Ok))
+    }
+
+    fn answer(
+        &self,
+        request: &ForwardRequest,
+        pause: AnswerPause,
+    ) -> (ForwardReply, Vec<Bytes>, AnswerPause) {
+        let id = request.id.to_string();
+        let (pieces, kind) = match request.streamed {
+            true => (event_pieces(&id, request.offset), "text/event-stream"),
+            false => (whole_pieces(&id), "application/json"),
+        };
+        let value = kind.as_bytes().to_vec();
+        let head = ForwardReply::Answer {
+            id: request.id,
+            status: 200,
+            headers: vec![ContentHeader { name: CONTENT_TYPE.to_string(), value }],
+            backend: BackendName::try_from("engine-9").unwrap(),
+            ran: true,
+        };
+        (head, pieces, pause)
+    }
 }
 
 impl PeerTransport for CountedTransport {
@@ -122,21 +321,25 @@
         &'a self,
         _to: SocketAddr,
         _method: &'a str,
-        _body: Bytes,
+        body: Bytes,
     ) -> LocalFuture<'a, Result<PeerStream, PeerError>> {
         self.opened.set(self.opened.get() + 1);
-        Box::pin(std::future::ready(Ok(PeerStream::new(stream::empty()))))
+        let request = decode::<ForwardRequest>(&body).unwrap();
+        Box::pin(std::future::ready(Ok(self.reply(&request))))
     }
 }
 
-/// Offers plenty of free engines in inland.
-struct InlandDirectory;
+/// Offers plenty of free engines in inland, from some time on.
+struct InlandDirectory {
+    from: MonotonicTime,
+    clock: Rc<dyn Clock>,
+}
 
 impl RegionDirectory for InlandDirectory {
     fn offers(&self, _target: &ServiceTarget) -> Vec<RegionRow> {
         vec![RegionRow {
             region: region("inland"),
-            reachable: true,
+            reachable: self.clock.now() >= self.from,
             link: Duration::from_millis(1),
             slots: 64,
             free_slots: 64,
@@ -159,6 +362,31 @@
     fn note_failure(&self, _address: SocketAddr) {}
 }
 
+/// How the neighbours of a gateway under test behave.
+pub(crate) struct TestSetup<'a> {
+    pub(crate) document: &'a str,
+    /// Whether an engine and a plain service have announced themselves.
+    pub(crate) engines: bool,
+    pub(crate) fate: BackendFate,
+    pub(crate) peers: PeerFate,
+    /// Since when another region offers itself, counted from the begin of the test.
+    pub(crate) offers_from: Duration,
+    pub(crate) attempt_limit: u32,
+}
+
+impl Default for TestSetup<'_> {
+    fn default() -> Self {
+        Self {
+            document: DOCUMENT,
+            engines: true,
+            fate: BackendFate::Answers,
+            peers: PeerFate::Ends,
+            offers_from: Duration::ZERO,
+            attempt_limit: 4,
+        }
+    }
+}
+
 /// A gateway in [`HERE`] whose neighbours are fakes.
 pub(crate) struct TestGateway {
     pub(crate) world: FakeWorld,
@@ -182,18 +410,51 @@
         fate: BackendFate,
         claims: impl FnOnce(ProcessContext) -> Rc<dyn ClaimKeeper>,
     ) -> Self {
+        let setup = TestSetup { document, engines, fate, ..TestSetup::default() };
+        Self::with_setup(&setup, claims)
+    }
+
+    /// A gateway as `setup` wants it, with claims of its own.
+    pub(crate) fn with(setup: &TestSetup<'_>) -> Self {
+        let gateway = Self::with_setup(setup, |context| {
+            Rc::new(LocalClaims::first_start(context, ClaimSettings::default()))
+        });
+        // A backend server that has just joined is trusted with a part of its slots only.
+        for sequence in 2..=4 {
+            gateway.world.run_for(SETTLED / 3);
+            if setup.engines {
+                announce(&gateway.gateway.backends, sequence);
+            }
+        }
+        gateway
+    }
+
+    fn with_setup(
+        setup: &TestSetup<'_>,
+        claims: impl FnOnce(ProcessContext) -> Rc<dyn ClaimKeeper>,
+    ) -> Self {
+        let TestSetup { document, engines, fate, peers, offers_from, attempt_limit } = *setup;
         let (world, context) = FakeWorld::new(1);
-        let transport = Rc::<CountedTransport>::default();
-        let client = Rc::new(CountedClient { sends: Cell::new(0), fate });
-        let metrics = Rc::new(MetricSet::new().unwrap());
         let clock = Rc::clone(&context.clock);
+        let transport = Rc::new(CountedTransport {
+            opened: Cell::new(0),
+            fate: peers,
+            clock: Rc::clone(&clock),
+        });
+        let client = Rc::new(CountedClient {
+            sends: Cell::new(0),
+            runs: Rc::default(),
+            fate,
+            clock: Rc::clone(&clock),
+        });
+        let metrics = Rc::new(MetricSet::new().unwrap());
         let backends = Rc::new(BackendTable::new(region(HERE), BackendConfig::default(), clock));
         if engines {
-            let announcement = Announcement::try_from(announcement().as_bytes()).unwrap();
-            backends.announce(&announcement).unwrap();
+            announce(&backends, 1);
         }
         let own = own_gateway();
-        let config = GatewayConfig::new(own.vm.clone(), region(HERE), domain());
+        let mut config = GatewayConfig::new(own.vm.clone(), region(HERE), domain());
+        config.attempt_limit = attempt_limit;
         let seams = RelaySeams {
             transport: Rc::clone(&transport) as _,
             events: Rc::new(NullSink),
@@ -205,7 +466,10 @@
             documents: Rc::new(FixedConfig::new(ConfigView::new(1, [document]))),
             backends,
             relay,
-            directory: Rc::new(InlandDirectory),
+            directory: Rc::new(InlandDirectory {
+                from: MonotonicTime(SETTLED + offers_from),
+                clock: Rc::clone(&context.clock),
+            }),
             claims: claims(context.clone()),
             admission: AdmissionQueue::new(AdmissionSettings::default(), context.clone()),
             client: Rc::clone(&client) as _,
@@ -222,22 +486,48 @@
     /// Sends a request of the workspace `roadmasters` and returns the reply's head, and its body
     /// where that is whole.
     pub(crate) fn post(&self, path: &str, body: &str) -> (Parts, Option<Bytes>) {
-        let request = Request::post(path)
-            .header(AUTHORIZATION, "Bearer demo-roadmasters")
-            .header("idempotency-key", "order-1")
-            .body(RequestBody::from_bytes(Bytes::from(body.to_owned())))
-            .unwrap();
-        self.world.run_until(async {
-            let (head, body) = self.gateway.handle(request, address()).await.into_parts();
-            let body = match body {
-                ReplyBody::Full(bytes) => Some(bytes),
-                ReplyBody::Stream(mut pieces) => collect(&mut pieces, BODY_LIMIT).await,
-            };
-            (head, body)
-        })
+        let (request, body) = caller_request(path, body);
+        let request = request.header("idempotency-key", "order-1");
+        self.world.run_until(self.reply((request, body)))
+    }
+
+    /// The same for a request that may be repeated.
+    pub(crate) fn ask(&self, path: &str, body: &str) -> (Parts, Option<Bytes>) {
+        self.world.run_until(self.answer(path, body))
+    }
+
+    /// The reply to a request that may be repeated.
+    pub(crate) async fn answer(&self, path: &str, body: &str) -> (Parts, Option<Bytes>) {
+        self.reply(caller_request(path, body)).await
+    }
+
+    /// Keeps the retry budget empty for some seconds, unless it is to be had.
+    pub(crate) async fn spend_budget(&self, has_budget: bool) {
+        let view = self.gateway.documents.current().unwrap();
+        let document = Rc::clone(view.documents().next().unwrap());
+        let budget = self.gateway.retry_budget(&document);
+        for _ in 0..600 {
+            while !has_budget && budget.try_retry(self.context.clock.now()) {}
+            self.context.clock.sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    async fn reply(&self, (request, body): (Builder, Bytes)) -> (Parts, Option<Bytes>) {
+        let request = request.body(RequestBody::from_bytes(body)).unwrap();
+        let (head, body) = self.gateway.handle(request, address()).await.into_parts();
+        let body = match body {
+            ReplyBody::Full(bytes) => Some(bytes),
+            ReplyBody::Stream(mut pieces) => collect(&mut pieces, BODY_LIMIT).await,
+        };
+        (head, body)
     }
 }
 
+fn caller_request(path: &str, body: &str) -> (Builder, Bytes) {
+    let request = Request::post(path).header(AUTHORIZATION, "Bearer demo-roadmasters");
+    (request, Bytes::from(body.to_owned()))
+}
+
 pub(crate) fn region(name: &str) -> RegionName {
     RegionName::try_from(name).unwrap()
 }
@@ -262,12 +552,25 @@
     OwnGateway { vm, incarnation: Incarnation(1), profile }
 }
 
-fn announcement() -> String {
+/// Announces an engine and a plain service.
+fn announce(backends: &BackendTable, sequence: u64) {
+    for (name, kind) in [("engine-1", "engine"), ("desk-1", "service")] {
+        let text = announcement(name, kind, sequence);
+        let announcement = Announcement::try_from(text.as_bytes()).unwrap();
+        backends.announce(&announcement).unwrap();
+    }
+}
+
+fn announcement(name: &str, kind: &str, sequence: u64) -> String {
+    let (models, services) = match kind {
+        "engine" => (vec!["ballast"], vec![]),
+        _ => (vec![], vec!["order-desk"]),
+    };
     serde_json::json!({
-        "name": "engine-1", "incarnation": 1, "sequence": 1, "state": "serving",
+        "name": name, "incarnation": 1, "sequence": sequence, "state": "serving",
         "profile": {
-            "region": HERE, "domain": "a", "address": "127.0.0.1:9", "kind": "engine",
-            "models": ["ballast"], "services": ["order-desk"],
+            "region": HERE, "domain": "a", "address": "127.0.0.1:9", "kind": kind,
+            "models": models, "services": services,
             "capacity": {
                 "slots": 4, "tokens_per_second": 100, "prefill_tokens_per_second": 10_000,
             },
