End a run whose events cannot be used before the next one is placed

Callers saw nothing, but two backend servers worked on one request: a run whose events are malformed, out of order or another request's kept its connection until the next run had answered, queue and all. The relay replaced the stream of events only with the next one.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -190,6 +190,8 @@
 
     /// Goes on at the token where the attempt broke off, at another place.
     async fn resume(&mut self) -> Result<(), ApiError> {
+        // A run whose events cannot be used may still be at work; dropping its stream ends it.
+        self.events = no_events();
         self.work = WorkGuard::default();
         self.gateway.lost_answer(&self.plan, &self.place, &mut self.history)?;
         self.plan.offset = self.tokens;
@@ -208,6 +210,11 @@
     }
 }
 
+fn no_events() -> EventStream<LocalStream> {
+    let ended: LocalStream = Box::pin(stream::empty());
+    ended.eventsource()
+}
+
 fn event_bytes(data: &str) -> Bytes {
     let mut event = String::with_capacity(data.len() + 8);
     for line in data.split('\n') {
