Keep a place in the queue until the other region has taken the request

Callers got 503 though they had a turn coming: a request that waits for a slot asks every 250 ms whether another region has become better, left the queue for it at once, and was refused there. That refusal counted as a failed attempt, so the last attempt or an empty retry budget ended the request, and any other went to the back of the queue. The place is kept now while the other region is asked: after a refusal ("not run") the request goes on in its place, without an attempt or a repeat being needed. Requests under a key spend their permit before they are sent away and still end with the refusal.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -78,6 +78,13 @@
     },
 }
 
+impl AttemptFailure {
+    /// Whether the request was certainly not run.
+    pub(crate) fn is_not_run(&self) -> bool {
+        matches!(self, Self::NotRun { .. })
+    }
+}
+
 /// Where a local attempt goes, copied out of the table.
 #[derive(Debug, Clone)]
 pub(crate) struct BackendPlace {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod memory;
 mod place;
 mod plain;
+mod queue_place;
 mod refusal;
 mod relay;
 mod span;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -7,6 +7,7 @@
         claimed::ClaimStage,
         decide::{Placement, clamp_u32},
         gateway::Gateway,
+        queue_place::{QueuePlace, SlotWait},
         refusal,
         work::{CostMeter, WorkGuard},
     },
@@ -46,13 +47,19 @@
         plan: &CallPlan,
         history: &mut AttemptHistory,
     ) -> Result<AttemptAnswer, ApiError> {
+        let mut place = QueuePlace::default();
         loop {
-            let failure = match self.attempt(plan, history).await? {
+            let failure = match self.attempt(plan, history, &mut place).await? {
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
             };
+            let keeps_place = place.is_held() && failure.is_not_run();
             self.note_failure(plan, history, failure);
-            if !self.may_try_again(plan, history) {
+            let goes_on = match keeps_place {
+                true => self.is_safe_again(plan, history),
+                false => self.may_try_again(plan, history),
+            };
+            if !goes_on {
                 return Err(self.give_up(plan, history));
             }
         }
@@ -62,31 +69,32 @@
     ///
     /// The order is the one that the replay of arrivals measures (`crates/experiment`): decide with
     /// the wait that the queue would mean, wait in the queue only where that is the best, and decide
-    /// anew with a slot in hand.
+    /// anew with a slot in hand. The place in the queue is kept while another region is asked, since
+    /// that may refuse.
     async fn attempt(
         &self,
         plan: &CallPlan,
         history: &mut AttemptHistory,
+        place: &mut QueuePlace,
     ) -> Result<Result<AttemptAnswer, AttemptFailure>, ApiError> {
-        let mut permit = None;
         loop {
-            let wait = match permit {
-                Some(_) => Duration::ZERO,
-                None => self.expected_wait(plan),
+            let wait = match place.is_granted() {
+                true => Duration::ZERO,
+                false => self.expected_wait(plan),
             };
             match self.decide(plan, history, wait) {
                 Placement::Refuse(reason, retry_after) => {
                     return Err(self.refused(plan, history, reason, retry_after));
                 }
                 Placement::Away(region) => {
-                    drop(permit);
-                    return self.attempt_away(plan, history, region).await;
+                    let asking = self.attempt_away(plan, history, region);
+                    return place.keep_during(&*self.context.clock, asking).await;
                 }
-                Placement::Local(_) | Placement::Wait(_) if permit.is_none() => {
-                    permit = self.admit(plan, history).await?;
+                Placement::Local(_) | Placement::Wait(_) if !place.is_granted() => {
+                    self.admit(plan, history, place).await?;
                 }
-                Placement::Local(place) => {
-                    return self.attempt_at(plan, history, place, permit.take()).await;
+                Placement::Local(backend) => {
+                    return self.attempt_at(plan, history, backend, place.take_permit()).await;
                 }
                 Placement::Wait(_) if self.remaining(plan).is_zero() => {
                     let reason = RefuseReason::TooLate;
@@ -101,15 +109,15 @@
         &self,
         plan: &CallPlan,
         history: &mut AttemptHistory,
-        place: BackendPlace,
+        backend: BackendPlace,
         permit: Option<AdmissionPermit>,
     ) -> Result<Result<AttemptAnswer, AttemptFailure>, ApiError> {
         self.begin_run(history).await?;
         history.attempts += 1;
         let work = WorkGuard { _permit: permit, ..WorkGuard::default() };
-        let outcome = self.attempt_local(plan, &place, work).await;
+        let outcome = self.attempt_local(plan, &backend, work).await;
         if outcome.is_err() {
-            history.failed_backends.push(place.name);
+            history.failed_backends.push(backend.name);
         }
         Ok(outcome)
     }
@@ -137,39 +145,50 @@
         self.admission.expected_wait(&queue, &plan.workspace, admission_priority(plan))
     }
 
-    /// Waits in the queue for a permit. `None`: another region has become the better place
+    /// Waits in the queue for a slot. Without one, another region has become the better place
     /// meanwhile, which the caller decides anew.
     async fn admit(
         &self,
         plan: &CallPlan,
         history: &AttemptHistory,
-    ) -> Result<Option<AdmissionPermit>, ApiError> {
-        self.refresh_capacity(&plan.target);
-        let ticket = AdmissionTicket {
-            workspace: plan.workspace.clone(),
-            share: f64::from(plan.share),
-            model: self.queue_name(&plan.target),
-            priority: admission_priority(plan),
-            deadline: Some(plan.deadline),
-            cost: clamp_u32(plan.prompt.tokens + plan.max_tokens),
+        place: &mut QueuePlace,
+    ) -> Result<(), ApiError> {
+        let mut waiting = match std::mem::take(place) {
+            QueuePlace::Waiting(waiting) => waiting,
+            _ => self.enter_queue(plan),
         };
-        let mut entering = self.admission.enter(ticket);
         loop {
-            match select(entering, self.context.clock.sleep(RECHECK_AFTER)).await {
-                Either::Left((Ok(permit), _)) => return Ok(Some(permit)),
+            match select(waiting, self.context.clock.sleep(RECHECK_AFTER)).await {
+                Either::Left((Ok(permit), _)) => {
+                    *place = QueuePlace::Granted(permit);
+                    return Ok(());
+                }
                 Either::Left((Err(refusal), _)) => {
                     let retry_after = refusal.retry_after();
                     return Err(self.final_refusal(plan, history, &refusal, retry_after));
                 }
-                Either::Right(((), rest)) => entering = rest,
+                Either::Right(((), rest)) => waiting = rest,
             }
             let wait = self.expected_wait(plan);
             if matches!(self.decide(plan, history, wait), Placement::Away(_)) {
-                return Ok(None);
+                *place = QueuePlace::Waiting(waiting);
+                return Ok(());
             }
         }
     }
 
+    fn enter_queue(&self, plan: &CallPlan) -> SlotWait {
+        self.refresh_capacity(&plan.target);
+        self.admission.enter(AdmissionTicket {
+            workspace: plan.workspace.clone(),
+            share: f64::from(plan.share),
+            model: self.queue_name(&plan.target),
+            priority: admission_priority(plan),
+            deadline: Some(plan.deadline),
+            cost: clamp_u32(plan.prompt.tokens + plan.max_tokens),
+        })
+    }
+
     /// Waits until a slot may have become free. The caller's own deadline bounds the sum of waits.
     async fn wait_for_change(&self, plan: &CallPlan, at_most: Duration) {
         let limit = at_most.min(self.remaining(plan)).max(Duration::from_millis(1));
@@ -194,13 +213,17 @@
     /// claimed request's permit is spent, and retries stay within the service's budget, so that an
     /// outage of backend servers does not multiply the load on those left.
     pub(crate) fn may_try_again(&self, plan: &CallPlan, history: &AttemptHistory) -> bool {
-        let safe = plan.is_repeatable() || !history.may_have_run && !plan.is_claimed();
         let now = self.context.clock.now();
-        safe && history.attempts < self.config.attempt_limit
-            && self.remaining(plan) > Duration::ZERO
+        history.attempts < self.config.attempt_limit
+            && self.is_safe_again(plan, history)
             && self.retry_budget(&plan.document).try_retry(now)
     }
 
+    fn is_safe_again(&self, plan: &CallPlan, history: &AttemptHistory) -> bool {
+        let is_safe = plan.is_repeatable() || !history.may_have_run && !plan.is_claimed();
+        is_safe && self.remaining(plan) > Duration::ZERO
+    }
+
     pub(crate) fn give_up(&self, plan: &CallPlan, history: &AttemptHistory) -> ApiError {
         let reason = history.last_reason.clone().unwrap_or_default();
         self.final_refusal(plan, history, &reason, Duration::from_secs(1))
