Stand-ins can ask for a back-off and say that they leave, with their answers

Nothing of the product's own face could be shown or tested on what a backend server states with its answers: the stand-ins only refused without a time, and only left by announcement. Two more kinds of the fault switch state it: `backoff` (503, not run, retry-after) and `leaving` (whole answers with gullglade-leaving, while it goes on announcing that it serves).

--- a/crates/stub/src/engine/handler.rs
+++ b/crates/stub/src/engine/handler.rs
@@ -14,7 +14,7 @@
         },
         face::{
             FaceReply, bad_request, json_reply, json_with, not_found, query_number, read_body,
-            read_json, refused, reset_body, switch_fault, typed_reply,
+            read_json, reset_body, switch_fault, typed_reply,
         },
         fault::{FaultKind, FaultSwitch},
         headers::{
@@ -137,8 +137,8 @@
         let offset = header_number(headers, RESUME_HEADER).map_err(bad_request)?;
         let priority = header_number(headers, PRIORITY_HEADER).map_err(bad_request)?;
         let fault = self.state.faults.take();
-        if fault == Some(FaultKind::Refuse) {
-            return Err(refused());
+        if let Some(refusal) = fault.and_then(FaultKind::refusal) {
+            return Err(refusal);
         }
         let sequence = self.state.batch.submit(SequenceRequest {
             prompt: PromptBlocks::new(&request.model, &request.prompt),
@@ -168,6 +168,9 @@
             false => typed_reply(StatusCode::OK, "application/json", answer.into_whole().await),
         };
         reply.headers_mut().insert(RunState::HEADER, RunState::Run.to_value());
+        if let Some(fault) = fault {
+            fault.state(reply.headers_mut());
+        }
         if let Ok(id) = HeaderValue::from_str(&id) {
             reply.headers_mut().insert(REQUEST_HEADER, id);
         }
--- a/crates/stub/src/fault.rs
+++ b/crates/stub/src/fault.rs
@@ -1,11 +1,14 @@
 //! Faults that can be switched on, by configuration or with `POST /stub/fault`.
 
 use {
+    crate::{face::refused, headers::LEAVING_HEADER},
+    gullglade_http::ApiError,
+    http::{HeaderMap, HeaderValue},
     serde::{Deserialize, Serialize},
-    std::cell::Cell,
+    std::{cell::Cell, time::Duration},
 };
 
-/// What goes wrong with the next answers.
+/// What goes wrong with the next answers, or is stated with them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "kebab-case")]
 pub enum FaultKind {
@@ -33,6 +36,13 @@
     },
     /// The request is refused before it runs: 503, `gullglade-run: not-run`.
     Refuse,
+    /// The request is refused before it runs, and the server asks for a back-off: `retry-after`.
+    Backoff {
+        /// How long it wants nothing.
+        seconds: u64,
+    },
+    /// The answer is whole and says that the server leaves, which goes on announcing that it serves.
+    Leaving,
     /// The request is read and run, then the connection breaks without an answer.
     Reset,
 }
@@ -54,6 +64,24 @@
     order: Cell<FaultOrder>,
 }
 
+impl FaultKind {
+    /// The refusal of a request that is not to run.
+    pub(crate) fn refusal(self) -> Option<ApiError> {
+        match self {
+            Self::Refuse => Some(refused()),
+            Self::Backoff { seconds } => Some(refused().retry_after(Duration::from_secs(seconds))),
+            _ => None,
+        }
+    }
+
+    /// Adds what the server states with its answer.
+    pub(crate) fn state(self, headers: &mut HeaderMap) {
+        if self == Self::Leaving {
+            headers.insert(LEAVING_HEADER, HeaderValue::from_static("true"));
+        }
+    }
+}
+
 impl FaultSwitch {
     /// Replaces what was switched on before.
     pub(crate) fn set(&self, order: FaultOrder) {
--- a/crates/stub/src/headers.rs
+++ b/crates/stub/src/headers.rs
@@ -14,6 +14,9 @@
 /// The load as JSON, on every reply of an engine.
 pub const LOAD_HEADER: &str = "gullglade-load";
 
+/// On an answer: the server finishes what it has and wants nothing new.
+pub const LEAVING_HEADER: &str = "gullglade-leaving";
+
 /// The key of a non-idempotent request.
 pub const KEY_HEADER: &str = "idempotency-key";
 
--- a/crates/stub/src/lib.rs
+++ b/crates/stub/src/lib.rs
@@ -25,7 +25,9 @@
         PriorityGate, RequestPriority, SequenceRequest, SequenceToken, StubEngine, TokenSequence,
     },
     fault::{FaultKind, FaultOrder},
-    headers::{KEY_HEADER, LOAD_HEADER, PRIORITY_HEADER, REQUEST_HEADER, RESUME_HEADER},
+    headers::{
+        KEY_HEADER, LEAVING_HEADER, LOAD_HEADER, PRIORITY_HEADER, REQUEST_HEADER, RESUME_HEADER,
+    },
     load::{
         CallKind, CallOutcome, LatencySummary, LoadPlan, LoadSummary, LoadTally, LoadTarget,
         PairPlan, PairReport, run_load, run_pairs,
--- a/crates/stub/src/service/handler.rs
+++ b/crates/stub/src/service/handler.rs
@@ -5,8 +5,8 @@
         announcer::AnnounceSource,
         engine::{GatePermit, PriorityGate, RequestPriority},
         face::{
-            FaceReply, broken_body, first_half, json_reply, not_found, read_json, refused,
-            reset_body, switch_fault, typed_reply,
+            FaceReply, broken_body, first_half, json_reply, not_found, read_json, reset_body,
+            switch_fault, typed_reply,
         },
         fault::{FaultKind, FaultSwitch},
         headers::{KEY_HEADER, LOAD_HEADER, REQUEST_HEADER, header_text},
@@ -91,8 +91,8 @@
     async fn place(&self, headers: &HeaderMap, body: RequestBody) -> Result<FaceReply, ApiError> {
         let order = read_json(body).await?;
         let fault = self.state.faults.take();
-        if fault == Some(FaultKind::Refuse) {
-            return Err(refused());
+        if let Some(refusal) = fault.and_then(FaultKind::refusal) {
+            return Err(refusal);
         }
         let key = header_text(headers, KEY_HEADER);
         let mut guard = self.state.counter.start(key);
@@ -121,7 +121,10 @@
 
 async fn with_fault(whole: Bytes, fault: Option<FaultKind>) -> FaceReply {
     let body = match fault {
-        None | Some(FaultKind::Refuse | FaultKind::WrongId) => ReplyBody::full(whole),
+        None
+        | Some(
+            FaultKind::Refuse | FaultKind::Backoff { .. } | FaultKind::Leaving | FaultKind::WrongId,
+        ) => ReplyBody::full(whole),
         Some(FaultKind::Die { .. }) => broken_body(first_half(&whole)),
         Some(FaultKind::Truncate { .. }) => ReplyBody::full(first_half(&whole)),
         Some(FaultKind::Duplicate { .. }) => {
@@ -133,6 +136,9 @@
     let mut reply = typed_reply(StatusCode::CREATED, "application/json", body);
     let headers = reply.headers_mut();
     headers.insert(RunState::HEADER, RunState::Run.to_value());
+    if let Some(fault) = fault {
+        fault.state(headers);
+    }
     if fault == Some(FaultKind::WrongId) {
         headers.insert(REQUEST_HEADER, HeaderValue::from_static("other"));
     }
--- a/crates/stub/tests/engine.rs
+++ b/crates/stub/tests/engine.rs
@@ -5,7 +5,8 @@
 use {
     gullglade_backend::FencingMode,
     gullglade_stub::{
-        EngineHandle, FaultKind, FaultOrder, REQUEST_HEADER, RESUME_HEADER, StubEngine, TokenSource,
+        EngineHandle, FaultKind, FaultOrder, LEAVING_HEADER, REQUEST_HEADER, RESUME_HEADER,
+        StubEngine, TokenSource,
     },
     gullglade_units::ProcessContext,
     http::Method,
@@ -177,6 +178,18 @@
             whole: Seen::Status(503),
             runs: 0,
         },
+        Case {
+            fault: FaultKind::Backoff { seconds: 2 },
+            streamed: Seen::Status(503),
+            whole: Seen::Status(503),
+            runs: 0,
+        },
+        Case {
+            fault: FaultKind::Leaving,
+            streamed: body(true, 4, true),
+            whole: body(true, 0, true),
+            runs: 2,
+        },
         Case { fault: FaultKind::Reset, streamed: Seen::NoReply, whole: Seen::NoReply, runs: 2 },
     ];
     run_wire(|context| async move {
@@ -194,6 +207,43 @@
     });
 }
 
+/// Guards against stand-ins that do not say what they are told to state.
+#[test]
+fn what_a_stand_in_is_told_to_state_is_in_its_answers() {
+    struct Case {
+        fault: FaultKind,
+        header: &'static str,
+        value: &'static str,
+        run: &'static str,
+    }
+    let cases = [
+        Case {
+            fault: FaultKind::Backoff { seconds: 2 },
+            header: "retry-after",
+            value: "2",
+            run: "not-run",
+        },
+        Case { fault: FaultKind::Leaving, header: LEAVING_HEADER, value: "true", run: "run" },
+    ];
+    run_wire(|context| async move {
+        let client = TestClient::new(&context);
+        for case in cases {
+            let order = FaultOrder { fault: Some(case.fault), times: Some(1) };
+            let engine = StubEngine::start(fast_engine().fault(order), context.clone()).unwrap();
+            for stated in [Some(case.value), None] {
+                let body = chat(4, false);
+                let reply = client.send(engine.address(), Method::POST, CHAT, &[], &body);
+                let headers = reply.await.unwrap().head.headers;
+                let value = headers.get(case.header).map(|value| value.to_str().unwrap());
+                assert_eq!(value, stated, "{:?}", case.fault);
+                let run = if stated.is_some() { case.run } else { "run" };
+                assert_eq!(headers["gullglade-run"], run, "{:?}", case.fault);
+            }
+            engine.kill();
+        }
+    });
+}
+
 // Symptom: an engine generates for callers who left, and its slots stay taken.
 // Sequence: a caller hangs up in the middle of a stream that is frozen.
 // Cause: a reply stream that outlives its connection.
