Product's own face: nothing goes to a backend server during the back-off that it requests

Callers lost time and retries on a backend server that rejects: crates/gateway ignored Retry-After, so a server that answers within a millisecond looked idle and drew the next request 100 ms later, and one that was alone in its region got its callers a 503 that they could have waited out. The rejection (503, or 429 that says "not run") is read into the checked StatedBackoff of crates/dispatch; the table of backend servers keeps its end with the run, and decision, permits and dispatch leave the server out until then. The latest end counts, ten minutes at most, each gateway adds up to 10 ms for each of its region. Where all back off, a request waits for the first end or is refused at once with it; one of another region is refused.

--- a/crates/backend/src/row.rs
+++ b/crates/backend/src/row.rs
@@ -44,6 +44,8 @@
     /// Since when this gateway would have heard of it; silence before counts for nothing.
     watched_since: MonotonicTime,
     failed: Option<MonotonicTime>,
+    /// The end of the back-off that this run has requested of this gateway.
+    backoff_until: Option<MonotonicTime>,
     restarts: RestartCount,
     told: ToldLoad,
     pub(crate) ledger: Rc<RefCell<DispatchLedger>>,
@@ -99,6 +101,7 @@
             followed: true,
             watched_since: now,
             failed: None,
+            backoff_until: None,
             restarts: RestartCount::default(),
             told: ToldLoad::default(),
             ledger: Rc::default(),
@@ -139,6 +142,7 @@
         self.ledger = Rc::default();
         self.restarts.add(config, now);
         self.failed = None;
+        self.backoff_until = None;
     }
 
     fn take_report(&mut self, heard: PastMoment, now: MonotonicTime) {
@@ -185,6 +189,21 @@
         self.failed = Some(now);
     }
 
+    /// Notes that this run wants nothing before `until`; whether that is later than known. A
+    /// shorter back-off does not shorten what was requested before.
+    pub(crate) fn note_backoff(&mut self, until: MonotonicTime) -> bool {
+        let is_later = self.backoff_until.is_none_or(|known| known < until);
+        if is_later {
+            self.backoff_until = Some(until);
+        }
+        is_later
+    }
+
+    /// The end of the back-off, while it lasts.
+    pub(crate) fn backoff_until(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        self.backoff_until.filter(|until| now < *until)
+    }
+
     /// Whether this gateway follows it in detail; a new one until the subsets are chosen anew.
     pub(crate) fn is_followed(&self) -> bool {
         self.followed
@@ -255,6 +274,7 @@
             load_age: self.reported.age(now),
             own: self.ledger.borrow().own_load(),
             suspect,
+            backoff_until: self.backoff_until(now),
             serving_for: self.serving_since.age(now),
             cache: &self.cache,
             now,
--- a/crates/backend/src/table.rs
+++ b/crates/backend/src/table.rs
@@ -9,7 +9,7 @@
         BackendTarget, BackendView, Origin, PrefixHash, RunId, StatusChange,
         dispatch::DispatchGuard, pace::RegionPace, past::PastMoment, row::BackendRow,
     },
-    gullglade_units::{BackendName, Clock, Incarnation, RegionName},
+    gullglade_units::{BackendName, BackendRun, Clock, Incarnation, MonotonicTime, RegionName},
     rows::TableRows,
     snafu::Snafu,
     std::{cell::RefCell, rc::Rc, time::Duration},
@@ -187,7 +187,7 @@
     }
 
     /// Counts one request of this gateway at `name` until the guard is dropped. `None`: the
-    /// backend server left or fell silent since it was chosen; choose again.
+    /// backend server left, fell silent or requested a back-off since it was chosen; choose again.
     pub fn dispatch(
         &self,
         name: &BackendName,
@@ -197,7 +197,7 @@
         let now = self.clock.now();
         let mut rows = self.rows.borrow_mut();
         let row = rows.get_mut(name)?;
-        row.view(&self.config(), now)?;
+        row.view(&self.config(), now).filter(|view| view.backoff_until.is_none())?;
         row.cache.dispatched(prefixes, now);
         let ledger = row.ledger.clone();
         let id = ledger.borrow_mut().start(now, prefill_tokens);
@@ -211,6 +211,20 @@
         }
     }
 
+    /// This run has requested that nothing comes from this gateway before `until`. Whether that is
+    /// later than known; what is known of another run of the name stays as it is.
+    pub fn note_backoff(&self, run: &BackendRun, until: MonotonicTime) -> bool {
+        let mut rows = self.rows.borrow_mut();
+        let row = rows.get_mut(&run.backend);
+        let row = row.filter(|row| row.record.status.incarnation == run.incarnation);
+        row.is_some_and(|row| row.note_backoff(until))
+    }
+
+    /// The end of the back-off that `name` has requested of this gateway, while it lasts.
+    pub fn backoff_until(&self, name: &BackendName) -> Option<MonotonicTime> {
+        self.rows.borrow().get(name)?.backoff_until(self.clock.now())
+    }
+
     /// What is known of `name`.
     pub fn health(&self, name: &BackendName) -> Option<BackendHealth> {
         let now = self.clock.now();
--- a/crates/backend/src/view.rs
+++ b/crates/backend/src/view.rs
@@ -45,6 +45,8 @@
     pub own: OwnLoad,
     /// Silent for long, or a dispatch just failed: only where nothing better is left.
     pub suspect: bool,
+    /// The end of the back-off that it has requested of this gateway, while it lasts.
+    pub backoff_until: Option<MonotonicTime>,
     /// The models that it has loaded.
     pub models: &'a [ModelName],
     /// How long it has served without a break, also as other gateways saw it: what was lately
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,7 +17,7 @@
         strip_hop_by_hop,
     },
     gullglade_peer::{PeerError, PeerStream},
-    gullglade_units::{BackendName, RegionName, RequestId, decode, encode, timeout},
+    gullglade_units::{BackendName, BackendRun, RegionName, RequestId, decode, encode, timeout},
     http::{
         HeaderMap, HeaderName, HeaderValue, Request, StatusCode,
         header::{AUTHORIZATION, CONTENT_LENGTH, HOST},
@@ -88,14 +88,19 @@
 /// Where a local attempt goes, copied out of the table.
 #[derive(Debug, Clone)]
 pub(crate) struct BackendPlace {
-    pub(crate) name: BackendName,
+    pub(crate) run: BackendRun,
     pub(crate) address: SocketAddr,
     pub(crate) prefill_tokens: u64,
 }
 
 impl BackendPlace {
     pub(crate) fn new(view: &BackendView<'_>, prefill_tokens: u64) -> Self {
-        Self { name: view.name.clone(), address: view.address, prefill_tokens }
+        let run = BackendRun { backend: view.name.clone(), incarnation: view.incarnation };
+        Self { run, address: view.address, prefill_tokens }
+    }
+
+    pub(crate) fn name(&self) -> &BackendName {
+        &self.run.backend
     }
 }
 
@@ -108,15 +113,18 @@
         mut work: WorkGuard,
     ) -> Result<AttemptAnswer, AttemptFailure> {
         let blocks = &plan.prompt.blocks;
-        let Some(guard) = self.backends.dispatch(&place.name, place.prefill_tokens, blocks) else {
-            return Err(not_run("the backend server left before the request was sent"));
+        let Some(guard) = self.backends.dispatch(place.name(), place.prefill_tokens, blocks) else {
+            return Err(not_run(
+                "the backend server took no more requests before this one was sent",
+            ));
         };
         work.dispatch = Some(guard);
         work.cost = Some(self.cost_meter(plan));
-        self.emit(plan, "request.dispatched", |e| e.field("backend", &place.name));
+        self.emit(plan, "request.dispatched", |e| e.field("backend", place.name()));
         let request = self.backend_request(plan)?;
         let sent = self.client.send(place.address, request).await;
         let reply = sent.map_err(|e| self.failed_send(place, &e))?;
+        self.note_statements(place, &reply.head);
         self.check_reply(plan, place, &reply)?;
         let run = match stated_run(&reply.head.headers) {
             Some(RunState::NotRun) => RunState::NotRun,
@@ -126,7 +134,7 @@
             status: reply.head.status,
             headers: content_headers(reply.head.headers),
             body: reply.body.into_stream(),
-            backend: place.name.clone(),
+            backend: place.name().clone(),
             region: self.config.region.clone(),
             run,
             work,
@@ -162,11 +170,11 @@
     }
 
     fn failed_send(&self, place: &BackendPlace, error: &ClientError) -> AttemptFailure {
-        self.backends.note_failure(&place.name);
+        self.backends.note_failure(place.name());
         self.events.emit(
-            EventDraft::new("backend.failed").field("backend", &place.name).error("reason", error),
+            EventDraft::new("backend.failed").field("backend", place.name()).error("reason", error),
         );
-        let reason = format!("backend server {} did not answer", place.name);
+        let reason = format!("backend server {} did not answer", place.name());
         match error.nothing_sent() {
             true => AttemptFailure::NotRun { reason },
             false => AttemptFailure::Unknown { reason },
@@ -184,7 +192,7 @@
         let headers = &reply.head.headers;
         if headers.get(REQUEST_HEADER).is_some_and(|id| *id != id_value(plan.id)) {
             self.metrics.breached(Promise::OwnAnswer);
-            self.emit(plan, "answer.swapped", |e| e.field("backend", &place.name));
+            self.emit(plan, "answer.swapped", |e| e.field("backend", place.name()));
             return Err(unknown("the backend server answered another request"));
         }
         let status = reply.head.status;
@@ -313,7 +321,7 @@
 }
 
 /// What a backend server says of whether the request ran.
-fn stated_run(headers: &HeaderMap) -> Option<RunState> {
+pub(crate) fn stated_run(headers: &HeaderMap) -> Option<RunState> {
     headers.get(RunState::HEADER).and_then(RunState::from_value)
 }
 
--- a/crates/gateway/src/decide.rs
+++ b/crates/gateway/src/decide.rs
@@ -16,7 +16,7 @@
         RefuseReason, RegionOffer, Residency, RouteDecision, RoutePolicy, RouteRequest,
         RouteWeights, permit_capacity,
     },
-    gullglade_units::{ModelName, RegionName},
+    gullglade_units::{ModelName, MonotonicTime, RegionName},
     std::time::Duration,
 };
 
@@ -28,6 +28,8 @@
     Local(BackendPlace),
     Away(RegionName),
     Wait(Duration),
+    /// Every backend server that may take it has requested a back-off, the first until then.
+    Backoff(MonotonicTime),
     Refuse(RefuseReason, Duration),
 }
 
@@ -50,7 +52,8 @@
         let policy = self.policy(plan);
         self.backends.read(backend_target(&plan.target), |views| {
             let retired = &plan.document.backends.retired;
-            let allowed = || views.iter().filter(|view| !retired.contains(view.name));
+            let admitted = || views.iter().filter(|view| !retired.contains(view.name));
+            let allowed = || admitted().filter(|view| view.backoff_until.is_none());
             let mut usable: Vec<&BackendView<'_>> =
                 allowed().filter(|view| !history.failed_backends.contains(view.name)).collect();
             // Where all have failed once, another try at one of them is better than none.
@@ -69,7 +72,11 @@
                 RouteDecision::Away { offer } => Placement::Away(offers[offer].region.clone()),
                 RouteDecision::Wait { at_most } => Placement::Wait(at_most),
                 RouteDecision::Refuse { reason, retry_after } => {
-                    Placement::Refuse(reason, retry_after)
+                    let first_end = admitted().filter_map(|view| view.backoff_until).min();
+                    match first_end.filter(|_| reason == RefuseReason::NoBackend) {
+                        Some(until) => Placement::Backoff(until),
+                        None => Placement::Refuse(reason, retry_after),
+                    }
                 }
             }
         })
@@ -115,7 +122,11 @@
         let gateways = self.directory.members();
         let GladeSettings { overcommit, reserve, .. } = GladeSettings::default();
         let capacity = self.backends.read(backend_target(target), |views| {
-            let candidates: Vec<_> = views.iter().map(|view| candidate(view, &[], model)).collect();
+            // What one server cannot take for now must not be let through to the others. Where
+            // none takes anything, requests wait for the first that does.
+            let has_open = views.iter().any(|view| view.backoff_until.is_none());
+            let open = views.iter().filter(|view| !has_open || view.backoff_until.is_none());
+            let candidates: Vec<_> = open.map(|view| candidate(view, &[], model)).collect();
             permit_capacity(&candidates, overcommit, reserve, gateways)
         });
         let limits = PoolLimits { permits: capacity.permits, over_share: capacity.over_share };
--- a/crates/gateway/src/forward_server/tests.rs
+++ b/crates/gateway/src/forward_server/tests.rs
@@ -12,6 +12,7 @@
     gullglade_event::Promise,
     gullglade_peer::{PeerFault, PeerHandler, PeerIdentity, PeerReplySink, ReplySender},
     gullglade_units::{Incarnation, LocalFuture, RequestId, VmName, decode, encode},
+    http::StatusCode,
     std::{cell::RefCell, rc::Rc, time::Duration},
 };
 
@@ -258,6 +259,24 @@
     }
 }
 
+/// Guards against requests of other regions that wait here for the end of a back-off, while their
+/// own region may have room.
+#[test]
+fn a_region_whose_backend_servers_back_off_takes_nothing_over() {
+    let headers = &[("gullglade-run", "not-run"), ("retry-after", "2")];
+    let receiver = TestGateway::with(&TestSetup {
+        fate: BackendFate::Rejects(1, StatusCode::SERVICE_UNAVAILABLE, headers),
+        ..TestSetup::default()
+    });
+    let began = receiver.world.now();
+    for _ in 0..2 {
+        let outcome = forward(&receiver, "puget", &caller_request(&receiver));
+        assert!(refusal(&outcome.head).contains("back-off"), "{:?}", outcome.head);
+    }
+    assert_eq!(receiver.world.now(), began);
+    assert_eq!(receiver.client.sends.get(), 1);
+}
+
 /// Why it was not run; empty where it may have.
 fn refusal(head: &ForwardReply) -> &str {
     match head {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod refusal;
 mod relay;
 mod span;
+mod statements;
 #[cfg(test)]
 mod testing;
 mod work;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -96,6 +96,15 @@
                 Placement::Local(backend) => {
                     return self.attempt_at(plan, history, backend, place.take_permit()).await;
                 }
+                // What another region sent here goes on in its queue there.
+                Placement::Backoff(until) if plan.origin.is_none() && until < plan.deadline => {
+                    self.wait_for_change(plan, until.since(self.context.clock.now())).await;
+                }
+                Placement::Backoff(until) => {
+                    let reason = "its backend servers have requested a back-off";
+                    let wait = until.since(self.context.clock.now());
+                    return Err(self.final_refusal(plan, history, &reason, wait));
+                }
                 Placement::Wait(_) if self.remaining(plan).is_zero() => {
                     let reason = RefuseReason::TooLate;
                     return Err(self.refused(plan, history, reason, Duration::from_secs(1)));
@@ -116,8 +125,9 @@
         history.attempts += 1;
         let work = WorkGuard { _permit: permit, ..WorkGuard::default() };
         let outcome = self.attempt_local(plan, &backend, work).await;
-        if outcome.is_err() {
-            history.failed_backends.push(backend.name);
+        // A back-off says when to come back.
+        if outcome.is_err() && self.backends.backoff_until(backend.name()).is_none() {
+            history.failed_backends.push(backend.run.backend);
         }
         Ok(outcome)
     }
--- /dev/null
+++ b/crates/gateway/src/statements.rs
@@ -0,0 +1,72 @@
+//! What backend servers state of themselves with their answers, and what this gateway does by it.
+
+use {
+    crate::{
+        attempt::{BackendPlace, stated_run},
+        gateway::Gateway,
+    },
+    gullglade_dispatch::{BackendStatements, StatedBackoff},
+    gullglade_event::EventDraft,
+    gullglade_http::RunState,
+    http::{StatusCode, header::RETRY_AFTER, response::Parts},
+    std::time::Duration,
+};
+
+/// The time between two gateways that resume after a back-off, on average.
+const START_SPACING: Duration = Duration::from_millis(10);
+
+/// All gateways resume within this.
+const LONGEST_SPREAD: Duration = Duration::from_secs(1);
+
+impl Gateway {
+    /// Acts by what the head of an answer states.
+    pub(crate) fn note_statements(&self, place: &BackendPlace, head: &Parts) {
+        if let Some(backoff) = read_statements(head).backoff {
+            self.note_backoff(place, backoff);
+        }
+    }
+
+    /// Sends nothing to the backend server until the back-off is over. Gateways that were rejected
+    /// together would also resume together, so each adds a part of its own.
+    fn note_backoff(&self, place: &BackendPlace, backoff: StatedBackoff) {
+        if backoff.duration().is_zero() {
+            return;
+        }
+        let gateways = u32::try_from(self.directory.members()).unwrap_or(u32::MAX);
+        let spread = START_SPACING.saturating_mul(gateways).min(LONGEST_SPREAD);
+        let micros = u64::try_from(spread.as_micros()).unwrap_or(u64::MAX);
+        let delay = Duration::from_micros(self.context.random.below(micros));
+        let wait = backoff.duration() + delay;
+        if !self.backends.note_backoff(&place.run, self.context.clock.now() + wait) {
+            return;
+        }
+        let draft = EventDraft::new("backend.backoff_requested").field("backend", place.name());
+        self.events.emit(draft.field("backoff_ms", backoff));
+        self.backends_changed();
+        let (gateway, waiting) = (self.clone(), self.context.clock.sleep(wait));
+        self.context.spawner.spawn(Box::pin(async move {
+            waiting.await;
+            gateway.backends_changed();
+        }));
+    }
+}
+
+fn read_statements(head: &Parts) -> BackendStatements {
+    let is_not_run = stated_run(&head.headers) == Some(RunState::NotRun);
+    let asks_backoff = head.status == StatusCode::SERVICE_UNAVAILABLE
+        || head.status == StatusCode::TOO_MANY_REQUESTS && is_not_run;
+    let text = head.headers.get(RETRY_AFTER).and_then(|value| value.to_str().ok());
+    BackendStatements {
+        backoff: text.filter(|_| asks_backoff).and_then(read_backoff),
+        ..BackendStatements::default()
+    }
+}
+
+/// A time that cannot be read, as a date, is not stated.
+fn read_backoff(text: &str) -> Option<StatedBackoff> {
+    let seconds: f64 = text.trim().parse().ok()?;
+    StatedBackoff::try_from(seconds).ok()
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/statements/tests.rs
@@ -0,0 +1,220 @@
+//! What becomes of the statements that backend servers make with their answers.
+
+use {
+    crate::testing::{AnswerPause, BackendFate, DOCUMENT, StatedHeader, TestGateway, TestSetup},
+    http::{StatusCode, header::RETRY_AFTER},
+    std::time::Duration,
+};
+
+const ASK: &str = r#"{"model":"ballast","messages":[{"role":"user","content":"Quote."}]}"#;
+const CHAT: &str = "/v1/chat/completions";
+
+/// The time between two requests.
+const SPACING: Duration = Duration::from_millis(100);
+
+const NOT_RUN: StatedHeader = ("gullglade-run", "not-run");
+
+/// Sends so many requests one after the other while the engines renew their leases; how many were
+/// served.
+async fn ask_often(gateway: &TestGateway, requests: u64, sequence: u64) -> u64 {
+    let mut served = 0;
+    for number in 0..requests {
+        gateway.renew(1, sequence + number);
+        let (head, _) = gateway.answer(CHAT, ASK).await;
+        served += u64::from(head.status == StatusCode::OK);
+        gateway.context.clock.sleep(SPACING).await;
+    }
+    served
+}
+
+struct BackoffCase {
+    status: u16,
+    headers: &'static [StatedHeader],
+    /// How long nothing may come; zero where the answer requests nothing.
+    backoff: Duration,
+}
+
+/// Guards against requests to a backend server that has asked for a back-off, and against one that
+/// lasts for ever.
+#[test]
+fn a_backend_server_gets_nothing_during_the_back_off_that_it_requests() {
+    let seconds = Duration::from_secs;
+    let cases = [
+        BackoffCase { status: 503, headers: &[NOT_RUN, ("retry-after", "2")], backoff: seconds(2) },
+        BackoffCase {
+            status: 503,
+            headers: &[NOT_RUN, ("retry-after", "0.5")],
+            backoff: Duration::from_millis(500),
+        },
+        BackoffCase { status: 503, headers: &[("retry-after", "2")], backoff: seconds(2) },
+        BackoffCase { status: 429, headers: &[NOT_RUN, ("retry-after", "2")], backoff: seconds(2) },
+        BackoffCase { status: 429, headers: &[("retry-after", "2")], backoff: Duration::ZERO },
+        BackoffCase {
+            status: 502,
+            headers: &[NOT_RUN, ("retry-after", "2")],
+            backoff: Duration::ZERO,
+        },
+        BackoffCase { status: 503, headers: &[NOT_RUN], backoff: Duration::ZERO },
+        BackoffCase {
+            status: 503,
+            headers: &[NOT_RUN, ("retry-after", "0")],
+            backoff: Duration::ZERO,
+        },
+        BackoffCase {
+            status: 503,
+            headers: &[NOT_RUN, ("retry-after", "-2")],
+            backoff: Duration::ZERO,
+        },
+        BackoffCase {
+            status: 503,
+            headers: &[NOT_RUN, ("retry-after", "inf")],
+            backoff: Duration::ZERO,
+        },
+        BackoffCase {
+            status: 503,
+            headers: &[NOT_RUN, ("retry-after", "Thu, 03 Dec 2026 15:00:00 GMT")],
+            backoff: Duration::ZERO,
+        },
+    ];
+    for BackoffCase { status, headers, backoff } in cases {
+        let name = format!("{status} {headers:?}");
+        let status = StatusCode::from_u16(status).unwrap();
+        let gateway = TestGateway::with(&TestSetup {
+            fate: BackendFate::Rejects(u32::MAX, status, headers),
+            has_second: true,
+            ..TestSetup::default()
+        });
+        let served = gateway.world.run_until(ask_often(&gateway, 80, 10));
+        let came = gateway.client.came.borrow();
+        let least = came.windows(2).map(|pair| pair[1].since(pair[0])).min();
+        let least = least.unwrap_or_else(|| panic!("{name}: it did not come back"));
+        match backoff.is_zero() {
+            true => assert!(least < Duration::from_millis(500), "{name}: {least:?}"),
+            false => {
+                assert!(least >= backoff, "{name}: {least:?}");
+                assert_eq!(served, 80, "{name}");
+            }
+        }
+    }
+}
+
+/// Guards against a backend server that is lost for the day by one absurd back-off.
+#[test]
+fn an_absurd_back_off_ends_after_ten_minutes() {
+    let headers = &[NOT_RUN, ("retry-after", "1000000000")];
+    let gateway = TestGateway::with(&TestSetup {
+        fate: BackendFate::Rejects(1, StatusCode::SERVICE_UNAVAILABLE, headers),
+        has_second: true,
+        ..TestSetup::default()
+    });
+    gateway.world.run_until(ask_often(&gateway, 6_100, 10));
+    let came = gateway.client.came.borrow();
+    let pause = came[1].since(came[0]);
+    assert!((600..=602).contains(&pause.as_secs()), "{pause:?}");
+}
+
+struct WaitCase {
+    name: &'static str,
+    deadline: &'static str,
+    status: StatusCode,
+    least: Duration,
+    most: Duration,
+}
+
+/// Guards against requests that wait in vain for the end of a back-off, and against those that are
+/// refused though they could wait.
+#[test]
+fn a_request_waits_for_the_end_of_a_back_off_only_where_it_can() {
+    let here_only = DOCUMENT.replace(r#"["puget", "columbia", "inland"]"#, r#"["columbia"]"#);
+    let cases = [
+        WaitCase {
+            name: "can wait",
+            deadline: "limits = { deadline_ms = 30000 }\n[[models]]",
+            status: StatusCode::OK,
+            least: Duration::from_millis(2_000),
+            most: Duration::from_millis(2_100),
+        },
+        WaitCase {
+            name: "cannot wait",
+            deadline: "limits = { deadline_ms = 1900 }\n[[models]]",
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            least: Duration::ZERO,
+            most: Duration::from_millis(10),
+        },
+    ];
+    for WaitCase { name, deadline, status, least, most } in cases {
+        let document = here_only.replacen("[[models]]", deadline, 1);
+        let headers = &[NOT_RUN, ("retry-after", "2")];
+        let gateway = TestGateway::with(&TestSetup {
+            document: &document,
+            fate: BackendFate::Rejects(1, StatusCode::SERVICE_UNAVAILABLE, headers),
+            ..TestSetup::default()
+        });
+        let began = gateway.world.now();
+        let answers = gateway.world.run_until(async {
+            let first = gateway.answer(CHAT, ASK);
+            let second = async {
+                gateway.context.clock.sleep(Duration::from_millis(1)).await;
+                gateway.answer(CHAT, ASK).await
+            };
+            futures::join!(first, second)
+        });
+        let took = gateway.world.now().since(began);
+        for (head, body) in [answers.0, answers.1] {
+            assert_eq!(head.status, status, "{name}: {body:?}");
+            let wait = head.headers.get(RETRY_AFTER).map(|value| value.to_str().unwrap());
+            assert!(matches!(wait, None | Some("2" | "3")), "{name}: {wait:?}");
+            assert_eq!(wait.is_some(), status != StatusCode::OK, "{name}");
+        }
+        assert!((least..=most).contains(&took), "{name}: {took:?}");
+        let sends = if status == StatusCode::OK { 3 } else { 1 };
+        assert_eq!(gateway.client.sends.get(), sends, "{name}");
+    }
+}
+struct LeavingCase {
+    value: &'static str,
+    leaves: bool,
+}
+
+/// Guards against new requests to a backend server that has said with an answer that it leaves.
+#[test]
+fn a_backend_server_that_says_it_leaves_gets_nothing_new() {
+    let pause = AnswerPause { before: 2, length: Duration::from_secs(1) };
+    let headers = |value| -> &'static [StatedHeader] {
+        match value {
+            "true" => &[("gullglade-leaving", "true")],
+            "1" => &[("gullglade-leaving", "1")],
+            "false" => &[("gullglade-leaving", "false")],
+            _ => &[("gullglade-leaving", "0")],
+        }
+    };
+    let cases = [
+        LeavingCase { value: "true", leaves: true },
+        LeavingCase { value: "1", leaves: true },
+        LeavingCase { value: "false", leaves: false },
+        LeavingCase { value: "0", leaves: false },
+    ];
+    for LeavingCase { value, leaves } in cases {
+        let gateway = TestGateway::with(&TestSetup {
+            fate: BackendFate::States(headers(value), pause),
+            has_second: true,
+            ..TestSetup::default()
+        });
+        let served = gateway.world.run_until(ask_often(&gateway, 40, 10));
+        assert_eq!(served, 40, "{value}: an answer was cut off");
+        let came = gateway.client.came.borrow().len();
+        assert_eq!(came == 1, leaves, "{value}: it got {came} requests");
+        // Another run of it begins without statements.
+        gateway.renew(2, 100);
+        gateway.world.run_for(Duration::from_secs(1));
+        let asking = async {
+            for sequence in 101..141 {
+                gateway.renew(2, sequence);
+                gateway.answer(CHAT, ASK).await;
+                gateway.context.clock.sleep(SPACING).await;
+            }
+        };
+        gateway.world.run_until(asking);
+        assert!(gateway.client.came.borrow().len() > came, "{value}: its next run got nothing");
+    }
+}
--- a/crates/gateway/src/testing.rs
+++ b/crates/gateway/src/testing.rs
@@ -28,12 +28,17 @@
         RegionName, VmName, decode, encode, fake::FakeWorld, timeout,
     },
     http::{
-        HeaderValue, Request, Response,
+        HeaderMap, HeaderValue, Request, Response, StatusCode,
         header::{AUTHORIZATION, CONTENT_TYPE},
         request::Builder,
         response::Parts,
     },
-    std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
 };
 
 /// The most bytes of a reply in these tests.
@@ -72,8 +77,15 @@
     Pauses(AnswerPause),
     /// Streams a token out of order, and goes on without an end.
     Disorders,
+    /// Answers whole, after a pause, and states this.
+    States(&'static [StatedHeader], AnswerPause),
+    /// Rejects so many requests and states this, then answers whole.
+    Rejects(u32, StatusCode, &'static [StatedHeader]),
 }
 
+/// A header of an answer.
+pub(crate) type StatedHeader = (&'static str, &'static str);
+
 /// Where an answer stands still, and for how long.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct AnswerPause {
@@ -83,6 +95,9 @@
 }
 
 impl AnswerPause {
+    /// It comes at once.
+    pub(crate) const NONE: Self = Self { before: 0, length: Duration::ZERO };
+
     /// The time before a part of the answer.
     fn at(self, part: usize) -> Duration {
         if part == self.before { self.length } else { Duration::ZERO }
@@ -117,11 +132,29 @@
 pub(crate) struct CountedClient {
     pub(crate) sends: Cell<u32>,
     pub(crate) runs: Rc<RunCount>,
+    /// When each request came to the first engine.
+    pub(crate) came: RefCell<Vec<MonotonicTime>>,
     fate: BackendFate,
     clock: Rc<dyn Clock>,
 }
 
 impl CountedClient {
+    /// What becomes of a request that comes now; the second engine always answers.
+    fn take_fate(&self, address: SocketAddr) -> BackendFate {
+        self.sends.set(self.sends.get() + 1);
+        if address == second_address() {
+            return BackendFate::Pauses(AnswerPause::NONE);
+        }
+        let mut came = self.came.borrow_mut();
+        came.push(self.clock.now());
+        match self.fate {
+            BackendFate::Rejects(times, ..) if came.len() > times as usize => {
+                BackendFate::Pauses(AnswerPause::NONE)
+            }
+            fate => fate,
+        }
+    }
+
     async fn pausing_reply(
         &self,
         address: SocketAddr,
@@ -166,6 +199,12 @@
     }
 }
 
+fn state(headers: &mut HeaderMap, stated: &[StatedHeader]) {
+    for (name, value) in stated {
+        headers.insert(*name, HeaderValue::from_static(value));
+    }
+}
+
 /// How many tokens an answer has.
 const TOKENS: u64 = 3;
 
@@ -214,10 +253,22 @@
         address: SocketAddr,
         request: Request<Bytes>,
     ) -> LocalFuture<'a, Result<ClientReply, ClientError>> {
-        self.sends.set(self.sends.get() + 1);
+        let fate = self.take_fate(address);
         let (mut head, ()) = Response::new(()).into_parts();
         let cut = BodyError::Incomplete { reason: "reset".to_owned() };
-        let reply = match self.fate {
+        let reply = match fate {
+            BackendFate::States(stated, pause) => {
+                return Box::pin(async move {
+                    let mut reply = self.pausing_reply(address, &request, pause).await?;
+                    state(&mut reply.head.headers, stated);
+                    Ok(reply)
+                });
+            }
+            BackendFate::Rejects(_, status, stated) => {
+                head.status = status;
+                state(&mut head.headers, stated);
+                Ok(ClientBody::from_bytes("{}"))
+            }
             BackendFate::Pauses(pause) => {
                 let reply = async move { self.pausing_reply(address, &request, pause).await };
                 return Box::pin(reply);
@@ -372,6 +423,8 @@
     /// Since when another region offers itself, counted from the begin of the test.
     pub(crate) offers_from: Duration,
     pub(crate) attempt_limit: u32,
+    /// Whether there is a second engine, which always answers.
+    pub(crate) has_second: bool,
 }
 
 impl Default for TestSetup<'_> {
@@ -383,6 +436,7 @@
             peers: PeerFate::Ends,
             offers_from: Duration::ZERO,
             attempt_limit: 4,
+            has_second: false,
         }
     }
 }
@@ -423,7 +477,10 @@
         for sequence in 2..=4 {
             gateway.world.run_for(SETTLED / 3);
             if setup.engines {
-                announce(&gateway.gateway.backends, sequence);
+                announce(&gateway.gateway.backends, 1, sequence);
+            }
+            if setup.has_second {
+                gateway.announce_second(sequence);
             }
         }
         gateway
@@ -433,7 +490,8 @@
         setup: &TestSetup<'_>,
         claims: impl FnOnce(ProcessContext) -> Rc<dyn ClaimKeeper>,
     ) -> Self {
-        let TestSetup { document, engines, fate, peers, offers_from, attempt_limit } = *setup;
+        let TestSetup { document, engines, fate, peers, offers_from, attempt_limit, has_second: _ } =
+            *setup;
         let (world, context) = FakeWorld::new(1);
         let clock = Rc::clone(&context.clock);
         let transport = Rc::new(CountedTransport {
@@ -444,13 +502,14 @@
         let client = Rc::new(CountedClient {
             sends: Cell::new(0),
             runs: Rc::default(),
+            came: RefCell::default(),
             fate,
             clock: Rc::clone(&clock),
         });
         let metrics = Rc::new(MetricSet::new().unwrap());
         let backends = Rc::new(BackendTable::new(region(HERE), BackendConfig::default(), clock));
         if engines {
-            announce(&backends, 1);
+            announce(&backends, 1, 1);
         }
         let own = own_gateway();
         let mut config = GatewayConfig::new(own.vm.clone(), region(HERE), domain());
@@ -496,6 +555,18 @@
         self.world.run_until(self.answer(path, body))
     }
 
+    /// Lets the engines announce themselves anew, as serving.
+    pub(crate) fn renew(&self, incarnation: u64, sequence: u64) {
+        announce(&self.gateway.backends, incarnation, sequence);
+        self.announce_second(sequence);
+        self.gateway.backends_changed();
+    }
+
+    fn announce_second(&self, sequence: u64) {
+        let text = announcement(("engine-2", 1, sequence), "engine", second_address());
+        announce_one(&self.gateway.backends, &text);
+    }
+
     /// The reply to a request that may be repeated.
     pub(crate) async fn answer(&self, path: &str, body: &str) -> (Parts, Option<Bytes>) {
         self.reply(caller_request(path, body)).await
@@ -540,6 +611,11 @@
     SocketAddr::from(([127, 0, 0, 1], 9))
 }
 
+/// Where the second engine takes requests.
+fn second_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 10))
+}
+
 fn own_gateway() -> OwnGateway {
     let profile = GatewayProfile {
         region: region(HERE),
@@ -553,23 +629,31 @@
 }
 
 /// Announces an engine and a plain service.
-fn announce(backends: &BackendTable, sequence: u64) {
+fn announce(backends: &BackendTable, incarnation: u64, sequence: u64) {
     for (name, kind) in [("engine-1", "engine"), ("desk-1", "service")] {
-        let text = announcement(name, kind, sequence);
-        let announcement = Announcement::try_from(text.as_bytes()).unwrap();
-        backends.announce(&announcement).unwrap();
+        let run = (name, incarnation, sequence);
+        announce_one(backends, &announcement(run, kind, address()));
     }
 }
 
-fn announcement(name: &str, kind: &str, sequence: u64) -> String {
+fn announce_one(backends: &BackendTable, text: &str) {
+    let announcement = Announcement::try_from(text.as_bytes()).unwrap();
+    backends.announce(&announcement).unwrap();
+}
+
+fn announcement(
+    (name, incarnation, sequence): (&str, u64, u64),
+    kind: &str,
+    address: SocketAddr,
+) -> String {
     let (models, services) = match kind {
         "engine" => (vec!["ballast"], vec![]),
         _ => (vec![], vec!["order-desk"]),
     };
     serde_json::json!({
-        "name": name, "incarnation": 1, "sequence": sequence, "state": "serving",
+        "name": name, "incarnation": incarnation, "sequence": sequence, "state": "serving",
         "profile": {
-            "region": HERE, "domain": "a", "address": "127.0.0.1:9", "kind": kind,
+            "region": HERE, "domain": "a", "address": address, "kind": kind,
             "models": models, "services": services,
             "capacity": {
                 "slots": 4, "tokens_per_second": 100, "prefill_tokens_per_second": 10_000,
