Product's own face: a backend server that says with an answer that it leaves gets nothing new

A backend server that stated its departure with its answers but went on announcing "serving" got new requests to its end: 21 of 40 in the test, whose callers would have been cut off with it. crates/gateway did not read the statement. It counts as the announcement `leaving` now, as an operator's drain does: final for that run, whatever is announced later, told to all gateways of the region, kept connections closed as they fall idle. What it runs goes on, and another run under its name begins anew. Any value counts but 0 and false.

--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -5,13 +5,18 @@
         attempt::{BackendPlace, stated_run},
         gateway::Gateway,
     },
+    gullglade_backend::{Announcement, RunStatus, ServingState},
     gullglade_dispatch::{BackendStatements, StatedBackoff},
     gullglade_event::EventDraft,
     gullglade_http::RunState,
-    http::{StatusCode, header::RETRY_AFTER, response::Parts},
+    gullglade_units::BackendRun,
+    http::{HeaderName, HeaderValue, StatusCode, header::RETRY_AFTER, response::Parts},
     std::time::Duration,
 };
 
+/// Says that the backend server finishes what it has and wants nothing new.
+const LEAVING_HEADER: HeaderName = HeaderName::from_static("gullglade-leaving");
+
 /// The time between two gateways that resume after a back-off, on average.
 const START_SPACING: Duration = Duration::from_millis(10);
 
@@ -21,9 +26,41 @@
 impl Gateway {
     /// Acts by what the head of an answer states.
     pub(crate) fn note_statements(&self, place: &BackendPlace, head: &Parts) {
-        if let Some(backoff) = read_statements(head).backoff {
+        let BackendStatements { backoff, is_leaving, .. } = read_statements(head);
+        if let Some(backoff) = backoff {
             self.note_backoff(place, backoff);
         }
+        if is_leaving {
+            self.note_leaving(place);
+        }
+    }
+
+    /// Counts the statement as the announcement `leaving`, which is final for the run and told to
+    /// all gateways of the region.
+    fn note_leaving(&self, place: &BackendPlace) {
+        let BackendRun { backend, incarnation } = &place.run;
+        let Some(record) = self.backends.record(backend) else { return };
+        let RunStatus { sequence, state, .. } = record.status;
+        if record.status.incarnation != *incarnation || state == ServingState::Leaving {
+            return;
+        }
+        self.events.emit(EventDraft::new("backend.states_leaving").field("backend", backend));
+        self.client.retire(place.address);
+        let announcement = Announcement {
+            name: backend.clone(),
+            incarnation: *incarnation,
+            sequence,
+            state: ServingState::Leaving,
+            load: record.load,
+            profile: None,
+            cache_events: None,
+        };
+        let gateway = self.clone();
+        self.context.spawner.spawn(Box::pin(async move {
+            // Refused only where another run has taken the name meanwhile.
+            let _told = gateway.relay.announce(&announcement).await;
+            gateway.backends_changed();
+        }));
     }
 
     /// Sends nothing to the backend server until the back-off is over. Gateways that were rejected
@@ -58,10 +95,17 @@
     let text = head.headers.get(RETRY_AFTER).and_then(|value| value.to_str().ok());
     BackendStatements {
         backoff: text.filter(|_| asks_backoff).and_then(read_backoff),
+        is_leaving: head.headers.get(LEAVING_HEADER).is_some_and(states_it),
         ..BackendStatements::default()
     }
 }
 
+/// A form that nobody knows counts as stated: work that is kept from one backend server goes to
+/// another one.
+fn states_it(value: &HeaderValue) -> bool {
+    !matches!(value.as_bytes().trim_ascii(), b"0" | b"false")
+}
+
 /// A time that cannot be read, as a date, is not stated.
 fn read_backoff(text: &str) -> Option<StatedBackoff> {
     let seconds: f64 = text.trim().parse().ok()?;
