Status names backend servers that back off; both statements tested in whole deployments

Operators could not see why a server that serves got nothing: gladectl status shows `backoff` for one that has requested it of the gateway that is asked. A test with stand-ins over real connections covers both statements: an engine that requests 3 s runs none of 12 requests and is used again after it; one that says it leaves while it announces "serving" runs one, and the region's other gateway takes it out, too.

--- a/crates/node/src/report.rs
+++ b/crates/node/src/report.rs
@@ -56,7 +56,8 @@
     pub domain: Option<FailureDomain>,
     /// `engine` or `service`, where its profile is known.
     pub kind: Option<BackendKind>,
-    /// `serving`, `suspect`, `out`, `leaving` or `unknown`.
+    /// `serving`, `backoff` (it wants nothing from this gateway for now), `suspect`, `out`, `leaving`
+    /// or `unknown`.
     pub health: String,
     /// What it serves.
     pub serves: Vec<String>,
@@ -134,7 +135,10 @@
             name: name.clone(),
             domain: profile.map(|p| p.domain.clone()),
             kind: profile.map(|p| p.kind),
-            health: health_word(health, record.status.state).to_owned(),
+            health: match self.backends.backoff_until(name) {
+                Some(_) if health <= BackendHealth::Suspect => "backoff".to_owned(),
+                _ => health_word(health, record.status.state).to_owned(),
+            },
             serves: serves.unwrap_or_default(),
             slots: profile.map_or(0, |p| p.capacity.slots),
             running: record.load.running,
--- a/tests/all/backends.rs
+++ b/tests/all/backends.rs
@@ -1,9 +1,10 @@
 //! What a service's document says about its backend servers.
 
 use {
-    crate::support::{BALLAST, ballast_plan, run},
+    crate::support::{BALLAST, ballast_plan, name, run},
     gullglade_demo::{CallerClient, Deployment},
     gullglade_document::TokenHash,
+    gullglade_stub::{FaultKind, FaultOrder},
     http::{Method, StatusCode},
     std::time::{Duration, Instant},
 };
@@ -47,6 +48,66 @@
     });
 }
 
+struct StatementCase {
+    fault: FaultKind,
+    times: Option<u32>,
+    /// The most that the first engine runs after its statement.
+    most: u64,
+    comes_back: bool,
+}
+
+/// Guards against new work for a backend server that has said with an answer that it wants none.
+#[test]
+fn what_an_engine_states_with_its_answers_is_kept_to() {
+    let cases = [
+        StatementCase {
+            fault: FaultKind::Backoff { seconds: 3 },
+            times: Some(1),
+            most: 0,
+            comes_back: true,
+        },
+        StatementCase { fault: FaultKind::Leaving, times: None, most: 1, comes_back: false },
+    ];
+    run(async { futures::future::join_all(cases.map(check_statement)).await });
+}
+
+async fn check_statement(case: StatementCase) {
+    let plan = ballast_plan(&[("engine-1", "puget"), ("engine-2", "puget")]);
+    let deployment = Deployment::start(plan).await.unwrap();
+    let gateway = deployment.gateway("puget-1").addresses().caller;
+    let puget = deployment.region("puget");
+    let order = FaultOrder { fault: Some(case.fault), times: case.times };
+    puget.set_fault(&name("engine-1"), order).await.unwrap();
+    let begun = Instant::now();
+    ask_often(gateway, 12).await;
+    assert!(begun.elapsed() < Duration::from_secs(3), "too slow to tell");
+    let runs = first_engine_runs(&deployment).await;
+    assert!(runs <= case.most, "{:?}: {runs} runs", case.fault);
+    if case.fault == FaultKind::Leaving {
+        assert_eq!(runs, 1, "it was never asked, so it stated nothing");
+        while deployment.gateway("puget-2").backends().await.unwrap().near > 1 {
+            assert!(begun.elapsed() < JOIN_LIMIT, "another gateway still counts on it");
+        }
+    }
+    monoio::time::sleep(Duration::from_millis(3_500).saturating_sub(begun.elapsed())).await;
+    ask_often(gateway, 12).await;
+    let runs = first_engine_runs(&deployment).await;
+    assert_eq!(runs > case.most, case.comes_back, "{:?}: {runs} runs", case.fault);
+}
+
+async fn ask_often(gateway: std::net::SocketAddr, requests: usize) {
+    let caller = CallerClient::new("demo-roadmasters");
+    for number in 0..requests {
+        let reply = caller.chat(gateway, "ballast", &format!("{number}?"), true).await.unwrap();
+        assert!(reply.whole && reply.status.is_success(), "{}", reply.text());
+    }
+}
+
+async fn first_engine_runs(deployment: &Deployment) -> u64 {
+    let stats = deployment.region("puget").stats().await.unwrap();
+    stats.iter().find(|(name, _)| name.as_str() == "engine-1").map_or(0, |(_, stats)| stats.runs)
+}
+
 /// Symptom: a stranger on the network receives callers' prompts, or takes an engine out of service.
 /// Events: it announces an engine of the service's model, or sends a renewal in an engine's name
 /// that says `leaving`. Cause: checking the token of the first announcement only.
