Demo: an engine rejects a request and requests a back-off

Nothing that backend servers state with their answers could be seen in the demo. ballast-puget-2 rejects one request after a quarter of the time and wants nothing for a second; its region's requests go to the other engines.

--- a/crates/demo/src/show.rs
+++ b/crates/demo/src/show.rs
@@ -7,7 +7,7 @@
         verdict::{DemoVerdict, RegionFigures},
     },
     futures::future::{join, join_all},
-    gullglade_stub::{LoadPlan, LoadTally, LoadTarget, run_load},
+    gullglade_stub::{FaultKind, FaultOrder, LoadPlan, LoadTally, LoadTarget, run_load},
     gullglade_units::{ModelName, OrderKey, ProcessContext, RegionName, ServiceName},
     http::Method,
     std::{collections::BTreeMap, time::Duration},
@@ -15,6 +15,7 @@
 
 /// When what happens, counted from the start of the traffic.
 const KILL_AT: Duration = Duration::from_secs(2);
+const BACKOFF_AT: Duration = Duration::from_millis(2_500);
 const PARTITION_AT: Duration = Duration::from_secs(3);
 const HEAL_AT: Duration = Duration::from_secs(6);
 const DRAIN_AT: Duration = Duration::from_secs(7);
@@ -109,7 +110,7 @@
     Ok(plan)
 }
 
-/// Kills a gateway, cuts a region off for a while, lets an engine leave.
+/// Kills a gateway, lets an engine back off, cuts a region off for a while, lets an engine leave.
 async fn failures(
     deployment: &Deployment,
     duration: Duration,
@@ -123,6 +124,10 @@
     at(KILL_AT).await;
     tell("kill      gateway columbia-2");
     deployment.gateway("columbia-2").kill().await?;
+    at(BACKOFF_AT).await;
+    tell("reject    engine ballast-puget-2 rejects a request and requests a back-off of 1 s");
+    let order = FaultOrder { fault: Some(FaultKind::Backoff { seconds: 1 }), times: Some(1) };
+    deployment.region("puget").set_fault(&named("ballast-puget-2")?, order).await?;
     at(PARTITION_AT).await;
     tell("partition region inland from the others");
     deployment.set_partition(&named("inland")?, true).await?;
