Tests: no stop, departure, restart or lost announcement ends a run that is at work

The rest of the look through crates/gateway for runs given up though nothing else is secured: answers that stand still for 20 s before any of their parts, own and in the other region, while the gateway drains, the backend server leaves, another run takes its name or its announcements cease (50 cases), and a run for another region's caller while this gateway drains (4 cases).

--- a/crates/gateway/src/forward_server/tests.rs
+++ b/crates/gateway/src/forward_server/tests.rs
@@ -259,6 +259,27 @@
     }
 }
 
+/// Guards against runs for another region's caller that the stop of this gateway cuts off.
+#[test]
+fn a_stop_midway_ends_no_run_for_another_region() {
+    for before in 0..4 {
+        let pause = AnswerPause { before, length: Duration::from_secs(6) };
+        let receiver = TestGateway::with(&TestSetup {
+            fate: BackendFate::Pauses(pause),
+            ..TestSetup::default()
+        });
+        let (gateway, clock) = (receiver.gateway.clone(), receiver.context.clock.clone());
+        receiver.context.spawner.spawn(Box::pin(async move {
+            clock.sleep(Duration::from_secs(1)).await;
+            gateway.drain();
+        }));
+        let outcome = forward(&receiver, "puget", &caller_request(&receiver));
+        let is_answer = matches!(outcome.head, ForwardReply::Answer { .. });
+        assert!(is_answer && outcome.ended.is_ok(), "{pause:?}: {:?}", outcome.head);
+        assert_eq!(receiver.client.sends.get(), 1, "{pause:?}");
+    }
+}
+
 /// Guards against requests of other regions that wait here for the end of a back-off, while their
 /// own region may have room.
 #[test]
--- a/crates/gateway/src/relay/tests.rs
+++ b/crates/gateway/src/relay/tests.rs
@@ -75,6 +75,68 @@
     }
 }
 
+struct ChangeCase {
+    name: &'static str,
+    change: fn(&TestGateway),
+    /// Whether the run is in the other region.
+    is_away: bool,
+}
+
+/// Guards against runs that are cut off by a change at the gateway or in what it knows of the backend
+/// server, while that is at work.
+#[test]
+fn a_change_midway_ends_no_run() {
+    let cases = [
+        ChangeCase {
+            name: "the gateway stops",
+            change: |gateway| gateway.gateway.drain(),
+            is_away: false,
+        },
+        ChangeCase {
+            name: "the gateway stops",
+            change: |gateway| gateway.gateway.drain(),
+            is_away: true,
+        },
+        ChangeCase {
+            name: "the backend server leaves",
+            change: |gateway| gateway.announce_leaving(10),
+            is_away: false,
+        },
+        ChangeCase {
+            name: "its name is announced by another run",
+            change: |gateway| gateway.renew(2, 10),
+            is_away: false,
+        },
+        ChangeCase { name: "it announces itself no more", change: |_| (), is_away: false },
+    ];
+    let paths = [("/v1/chat/completions", STREAMED), ("/v1/chat/completions", WHOLE)];
+    for ChangeCase { name, change, is_away } in cases {
+        for before in 0..5 {
+            for (path, body) in paths {
+                let pause = AnswerPause { before, length: Duration::from_secs(20) };
+                let gateway = TestGateway::with(&TestSetup {
+                    engines: !is_away,
+                    fate: BackendFate::Pauses(pause),
+                    peers: PeerFate::Pauses(pause),
+                    ..TestSetup::default()
+                });
+                let changing = async {
+                    gateway.context.clock.sleep(Duration::from_secs(1)).await;
+                    change(&gateway);
+                };
+                let answering = gateway.answer(path, body);
+                let ((head, answer), ()) =
+                    gateway.world.run_until(async { futures::join!(answering, changing) });
+                let name = format!("{name}, away: {is_away}, {pause:?}, {body}");
+                assert_eq!(head.status, StatusCode::OK, "{name}");
+                assert!(answer.is_some(), "{name}: the answer broke off");
+                let runs = gateway.client.sends.get() + gateway.transport.opened.get();
+                assert_eq!(runs, 1, "{name}");
+            }
+        }
+    }
+}
+
 /// Guards against two backend servers at work on one request: the one whose answer cannot be used,
 /// and the next.
 #[test]
--- a/crates/gateway/src/testing.rs
+++ b/crates/gateway/src/testing.rs
@@ -562,6 +562,14 @@
         self.gateway.backends_changed();
     }
 
+    /// Lets the first engine announce that it leaves.
+    pub(crate) fn announce_leaving(&self, sequence: u64) {
+        let run = ("engine-1", 1, sequence);
+        let text = announcement(run, "engine", address()).replace("serving", "leaving");
+        announce_one(&self.gateway.backends, &text);
+        self.gateway.backends_changed();
+    }
+
     fn announce_second(&self, sequence: u64) {
         let text = announcement(("engine-2", 1, sequence), "engine", second_address());
         announce_one(&self.gateway.backends, &text);
