A backend server that is announced no more is at work while it answers

A stream of a backend server that was taken away was taken for silent at its first pause, whatever had come a moment before: of a run that is announced no more nothing was kept. The send itself now keeps when something last came of its answer. a_backend_server_that_is_announced_no_more_is_at_work_while_it_answers failed before.

--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -48,7 +48,7 @@
 
 /// A backend server from which something came this lately is at work, and what it has not yet
 /// answered waits its turn there.
-const PROGRESS_AGE: Duration = Duration::from_millis(700);
+pub(crate) const PROGRESS_AGE: Duration = Duration::from_millis(700);
 
 /// An engine stands still where first bytes are overdue by this and nothing was heard from it for
 /// as long. Reading the longest prompts takes longer, but that is expected, and more urgent ones
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -24,6 +24,7 @@
         RepeatBudget, RepeatDecision, RequestNews, SchedulerSettings, SentRequest, StatementChange,
         TicketId, Verdict, WorkCost, WorkItem, WorkOutcome,
         hint::{OwnHint, ago, statement_news},
+        load::PROGRESS_AGE,
         rate::RateGate,
         regions::RegionBook,
         roster::GatewayRoster,
@@ -56,6 +57,14 @@
     stated: StatementRecord,
 }
 
+/// Where a request runs.
+struct SentPlace {
+    run: BackendRun,
+    /// When something last came of its answer. A run that is announced no more may go on for a
+    /// while, and nothing else is kept of it.
+    heard: Option<MonotonicTime>,
+}
+
 struct Waiting {
     ticket: TicketId,
     item: WorkItem,
@@ -84,7 +93,7 @@
     ended: BTreeSet<BackendRun>,
     retained: RetainedStatements,
     /// Where the requests run that were sent.
-    sent: HashMap<TicketId, BackendRun>,
+    sent: HashMap<TicketId, SentPlace>,
     next_ticket: u64,
     wake: Option<MonotonicTime>,
 }
@@ -288,6 +297,9 @@
 
     /// Notes the first byte of an answer.
     pub fn begin(&mut self, ticket: TicketId, now: MonotonicTime) {
+        if let Some(place) = self.sent.get_mut(&ticket) {
+            place.heard = Some(now);
+        }
         let Some(backend) = self.sent_to(ticket) else { return };
         // Called with every piece of an answer: what follows is for the first one alone.
         let Some(sent) = backend.load.begin(ticket, now) else { return };
@@ -321,7 +333,7 @@
         statements: &BackendStatements,
         now: MonotonicTime,
     ) -> Vec<StatementChange> {
-        let Some(run) = self.sent.get(&ticket) else { return Vec::new() };
+        let Some(SentPlace { run, .. }) = self.sent.get(&ticket) else { return Vec::new() };
         let Some(backend) = run_of(&mut self.backends, run) else {
             return self.retained.note(run, statements, now);
         };
@@ -341,19 +353,19 @@
 
     /// The requests that were sent to `run` and have not ended.
     pub fn sent_to_run(&self, run: &BackendRun) -> Vec<TicketId> {
-        let there = self.sent.iter().filter(|(_, sent_to)| *sent_to == run);
+        let there = self.sent.iter().filter(|(_, place)| place.run == *run);
         there.map(|(ticket, _)| *ticket).collect()
     }
 
     /// The run that a request was sent to, while it is the one that is known.
     fn sent_to(&mut self, ticket: TicketId) -> Option<&mut Backend> {
-        let run = self.sent.get(&ticket)?;
-        run_of(&mut self.backends, run)
+        let place = self.sent.get(&ticket)?;
+        run_of(&mut self.backends, &place.run)
     }
 
     /// Notes how a send ended.
     pub fn end(&mut self, ticket: TicketId, outcome: WorkOutcome, now: MonotonicTime) {
-        let Some(run) = self.sent.remove(&ticket) else { return };
+        let Some(SentPlace { run, .. }) = self.sent.remove(&ticket) else { return };
         let Some(backend) = run_of(&mut self.backends, &run) else { return };
         let unbegun = backend.load.end(ticket);
         backend.health.note(outcome, now);
@@ -426,7 +438,9 @@
 
     /// Whether the backend server that a request was sent to has shown lately that it works.
     pub fn is_at_work(&mut self, ticket: TicketId, now: MonotonicTime) -> bool {
-        self.sent_to(ticket).is_some_and(|b| b.load.is_at_work(now))
+        let heard = self.sent.get(&ticket).and_then(|place| place.heard);
+        let answers = heard.is_some_and(|at| now.since(at) < PROGRESS_AGE);
+        answers || self.sent_to(ticket).is_some_and(|b| b.load.is_at_work(now))
     }
 
     /// Takes what has happened since the last call, to be told to the region's others.
@@ -510,7 +524,7 @@
         if let (Some(prompt), Some(engine)) = (&waiting.item.prompt, engine) {
             backend.cache.note(&prompt.parts, engine.memory_tokens, now);
         }
-        self.sent.insert(waiting.ticket, run.clone());
+        self.sent.insert(waiting.ticket, SentPlace { run: run.clone(), heard: None });
         let news = RequestNews::Sent { tokens: cost.tokens, parts };
         self.note_own(run.clone(), sent, news, now);
     }
