Whole answers keep to their time, and a silent one is replaced as heads and streams are

A plain answer of more than a megabyte that stopped half way was waited for without end, and a short one to the deadline though another backend server was free; a failure that was to be told while it was asked for again was dropped where the second answer broke off. Whole bodies now go through the same wait, long ones end with the time of their request, and the first failure is told. a_long_answer_ends_with_the_time_of_its_request failed before.

--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -16,7 +16,7 @@
         HeaderMap, Response, StatusCode,
         header::{CONTENT_LENGTH, CONTENT_TYPE},
     },
-    std::time::Duration,
+    std::{rc::Rc, time::Duration},
 };
 
 /// Answers up to this size are read whole before the first byte is passed on, so that one that
@@ -54,44 +54,45 @@
                 Ok(answer) => answer,
                 Err(word) => return fallback.ok_or(word),
             };
-            if self.item.route.kind.is_stream() && is_event_stream(&answer) {
-                match self.first_events(answer).await? {
-                    Some(reply) => return Ok(reply),
-                    None => continue,
-                }
-            }
             let is_failure = answer.is_failure();
-            match self.whole(answer).await? {
-                None => continue,
-                Some(reply) if is_failure => {
+            let reply = match self.item.route.kind.is_stream() && is_event_stream(&answer) {
+                true => self.first_events(answer).await,
+                false => self.whole(answer).await,
+            };
+            match reply {
+                Err(word) => return fallback.ok_or(word),
+                Ok(None) => continue,
+                Ok(Some(reply)) if is_failure => {
                     if !self.after_failure() {
                         return Ok(reply);
                     }
                     self.log.repeats_failure(reply.status);
                     fallback = Some(reply);
                 }
-                Some(reply) => return Ok(reply),
+                Ok(Some(reply)) => return Ok(reply),
             }
         }
     }
 
     /// Reads an answer whole; `None` where it broke off and is to be asked for again.
     async fn whole(&mut self, answer: AttemptAnswer) -> Result<Option<RelayedReply>, FinalWord> {
-        let AttemptAnswer { status, headers, mut body, .. } = answer;
+        let AttemptAnswer { place, pulse, status, headers, mut body } = answer;
+        let watch = self.body_watch(place, pulse);
         let mut whole = BytesMut::new();
         loop {
-            let clock = std::rc::Rc::clone(&self.proxy.context().clock);
-            match timeout(&*clock, self.left(), body.next()).await {
-                Some(None) => {
+            match self.wait_for(&watch, body.next()).await {
+                WaitEnd::Came(None) => {
                     let body = RelayedBody::Whole(whole.freeze());
                     return Ok(Some(RelayedReply { status, headers, body }));
                 }
-                Some(Some(Ok(bytes))) => whole.extend_from_slice(&bytes),
-                Some(Some(Err(_))) => {
+                WaitEnd::Came(Some(Ok(bytes))) => whole.extend_from_slice(&bytes),
+                WaitEnd::Came(Some(Err(_))) => {
+                    drop(body);
                     self.after_unknown(UnknownReason::Incomplete)?;
                     return Ok(None);
                 }
-                None => {
+                WaitEnd::Replaced => return Ok(None),
+                WaitEnd::TimedOut => {
                     self.after_unknown(UnknownReason::Overdue)?;
                     return Ok(None);
                 }
@@ -110,7 +111,7 @@
         answer: AttemptAnswer,
     ) -> Result<Option<RelayedReply>, FinalWord> {
         let AttemptAnswer { place, pulse, status, headers, body } = answer;
-        let mut events = EventReader::new(body, self.stream_watch(place, pulse));
+        let mut events = EventReader::new(body, self.body_watch(place, pulse));
         match self.next_events(&mut events).await {
             EventStep::Events(first) => {
                 self.log.first_event();
@@ -129,7 +130,7 @@
         }
     }
 
-    fn stream_watch(&self, place: AttemptPlace, pulse: RunPulse) -> RunWatch {
+    fn body_watch(&self, place: AttemptPlace, pulse: RunPulse) -> RunWatch {
         let gap = self.item.route.gap_objective.unwrap_or_default() * GAP_FACTOR;
         let patience = gap.max(LEAST_GAP);
         RunWatch { place, pulse, patience, work_patience: Some(patience * WORK_FACTOR) }
@@ -191,7 +192,7 @@
             if answer.status.is_success() && is_event_stream(&answer) {
                 self.log.resumed(reason, self.last_event);
                 let AttemptAnswer { place, pulse, body, .. } = answer;
-                return Ok(EventReader::new(body, self.stream_watch(place, pulse)));
+                return Ok(EventReader::new(body, self.body_watch(place, pulse)));
             }
             drop(answer);
             self.after_unknown(UnknownReason::Garbled)?;
@@ -242,17 +243,25 @@
 
 /// Passes on a long answer piece by piece.
 fn long_body(journey: Journey, status: StatusCode, first: Bytes, rest: AnswerBody) -> ReplyBody {
-    let state = (journey, Some(first), rest);
-    ReplyBody::stream(unfold(state, move |(mut journey, mut first, mut rest)| async move {
+    let state = (journey, Some(first), Some(rest));
+    ReplyBody::stream(unfold(state, move |(mut journey, mut first, rest)| async move {
         if let Some(first) = first.take() {
             return Some((Ok(first), (journey, None, rest)));
         }
-        match rest.next().await {
-            Some(piece) => Some((piece, (journey, None, rest))),
-            None => {
+        let mut rest = rest?;
+        let clock = Rc::clone(&journey.proxy.context().clock);
+        match timeout(&*clock, journey.left(), rest.next()).await {
+            Some(Some(piece)) => Some((piece, (journey, None, Some(rest)))),
+            Some(None) => {
                 journey.log.answered(status, &journey.item);
                 None
             }
+            None => {
+                journey.log.reached(journey.bound);
+                journey.log.broke_off(UnknownReason::Overdue, None, &journey.item);
+                let reason = "its time was over".to_owned();
+                Some((Err(BodyError::Aborted { reason }), (journey, None, None)))
+            }
         }
     }))
 }
