A place that is held is not used at a backend server that wants nothing more

A request was sent to a backend server after it had said that it leaves: its place had been given before and was held for a gateway of another region. It is asked again when the place is to be used. a_place_that_is_held_is_not_used_at_a_backend_server_that_leaves failed before.

--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -351,6 +351,16 @@
         changes
     }
 
+    /// Whether a place that was given may still be used: its run may have said meanwhile that it
+    /// leaves or wants nothing.
+    pub fn may_use_place(&self, ticket: TicketId, now: MonotonicTime) -> bool {
+        let Some(SentPlace { run, .. }) = self.sent.get(&ticket) else { return false };
+        let backend = self.backends.get(&run.backend);
+        backend.filter(|backend| backend.facts.incarnation == run.incarnation).is_some_and(
+            |backend| self.may_serve(backend) && backend.stated.backoff.until(now).is_none(),
+        )
+    }
+
     /// The requests that were sent to `run` and have not ended.
     pub fn sent_to_run(&self, run: &BackendRun) -> Vec<TicketId> {
         let there = self.sent.iter().filter(|(_, place)| place.run == *run);
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -190,6 +190,11 @@
         changes
     }
 
+    /// Whether the place may still be used.
+    pub(crate) fn may_be_used(&self) -> bool {
+        self.dispatcher.ask(|scheduler, now| scheduler.may_use_place(self.ticket, now))
+    }
+
     /// What the wait for the answer needs to know of the run.
     pub(crate) fn pulse(&self) -> RunPulse {
         RunPulse::Here(HerePulse {
--- a/crates/proxy/src/forward_server.rs
+++ b/crates/proxy/src/forward_server.rs
@@ -86,10 +86,11 @@
             Ok(found) => found,
             Err(end) => return put_end(reply, end).await,
         };
-        if let Some(token) = forward.hold
-            && (!self.is_used(token, reply).await? || journey.check_hold().is_err())
-        {
-            return put(reply, &ForwardPiece::NotRun(NotRunReason::Revoked, None)).await;
+        if let Some(token) = forward.hold {
+            let is_used = self.is_used(token, reply).await?;
+            if !is_used || journey.check_hold().is_err() || !found.may_be_used() {
+                return put(reply, &ForwardPiece::NotRun(NotRunReason::Revoked, None)).await;
+            }
         }
         let SentRun { watch, end } = journey.send(found);
         match self.reported(&watch, reply, end).await? {
--- a/crates/proxy/src/search.rs
+++ b/crates/proxy/src/search.rs
@@ -25,6 +25,16 @@
     Held(HeldForward),
 }
 
+impl FoundPlace {
+    /// Whether it may still be used, as far as this gateway knows.
+    pub(crate) fn may_be_used(&self) -> bool {
+        match self {
+            Self::Here(placed) => placed.ticket.may_be_used(),
+            Self::Away(_) | Self::Held(_) => true,
+        }
+    }
+}
+
 /// A place at a backend server of the own region. Dropped, it is given back.
 pub(crate) struct PlacedRun {
     pub(crate) ticket: SentTicket,
