Cut-link test runs on a clock of its own

The pool now gets a manual clock that stands still except where the test moves it: past the call's limit, past the ping's interval and timeout, past the connect timeout and past the backoff.

--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -15,7 +15,7 @@
         rc::Rc,
         time::{Duration, Instant},
     },
-    support::{LONG, TestHandler, block_on, config, serve},
+    support::{LONG, TestHandler, block_on, config, manual_context, serve},
 };
 
 const DELAY: Duration = Duration::from_millis(20);
@@ -59,9 +59,7 @@
 
 #[test]
 fn a_cut_link_breaks_its_streams_and_heals() {
-    // Symptom: a caller waits for minutes on a stream from a region that is cut off.
-    // Events: the link loses everything silently; TCP retries; no end of the connection is seen.
-    // Cause: nothing but an unanswered ping tells a silent peer from one with nothing to say.
+    // Guards against callers that wait for minutes on a stream from a region that is cut off.
     block_on(async {
         let server = serve(config("b"), Rc::new(TestHandler::default()));
         let shaper = Rc::new(LinkShaper::new());
@@ -71,7 +69,8 @@
             .ping_timeout(short)
             .connect_timeout(short)
             .backoff(short, short);
-        let pool = shaped(config, &shaper);
+        let (context, clock) = manual_context();
+        let pool = PeerPool::with_link(config, context, Rc::default(), shaper.clone());
         let call = |limit| pool.call(server.address, "test.echo", Bytes::new(), limit);
         let body = Bytes::from_static(b"x");
         let mut stream = pool.open(server.address, "test.half", body).await.unwrap();
@@ -79,17 +78,19 @@
 
         shaper.set_cut(server.address, true);
         let limit = Duration::from_millis(1);
-        let error = call(limit).await.unwrap_err();
-        assert_eq!(error, PeerError::Timeout { address: server.address, limit, sent: true });
+        let (answer, ()) = futures::join!(call(limit), clock.expire(limit));
+        let timeout = PeerError::Timeout { address: server.address, limit, sent: true };
+        assert_eq!(answer, Err(timeout));
+        clock.advance(2 * short);
         let broken = stream.next().await.unwrap().unwrap_err();
         assert!(broken.to_string().contains("cut off"), "{broken}");
-        let error = call(LONG).await.unwrap_err();
+        let (answer, ()) = futures::join!(call(LONG), clock.expire(short));
+        let error = answer.unwrap_err();
         assert!(error.nothing_sent(), "no session can be had: {error:?}");
 
         shaper.set_cut(server.address, false);
-        while call(LONG).await.is_err() {
-            monoio::time::sleep(short).await;
-        }
+        clock.advance(short);
+        assert_eq!(call(LONG).await, Ok(Bytes::new()));
     });
 }
 
--- a/crates/peer/tests/support/mod.rs
+++ b/crates/peer/tests/support/mod.rs
@@ -10,8 +10,8 @@
         PeerSecret, PeerServer, PeerStopHandle,
     },
     gullglade_units::{
-        ClusterName, FailureDomain, HybridClock, Incarnation, LocalFuture, ProcessContext,
-        RegionName, VmName,
+        Clock, ClusterName, FailureDomain, HybridClock, Incarnation, LocalFuture, MonotonicTime,
+        ProcessContext, RegionName, VmName, WallMillis,
     },
     monoio::{LegacyDriver, RuntimeBuilder},
     std::{
@@ -54,6 +54,67 @@
     PeerPool::new(config, ProcessContext::system(), Rc::default())
 }
 
+/// The system's context with a clock that stands still until the test moves it.
+pub(crate) fn manual_context() -> (ProcessContext, Rc<ManualClock>) {
+    let clock = Rc::new(ManualClock::default());
+    (ProcessContext { clock: clock.clone(), ..ProcessContext::system() }, clock)
+}
+
+/// A clock that stands still until a test moves it.
+#[derive(Default)]
+pub(crate) struct ManualClock {
+    now: Cell<Duration>,
+    sleeps: RefCell<Vec<ManualSleep>>,
+    changed: ChangeNotice,
+}
+
+struct ManualSleep {
+    duration: Duration,
+    until: Duration,
+    wake: oneshot::Sender<()>,
+}
+
+impl ManualClock {
+    /// Moves the time on and wakes whoever slept until then.
+    pub(crate) fn advance(&self, duration: Duration) {
+        let now = self.now.get() + duration;
+        self.now.set(now);
+        for sleep in self.sleeps.borrow_mut().extract_if(.., |sleep| sleep.until <= now) {
+            let _ = sleep.wake.send(());
+        }
+    }
+
+    /// Waits until somebody sleeps who asked for exactly `limit`, and moves the time on by it.
+    pub(crate) async fn expire(&self, limit: Duration) {
+        let asleep = |sleep: &ManualSleep| sleep.duration == limit && !sleep.wake.is_canceled();
+        self.changed.until(|| self.sleeps.borrow().iter().any(asleep)).await;
+        self.advance(limit);
+    }
+}
+
+impl Clock for ManualClock {
+    fn now(&self) -> MonotonicTime {
+        MonotonicTime(self.now.get())
+    }
+
+    fn wall(&self) -> WallMillis {
+        WallMillis::default()
+    }
+
+    fn sleep(&self, duration: Duration) -> LocalFuture<'static, ()> {
+        if duration.is_zero() {
+            return Box::pin(std::future::ready(()));
+        }
+        let (wake, woken) = oneshot::channel();
+        let until = self.now.get() + duration;
+        self.sleeps.borrow_mut().push(ManualSleep { duration, until, wake });
+        self.changed.notify();
+        Box::pin(async move {
+            let _ = woken.await;
+        })
+    }
+}
+
 /// A running server.
 pub(crate) struct TestServer {
     pub(crate) address: SocketAddr,
@@ -94,7 +155,7 @@
     pub(crate) gate: RefCell<Option<oneshot::Receiver<()>>>,
 }
 
-/// Wakes whoever waits for a change of the handler's counts.
+/// Wakes whoever waits for a change.
 #[derive(Clone, Default)]
 pub(crate) struct ChangeNotice(Rc<RefCell<Vec<Waker>>>);
 
@@ -102,6 +163,15 @@
     fn notify(&self) {
         self.0.take().into_iter().for_each(Waker::wake);
     }
+
+    /// Completes once `done`, which is asked after every change.
+    async fn until(&self, done: impl Fn() -> bool) {
+        poll_fn(|cx| {
+            self.0.borrow_mut().push(cx.waker().clone());
+            if done() { Poll::Ready(()) } else { Poll::Pending }
+        })
+        .await;
+    }
 }
 
 /// Counts a handler future while it lives.
@@ -120,11 +190,7 @@
 impl TestHandler {
     /// Completes once `done`, which is asked after every change of the counts.
     pub(crate) async fn changed_until(&self, done: impl Fn(&Self) -> bool) {
-        poll_fn(|cx| {
-            self.changed.0.borrow_mut().push(cx.waker().clone());
-            if done(self) { Poll::Ready(()) } else { Poll::Pending }
-        })
-        .await;
+        self.changed.until(|| done(self)).await;
     }
 
     fn start(&self) -> Running {
