A dropped exchange closes its socket at once

Engines went on for callers that had left: the client of crates/http promises that dropping a request or its body closes the connection at once, but the drop only told the task that drives the connection, and the socket was closed when that task had its turn, behind everything else that the gateway had to do.

The socket is now shared by that task and by the connection's owner, whose drop closes it on the spot; the task finds it gone and ends.

giving_up_closes_the_connection_before_any_other_task_runs blocks the runtime's only thread after the drop and waits for the end of the connection at the other side. On the code before it failed in both cases (before the head; in the body) with "not closed: WouldBlock".

--- a/crates/http/src/client/connection.rs
+++ b/crates/http/src/client/connection.rs
@@ -10,11 +10,14 @@
         client::conn::http1::{Builder, SendRequest},
         rt::{Read, ReadBufCursor, Write},
     },
-    monoio::{io::IntoPollIo, net::TcpStream},
+    monoio::{
+        io::IntoPollIo,
+        net::{TcpStream, tcp::stream_poll::TcpStreamPoll},
+    },
     monoio_compat::hyper::MonoioIo,
     socket2::{Domain, Protocol, Socket, Type},
     std::{
-        cell::Cell,
+        cell::{Cell, RefCell},
         io,
         net::SocketAddr,
         pin::Pin,
@@ -28,15 +31,21 @@
 /// has no stable name.
 const IN_PROGRESS: i32 = 115;
 
-/// An open connection that no request uses.
+/// An open connection that no request uses. Dropped, it closes the socket at once, however many
+/// other tasks are to run before the one that drives it.
 pub(super) struct ClientConnection {
     pub(super) sender: SendRequest<Full<Bytes>>,
-    /// Bytes written to the socket since the connection was opened.
-    pub(super) written: Rc<Cell<u64>>,
-    /// Dropped, it ends the task that drives the connection and so closes the socket.
+    socket: Rc<SharedSocket>,
+    /// Dropped, it ends the task that drives the connection.
     _cancel: oneshot::Sender<()>,
 }
 
+impl Drop for ClientConnection {
+    fn drop(&mut self) {
+        self.socket.stream.take();
+    }
+}
+
 /// A connection in use by one request. Dropped, it closes the connection.
 pub(super) struct ConnectionLease {
     pub(super) connection: ClientConnection,
@@ -67,18 +76,23 @@
             .map_err(|e| connect_error(address, &e))?;
         stream.set_nodelay(true).map_err(|e| connect_error(address, &e))?;
         let stream = stream.into_poll_io().map_err(|e| connect_error(address, &e))?;
-        let written = Rc::new(Cell::new(0));
-        let stream = CountedStream { stream: MonoioIo::new(stream), written: Rc::clone(&written) };
+        let stream = RefCell::new(Some(MonoioIo::new(stream)));
+        let socket = Rc::new(SharedSocket { stream, written: Cell::new(0) });
         let (sender, connection) = Builder::new()
             .max_buf_size(config.head_limit)
-            .handshake(stream)
+            .handshake(CountedStream(Rc::clone(&socket)))
             .await
             .map_err(|e| ClientError::Connect { address, reason: e.to_string() })?;
         let (cancel, cancelled) = oneshot::channel::<()>();
         // Either outcome ends the connection; who waits for a reply is told by `hyper`. No `async`
         // block: it would keep room for the connection twice, see `OnceSignal::guard`.
         context.spawner.spawn(Box::pin(select(connection, cancelled).map(drop)));
-        Ok(Self { sender, written, _cancel: cancel })
+        Ok(Self { sender, socket, _cancel: cancel })
+    }
+
+    /// Bytes written to the socket since the connection was opened.
+    pub(super) fn written(&self) -> u64 {
+        self.socket.written.get()
     }
 }
 
@@ -113,41 +127,58 @@
     ClientError::Connect { address, reason: error.to_string() }
 }
 
+/// The socket of a connection, shared by the task that drives it and whoever may close it.
+struct SharedSocket {
+    /// `None` once it is closed.
+    stream: RefCell<Option<MonoioIo<TcpStreamPoll>>>,
+    written: Cell<u64>,
+}
+
+impl SharedSocket {
+    fn poll<T>(
+        &self,
+        operation: impl FnOnce(Pin<&mut MonoioIo<TcpStreamPoll>>) -> Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        match &mut *self.stream.borrow_mut() {
+            Some(stream) => operation(Pin::new(stream)),
+            None => Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into())),
+        }
+    }
+}
+
 /// Counts the bytes that the operating system took for sending. A request that fails while the
 /// count stands still was certainly not sent.
-struct CountedStream<S> {
-    stream: S,
-    written: Rc<Cell<u64>>,
-}
+struct CountedStream(Rc<SharedSocket>);
 
-impl<S: Read + Unpin> Read for CountedStream<S> {
+impl Read for CountedStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        self.0.poll(|stream| stream.poll_read(context, buffer))
     }
 }
 
-impl<S: Write + Unpin> Write for CountedStream<S> {
+impl Write for CountedStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let outcome = Pin::new(&mut self.stream).poll_write(context, bytes);
+        let outcome = self.0.poll(|stream| stream.poll_write(context, bytes));
         if let Poll::Ready(Ok(length)) = &outcome {
-            self.written.set(self.written.get() + u64::try_from(*length).unwrap_or(u64::MAX));
+            let written = &self.0.written;
+            written.set(written.get() + u64::try_from(*length).unwrap_or(u64::MAX));
         }
         outcome
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.poll(|stream| stream.poll_flush(context))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.poll(|stream| stream.poll_shutdown(context))
     }
 }
--- a/crates/http/src/client/pool.rs
+++ b/crates/http/src/client/pool.rs
@@ -191,12 +191,12 @@
         }
         let limit = self.head_timeout(&request);
         let method = request.method().clone();
-        let before = connection.written.get();
+        let before = connection.written();
         let pool = Rc::clone(&self.pool);
         let mut lease = ConnectionLease { connection, pool, address, stated: None };
         let sending = lease.connection.sender.send_request(request);
         let outcome = timeout(&*self.pool.context.clock, limit, sending).await;
-        let sent = lease.connection.written.get() > before;
+        let sent = lease.connection.written() > before;
         match outcome {
             Some(Ok(response)) => self.reply(method, response, lease),
             Some(Err(e)) if sent => Err(ClientError::Sent { address, reason: error_chain(&e) }),
--- a/crates/http/tests/http/client.rs
+++ b/crates/http/tests/http/client.rs
@@ -3,6 +3,7 @@
 use {
     crate::common::{any_port, manual_context, run, serve},
     bytes::Bytes,
+    futures::{channel::oneshot, future::select},
     gullglade_http::{
         BodyError, ClientConfig, ClientError, FreshConnection, HeadTimeout, HttpClient,
         PooledClient, ReplyBody, SendPermit, ServerConfig,
@@ -13,7 +14,15 @@
         io::{AsyncReadRent, AsyncWriteRentExt},
         net::{ListenerOpts, TcpListener, TcpStream},
     },
-    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        cell::RefCell,
+        io::{ErrorKind, Read, Write},
+        net::SocketAddr,
+        rc::Rc,
+        sync::mpsc,
+        thread,
+        time::Duration,
+    },
 };
 
 const OK_REPLY: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
@@ -352,6 +361,46 @@
     }
 }
 
+// Guards against engines that run on while the close of their connection waits for other tasks.
+#[test]
+fn giving_up_closes_the_connection_before_any_other_task_runs() {
+    struct Case {
+        name: &'static str,
+        reply: &'static str,
+    }
+    let cases = [
+        Case { name: "before the head", reply: "" },
+        Case { name: "in the body", reply: "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nab" },
+    ];
+    for Case { name, reply } in cases {
+        run(async {
+            let listener = std::net::TcpListener::bind(any_port()).unwrap();
+            let client = client();
+            let sending = client.send(listener.local_addr().unwrap(), get());
+            let (arrived, arrival) = oneshot::channel();
+            let (closed, closing) = mpsc::channel();
+            thread::spawn(move || {
+                let (mut stream, _) = listener.accept().unwrap();
+                assert!(stream.read(&mut [0; 4 << 10]).unwrap() > 0);
+                stream.write_all(reply.as_bytes()).unwrap();
+                let _ = arrived.send(());
+                stream.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+                closed.send(stream.read(&mut [0; 1])).unwrap();
+            });
+            match reply {
+                "" => drop(select(sending, arrival).await),
+                _ => drop(sending.await.unwrap()),
+            }
+            // Blocks the only thread of the runtime.
+            match closing.recv().unwrap() {
+                Ok(0) => {}
+                Err(error) if error.kind() == ErrorKind::ConnectionReset => {}
+                open => panic!("{name}: not closed: {open:?}"),
+            }
+        });
+    }
+}
+
 #[test]
 fn fresh_connection_is_never_a_kept_one() {
     run(async {
