--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -1,7 +1,9 @@
 //! An answer that has begun: its head, and its body as it comes.
 
 use {
-    crate::{dispatcher::SentTicket, forward::ForwardBody, outcome::AttemptPlace, pulse::RunPulse},
+    crate::{
+        dispatcher::SentTicket, forward::ForwardBody, liveness::RunLiveness, outcome::AttemptPlace,
+    },
     bytes::Bytes,
     gullglade_dispatch::WorkOutcome,
     gullglade_http::{BodyError, ClientBody},
@@ -12,7 +14,7 @@
 pub(crate) struct AttemptAnswer {
     /// Where it comes from.
     pub(crate) place: AttemptPlace,
-    pub(crate) pulse: RunPulse,
+    pub(crate) liveness: RunLiveness,
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: AnswerBody,
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -146,7 +146,7 @@
         };
         AttemptEnd::Answer(Box::new(AttemptAnswer {
             place: AttemptPlace::Here(attempt.backend.clone()),
-            pulse: ticket.pulse(),
+            liveness: ticket.liveness(),
             status: head.status,
             headers: head.headers,
             body: AnswerBody::Backend(BackendBody::new(body, ticket, whole)),
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        pulse::{HerePulse, RunPulse},
+        liveness::{LocalLiveness, RunLiveness},
         send_watch::SendWatch,
     },
     futures::channel::oneshot,
@@ -196,8 +196,8 @@
     }
 
     /// What the wait for the answer needs to know of the run.
-    pub(crate) fn pulse(&self) -> RunPulse {
-        RunPulse::Here(HerePulse {
+    pub(crate) fn liveness(&self) -> RunLiveness {
+        RunLiveness::Here(LocalLiveness {
             dispatcher: Rc::clone(&self.dispatcher),
             ticket: self.ticket,
             overdue: Rc::clone(&self.overdue),
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -4,8 +4,8 @@
     crate::{
         CallId, CallerCall, Dispatcher,
         answer::{AnswerBody, AttemptAnswer},
+        liveness::{RemoteLiveness, RunLiveness},
         outcome::{AttemptEnd, AttemptPlace, NotRunReason, UnknownReason},
-        pulse::{AwayPulse, RunPulse},
     },
     bytes::Bytes,
     gullglade_dispatch::{FirstByteTimes, PromptShape, WorkItem},
@@ -28,7 +28,7 @@
 /// Makes one attempt at a request in the region of the gateway that is called.
 pub(crate) const FORWARD: &str = "proxy.forward";
 
-/// Has a place used that a [`FORWARD`] holds: the request is sent there.
+/// Has a place used that a [`FORWARD`] reserved: the request is sent there.
 pub(crate) const COMMIT: &str = "proxy.commit";
 
 /// Does nothing, and keeps a session in use.
@@ -54,8 +54,11 @@
 /// The limit on a call that keeps a session.
 const WARM_LIMIT: Duration = Duration::from_secs(2);
 
-/// How long a gateway of another region is waited for that looks for a place to hold.
-const MOST_HOLD: Duration = Duration::from_secs(1);
+/// How long a gateway of another region is waited for that looks for a place to reserve.
+const MOST_RESERVE: Duration = Duration::from_secs(1);
+
+/// How often a gateway is told that a place is to be used, until it answers.
+const COMMIT_CALLS: u32 = 2;
 
 /// The most gateways of a region that are tried for one request. Each takes a connection that may
 /// hang until its time is up.
@@ -83,8 +86,8 @@
     pub(crate) print: Option<RequestPrint>,
     /// Backend servers that it was sent to and that are not to be tried again.
     pub(crate) tried: Vec<BackendName>,
-    /// Where given, the place is held until [`COMMIT`] names this number.
-    pub(crate) hold: Option<u64>,
+    /// Where given, the place is reserved until [`COMMIT`] names this number.
+    pub(crate) reservation: Option<u64>,
 }
 
 /// What comes back. The end of the stream is the end of a whole body.
@@ -101,7 +104,7 @@
     Chunk(Bytes),
     NotRun(NotRunReason, Option<Duration>),
     Unknown(UnknownReason),
-    /// A place is held for it.
+    /// A place is reserved for it.
     Placed,
     /// It waits for a place.
     Queued,
@@ -115,7 +118,7 @@
 
 impl ForwardPiece {
     /// Whether it only tells that the request is in hand.
-    fn is_sign_of_life(&self) -> bool {
+    fn is_progress(&self) -> bool {
         matches!(self, Self::Accepted(_) | Self::Queued | Self::Waiting { .. })
     }
 }
@@ -142,7 +145,7 @@
             resume_after,
             print: None,
             tried: item.tried.clone(),
-            hold: None,
+            reservation: None,
         }
     }
 }
@@ -187,11 +190,11 @@
         region: &RegionName,
         mut call: ForwardCall,
         may_repeat: bool,
-        pulse: RunPulse,
+        liveness: RunLiveness,
     ) -> AttemptEnd {
         match self.open(region, &mut call).await {
             OpenedForward::Stream(_, stream) => {
-                let mut pieces = PieceStream { stream, pulse };
+                let mut pieces = PieceStream { stream, liveness };
                 let Some(first) =
                     self.accepted(region, &call.service, call.left, &mut pieces, may_repeat).await
                 else {
@@ -204,24 +207,31 @@
         }
     }
 
-    /// Has a gateway of `region` hold a place for the request; `None` where it has none now, or
+    /// Has a gateway of `region` reserve a place for the request; `None` where it has none now, or
     /// says nothing. Dropped, it is given back.
-    pub(crate) async fn hold(&self, region: &RegionName, call: ForwardCall) -> Option<HeldForward> {
+    pub(crate) async fn reserve(
+        &self,
+        region: &RegionName,
+        call: ForwardCall,
+    ) -> Option<ReservedForward> {
         let token = self.context.random.next_u64();
-        let mut call = ForwardCall { hold: Some(token), ..call };
+        let mut call = ForwardCall { reservation: Some(token), ..call };
         let OpenedForward::Stream(gateway, stream) = self.open(region, &mut call).await else {
             return None;
         };
-        let pulse = RunPulse::Away(AwayPulse::new(&self.context.clock));
-        let mut pieces = PieceStream { stream, pulse };
+        let liveness = RunLiveness::Away(RemoteLiveness::new(&self.context.clock));
+        let mut pieces = PieceStream { stream, liveness };
         let service = &call.service;
         let first = self.accepted(region, service, call.left, &mut pieces, true).await?;
         let clock = &*self.context.clock;
         let answer = next_content(&mut pieces, first);
-        match timeout(clock, call.left.min(MOST_HOLD), answer).await? {
-            Some(Ok(ForwardPiece::Placed)) => {
-                Some(HeldForward { region: region.clone(), gateway, token, stream: pieces.stream })
-            }
+        match timeout(clock, call.left.min(MOST_RESERVE), answer).await? {
+            Some(Ok(ForwardPiece::Placed)) => Some(ReservedForward {
+                region: region.clone(),
+                gateway,
+                token,
+                stream: pieces.stream,
+            }),
             Some(Ok(ForwardPiece::NotRun(NotRunReason::RefusedAway, _))) => {
                 self.refused(region, service);
                 None
@@ -230,23 +240,28 @@
         }
     }
 
-    /// Has the request sent at the place that is held for it.
+    /// Has the request sent at the place that is reserved for it.
     pub(crate) async fn commit(
         &self,
-        held: HeldForward,
+        reserved: ReservedForward,
         service: &ServiceName,
         left: Duration,
-        pulse: RunPulse,
+        liveness: RunLiveness,
     ) -> AttemptEnd {
-        let HeldForward { region, gateway, token, stream } = held;
-        let mut pieces = PieceStream { stream, pulse };
+        let ReservedForward { region, gateway, token, stream } = reserved;
+        let mut pieces = PieceStream { stream, liveness };
         let body = Bytes::from(encode(&token));
         let limit = left.min(self.accept_limit(&region));
-        // Where its answer is lost, what comes of the request itself tells what became of it.
-        if let Err(error) = self.transport.call(gateway, COMMIT, body, limit).await
-            && error.nothing_sent()
-        {
-            return AttemptEnd::NotRun(NotRunReason::Revoked, None);
+        // A word that is lost may be repeated. Where its answer is lost, too, what comes of the
+        // request itself tells what became of it.
+        for _ in 0..COMMIT_CALLS {
+            match self.transport.call(gateway, COMMIT, body.clone(), limit).await {
+                Ok(_) => break,
+                Err(error) if error.nothing_sent() => {
+                    return AttemptEnd::NotRun(NotRunReason::Revoked, None);
+                }
+                Err(_) => {}
+            }
         }
         let clock = &*self.context.clock;
         let Some(first) = timeout(clock, left, pieces.next()).await else {
@@ -390,7 +405,7 @@
                 let Ok(status) = StatusCode::from_u16(status) else { return self.lost(region) };
                 AttemptEnd::Answer(Box::new(AttemptAnswer {
                     place: AttemptPlace::Away(region.clone()),
-                    pulse: pieces.pulse.clone(),
+                    liveness: pieces.liveness.clone(),
                     status,
                     headers: unpack_headers(headers),
                     body: AnswerBody::Forward(ForwardBody { pieces }),
@@ -425,8 +440,8 @@
     NotSent,
 }
 
-/// A place that a gateway of another region holds for a request. Dropped, it is given back.
-pub(crate) struct HeldForward {
+/// A place that a gateway of another region has reserved for a request. Dropped, it is given back.
+pub(crate) struct ReservedForward {
     pub(crate) region: RegionName,
     gateway: SocketAddr,
     token: u64,
@@ -442,7 +457,7 @@
 /// A reply from another region, piece by piece.
 pub(crate) struct PieceStream {
     stream: PeerStream,
-    pulse: RunPulse,
+    liveness: RunLiveness,
 }
 
 impl PieceStream {
@@ -453,8 +468,8 @@
             Err(error) => return Some(Err(error)),
         };
         let piece = decode(&bytes).map_err(|e| PeerFault::malformed(e).into());
-        if let (Ok(piece), RunPulse::Away(pulse)) = (&piece, &self.pulse) {
-            note_pulse(pulse, piece);
+        if let (Ok(piece), RunLiveness::Away(liveness)) = (&piece, &self.liveness) {
+            note_liveness(liveness, piece);
         }
         Some(piece)
     }
@@ -463,7 +478,7 @@
     async fn next_content(&mut self) -> Option<NextPiece> {
         loop {
             match self.next().await {
-                Some(Ok(piece)) if piece.is_sign_of_life() => {}
+                Some(Ok(piece)) if piece.is_progress() => {}
                 piece => return piece,
             }
         }
@@ -471,24 +486,24 @@
 }
 
 /// Takes note of what a piece says of the run.
-fn note_pulse(pulse: &AwayPulse, piece: &ForwardPiece) {
+fn note_liveness(liveness: &RemoteLiveness, piece: &ForwardPiece) {
     match piece {
         ForwardPiece::Waiting { backend, is_at_work } => {
-            pulse.note_backend(backend.clone());
-            pulse.note(*is_at_work);
+            liveness.note_backend(backend.clone());
+            liveness.note(*is_at_work);
         }
         ForwardPiece::Head { backend, .. } => {
-            pulse.note_backend(backend.clone());
-            pulse.note(true);
+            liveness.note_backend(backend.clone());
+            liveness.note(true);
         }
-        _ => pulse.note(true),
+        _ => liveness.note(true),
     }
 }
 
 /// The piece after the word that the request has arrived. `first`: what came in time for it.
 async fn next_content(pieces: &mut PieceStream, first: FirstPiece) -> FirstPiece {
     match first {
-        Some(Ok(piece)) if piece.is_sign_of_life() => pieces.next_content().await,
+        Some(Ok(piece)) if piece.is_progress() => pieces.next_content().await,
         first => first,
     }
 }
--- a/crates/proxy/src/forward_server.rs
+++ b/crates/proxy/src/forward_server.rs
@@ -9,9 +9,9 @@
             unpack_headers,
         },
         journey::{ForwardedWork, Journey, SentRun},
+        liveness::RunWatch,
         outcome::{AttemptEnd, AttemptPlace, NotRunReason, UnknownReason},
         proxy::Proxy,
-        pulse::RunWatch,
         search::FoundPlace,
     },
     bytes::Bytes,
@@ -22,8 +22,8 @@
     std::{cell::RefCell, collections::HashMap, pin::pin, rc::Rc, time::Duration},
 };
 
-/// How long a place is held for the word that it is to be used. Nobody else gets it meanwhile.
-const HOLD_LIMIT: Duration = Duration::from_secs(1);
+/// How long a place is reserved for the word that it is to be used. Nobody else gets it meanwhile.
+const RESERVATION_LIMIT: Duration = Duration::from_secs(1);
 
 /// How often the calling gateway is told of a run from which nothing comes.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
@@ -31,8 +31,8 @@
 /// Makes attempts for gateways of other regions.
 pub struct ForwardServer {
     proxy: Proxy,
-    /// By the numbers of the places that are held: who is told that one is to be used.
-    held: RefCell<HashMap<u64, oneshot::Sender<()>>>,
+    /// By the numbers of the places that are reserved: who is told that one is to be used.
+    reserved: RefCell<HashMap<u64, oneshot::Sender<()>>>,
 }
 
 impl ForwardServer {
@@ -40,7 +40,7 @@
     pub fn register(proxy: &Proxy, handlers: &HandlerTable) {
         handlers.register(
             PROXY_PREFIX,
-            Rc::new(Self { proxy: proxy.clone(), held: RefCell::default() }),
+            Rc::new(Self { proxy: proxy.clone(), reserved: RefCell::default() }),
         );
     }
 
@@ -86,9 +86,9 @@
             Ok(found) => found,
             Err(end) => return put_end(reply, end).await,
         };
-        if let Some(token) = forward.hold {
-            let is_used = self.is_used(token, reply).await?;
-            if !is_used || journey.check_hold().is_err() || !found.may_be_used() {
+        if let Some(token) = forward.reservation {
+            let await_commit = self.await_commit(token, reply).await?;
+            if !await_commit || journey.check_hold().is_err() || !found.may_be_used() {
                 return put(reply, &ForwardPiece::NotRun(NotRunReason::Revoked, None)).await;
             }
         }
@@ -118,14 +118,14 @@
         }
     }
 
-    /// Tells that a place is held, and waits for whether it is to be used.
-    async fn is_used(&self, token: u64, reply: &mut PeerReplySink) -> Result<bool, PeerFault> {
+    /// Tells that a place is reserved, and waits for whether it is to be used.
+    async fn await_commit(&self, token: u64, reply: &mut PeerReplySink) -> Result<bool, PeerFault> {
         let (sender, used) = oneshot::channel();
-        self.held.borrow_mut().insert(token, sender);
-        let _forgotten = HeldToken { held: &self.held, token };
+        self.reserved.borrow_mut().insert(token, sender);
+        let _forgotten = ReservationGuard { reserved: &self.reserved, token };
         put(reply, &ForwardPiece::Placed).await?;
         let clock = Rc::clone(&self.proxy.context().clock);
-        Ok(matches!(timeout(&*clock, HOLD_LIMIT, used).await, Some(Ok(()))))
+        Ok(matches!(timeout(&*clock, RESERVATION_LIMIT, used).await, Some(Ok(()))))
     }
 
     /// Waits for `next`, the next thing of `run`, and tells the calling gateway meanwhile whether the
@@ -141,7 +141,7 @@
         let began = clock.now();
         loop {
             if let Some(output) = timeout(&*clock, REPORT_INTERVAL, next.as_mut()).await {
-                run.pulse.set_overdue(None);
+                run.liveness.set_overdue(None);
                 return Ok(output);
             }
             let silence = clock.now().since(began);
@@ -149,7 +149,7 @@
             run.note_silence(silence);
             let is_due = silence >= run.patience;
             if let AttemptPlace::Here(backend) = &run.place {
-                let is_at_work = !is_due || run.pulse.is_at_work();
+                let is_at_work = !is_due || run.liveness.is_at_work();
                 put(reply, &ForwardPiece::Waiting { backend: backend.clone(), is_at_work }).await?;
             }
         }
@@ -160,14 +160,14 @@
         answer: AttemptAnswer,
         reply: &mut PeerReplySink,
     ) -> Result<(), PeerFault> {
-        let AttemptAnswer { place, pulse, status, headers, mut body } = answer;
+        let AttemptAnswer { place, liveness, status, headers, mut body } = answer;
         let AttemptPlace::Here(backend) = &place else {
             // A forwarded request is never forwarded again.
             return put(reply, &ForwardPiece::Unknown(UnknownReason::LostAway)).await;
         };
         let (backend, headers) = (backend.clone(), pack_headers(&headers));
         put(reply, &ForwardPiece::Head { status: status.as_u16(), headers, backend }).await?;
-        let run = RunWatch { place, pulse, patience: Duration::ZERO, work_patience: None };
+        let run = RunWatch { place, liveness, patience: Duration::ZERO, work_patience: None };
         while let Some(piece) = self.reported(&run, reply, body.next()).await? {
             let Ok(bytes) = piece else {
                 return put(reply, &ForwardPiece::Unknown(UnknownReason::Incomplete)).await;
@@ -177,24 +177,24 @@
         Ok(())
     }
 
-    /// Has the place used that `body` names, where it is still held.
+    /// Has the place used that `body` names, where it is still reserved.
     fn commit(&self, body: &[u8]) -> Result<Bytes, PeerFault> {
         let token: u64 = decode(body).map_err(PeerFault::malformed)?;
-        let sender = self.held.borrow_mut().remove(&token);
-        let is_held = sender.is_some_and(|sender| sender.send(()).is_ok());
-        Ok(Bytes::from(encode(&is_held)))
+        let sender = self.reserved.borrow_mut().remove(&token);
+        let is_reserved = sender.is_some_and(|sender| sender.send(()).is_ok());
+        Ok(Bytes::from(encode(&is_reserved)))
     }
 }
 
-/// The number of a place that is held. Dropped, it means nothing any more.
-struct HeldToken<'a> {
-    held: &'a RefCell<HashMap<u64, oneshot::Sender<()>>>,
+/// The number of a place that is reserved. Dropped, it means nothing any more.
+struct ReservationGuard<'a> {
+    reserved: &'a RefCell<HashMap<u64, oneshot::Sender<()>>>,
     token: u64,
 }
 
-impl Drop for HeldToken<'_> {
+impl Drop for ReservationGuard<'_> {
     fn drop(&mut self) {
-        self.held.borrow_mut().remove(&self.token);
+        self.reserved.borrow_mut().remove(&self.token);
     }
 }
 
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -8,15 +8,15 @@
         call_print::CallPrint,
         events::JourneyLog,
         forward::ForwardCall,
+        liveness::{RemoteLiveness, RunLiveness, RunWatch},
         outcome::{
             AttemptEnd, AttemptPlace, FinalWord, NotRunReason, RepeatReason, UnknownReason,
             WaitLimit,
         },
-        pulse::{AwayPulse, RunPulse, RunWatch},
         quota::ChargeGuard,
+        replacement::WaitEnd,
         search::{FoundPlace, PlacedRun},
         send_watch::SendWatch,
-        silence::WaitEnd,
     },
     gullglade_dispatch::{Verdict, WorkItem},
     gullglade_poison::{RequestHold, RequestPrint},
@@ -302,7 +302,7 @@
             None => self.find_place().await?,
         };
         let SentRun { watch, end } = self.send(found);
-        let end = match self.wait_for(&watch, end).await {
+        let end = match self.wait_or_replace(&watch, end).await {
             WaitEnd::Came(end) => end,
             WaitEnd::Replaced => return Ok(None),
             WaitEnd::TimedOut => AttemptEnd::Unknown(UnknownReason::Overdue),
@@ -356,7 +356,7 @@
                 self.log.placed(&run.backend, expected_ms, copy);
                 let watch = RunWatch {
                     place: AttemptPlace::Here(run.backend.clone()),
-                    pulse: ticket.pulse(),
+                    liveness: ticket.liveness(),
                     patience: self.patience(expected_ms),
                     work_patience: None,
                 };
@@ -381,21 +381,20 @@
                 };
                 let may_repeat = self.may_be_replaced();
                 let watch = self.away_watch(&region);
-                let pulse = watch.pulse.clone();
+                let liveness = watch.liveness.clone();
                 let end = Box::pin(async move {
-                    proxy.forwarder().send(&region, forward, may_repeat, pulse).await
+                    proxy.forwarder().send(&region, forward, may_repeat, liveness).await
                 });
                 SentRun { watch, end }
             }
-            FoundPlace::Held(held) => {
-                self.log.away(&held.region, None, &self.item);
-                let watch = self.away_watch(&held.region);
-                let pulse = watch.pulse.clone();
+            FoundPlace::Reserved(reserved) => {
+                self.log.away(&reserved.region, None, &self.item);
+                let watch = self.away_watch(&reserved.region);
+                let liveness = watch.liveness.clone();
                 let service = self.item.service.clone();
-                let end =
-                    Box::pin(
-                        async move { proxy.forwarder().commit(held, &service, left, pulse).await },
-                    );
+                let end = Box::pin(async move {
+                    proxy.forwarder().commit(reserved, &service, left, liveness).await
+                });
                 SentRun { watch, end }
             }
         }
@@ -404,7 +403,7 @@
     fn away_watch(&self, region: &RegionName) -> RunWatch {
         RunWatch {
             place: AttemptPlace::Away(region.clone()),
-            pulse: RunPulse::Away(AwayPulse::new(&self.proxy.context().clock)),
+            liveness: RunLiveness::Away(RemoteLiveness::new(&self.proxy.context().clock)),
             patience: self.proxy.forwarder().accept_limit(region),
             work_patience: None,
         }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -22,15 +22,15 @@
 mod forward_server;
 mod hints;
 mod journey;
+mod liveness;
 mod notice;
 mod outcome;
 mod proxy;
-mod pulse;
 mod quota;
 mod relay;
+mod replacement;
 mod search;
 mod send_watch;
-mod silence;
 mod starting;
 mod unread_headers;
 
--- a/crates/proxy/src/pulse.rs
+++ b/crates/proxy/src/liveness.rs
@@ -21,7 +21,7 @@
     /// Where it is.
     pub(crate) place: AttemptPlace,
     /// Whether its backend server is at work.
-    pub(crate) pulse: RunPulse,
+    pub(crate) liveness: RunLiveness,
     /// How long nothing may come from it before another place is sought.
     pub(crate) patience: Duration,
     /// The same where its backend server is at work; `None`: to the end of the request.
@@ -30,44 +30,46 @@
 
 /// Whether the backend server of a run is at work.
 #[derive(Clone)]
-pub(crate) enum RunPulse {
+pub(crate) enum RunLiveness {
     /// A run in the own region.
-    Here(HerePulse),
+    Here(LocalLiveness),
     /// A run in another region.
-    Away(Rc<AwayPulse>),
+    Away(Rc<RemoteLiveness>),
 }
 
 impl RunWatch {
     /// Takes note of how long nothing has come from the run. Where its backend server answers
     /// nobody, that counts against it if the run is cancelled now.
     pub(crate) fn note_silence(&self, silence: Duration) {
-        let is_overdue = silence >= self.patience && !self.pulse.is_at_work();
-        self.pulse.set_overdue(is_overdue.then_some(silence));
+        let is_overdue = silence >= self.patience && !self.liveness.is_at_work();
+        self.liveness.set_overdue(is_overdue.then_some(silence));
     }
 
     /// The backend server, where it is known.
     pub(crate) fn backend(&self) -> Option<BackendName> {
-        match (&self.place, &self.pulse) {
+        match (&self.place, &self.liveness) {
             (AttemptPlace::Here(backend), _) => Some(backend.clone()),
-            (AttemptPlace::Away(_), RunPulse::Away(pulse)) => pulse.backend.borrow().clone(),
-            (AttemptPlace::Away(_), RunPulse::Here(_)) => None,
+            (AttemptPlace::Away(_), RunLiveness::Away(liveness)) => {
+                liveness.backend.borrow().clone()
+            }
+            (AttemptPlace::Away(_), RunLiveness::Here(_)) => None,
         }
     }
 }
 
-impl RunPulse {
+impl RunLiveness {
     /// Whether its backend server has answered anybody lately.
     pub(crate) fn is_at_work(&self) -> bool {
         match self {
-            Self::Here(pulse) => pulse.is_at_work(),
-            Self::Away(pulse) => pulse.is_at_work(),
+            Self::Here(liveness) => liveness.is_at_work(),
+            Self::Away(liveness) => liveness.is_at_work(),
         }
     }
 
     /// Whether the run, were it cancelled now, is to count as overdue: after this silence.
     pub(crate) fn set_overdue(&self, silence: Option<Duration>) {
         match self {
-            Self::Here(pulse) => pulse.overdue.set(silence),
+            Self::Here(liveness) => liveness.overdue.set(silence),
             // The gateway there sees that it is cancelled.
             Self::Away(_) => {}
         }
@@ -76,28 +78,28 @@
 
 /// The same of a run in the own region.
 #[derive(Clone)]
-pub(crate) struct HerePulse {
+pub(crate) struct LocalLiveness {
     pub(crate) dispatcher: Rc<Dispatcher>,
     pub(crate) ticket: TicketId,
     /// The silence after which it counts against the backend server where it is cancelled.
     pub(crate) overdue: Rc<Cell<Option<Duration>>>,
 }
 
-impl HerePulse {
+impl LocalLiveness {
     fn is_at_work(&self) -> bool {
         self.dispatcher.ask(|scheduler, now| scheduler.is_at_work(self.ticket, now))
     }
 }
 
 /// The same of a run in another region, as the gateway there tells.
-pub(crate) struct AwayPulse {
+pub(crate) struct RemoteLiveness {
     clock: Rc<dyn Clock>,
     /// When it last told something, and whether the run was at work by that.
     told: Cell<Option<(MonotonicTime, bool)>>,
     backend: RefCell<Option<BackendName>>,
 }
 
-impl AwayPulse {
+impl RemoteLiveness {
     /// That of a request that was not accepted yet.
     pub(crate) fn new(clock: &Rc<dyn Clock>) -> Rc<Self> {
         Rc::new(Self {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -4,9 +4,9 @@
     crate::{
         answer::{AnswerBody, AttemptAnswer},
         journey::Journey,
+        liveness::{RunLiveness, RunWatch},
         outcome::{AttemptPlace, FinalWord, UnknownReason},
-        pulse::{RunPulse, RunWatch},
-        silence::WaitEnd,
+        replacement::WaitEnd,
     },
     bytes::{Bytes, BytesMut},
     futures::stream::unfold,
@@ -76,11 +76,11 @@
 
     /// Reads an answer whole; `None` where it broke off and is to be asked for again.
     async fn whole(&mut self, answer: AttemptAnswer) -> Result<Option<RelayedReply>, FinalWord> {
-        let AttemptAnswer { place, pulse, status, headers, mut body } = answer;
-        let watch = self.body_watch(place, pulse);
+        let AttemptAnswer { place, liveness, status, headers, mut body } = answer;
+        let watch = self.body_watch(place, liveness);
         let mut whole = BytesMut::new();
         loop {
-            match self.wait_for(&watch, body.next()).await {
+            match self.wait_or_replace(&watch, body.next()).await {
                 WaitEnd::Came(None) => {
                     let body = RelayedBody::Whole(whole.freeze());
                     return Ok(Some(RelayedReply { status, headers, body }));
@@ -110,8 +110,8 @@
         &mut self,
         answer: AttemptAnswer,
     ) -> Result<Option<RelayedReply>, FinalWord> {
-        let AttemptAnswer { place, pulse, status, headers, body } = answer;
-        let mut events = EventReader::new(body, self.body_watch(place, pulse));
+        let AttemptAnswer { place, liveness, status, headers, body } = answer;
+        let mut events = EventReader::new(body, self.body_watch(place, liveness));
         match self.next_events(&mut events).await {
             EventStep::Events(first) => {
                 self.log.first_event();
@@ -130,16 +130,16 @@
         }
     }
 
-    fn body_watch(&self, place: AttemptPlace, pulse: RunPulse) -> RunWatch {
+    fn body_watch(&self, place: AttemptPlace, liveness: RunLiveness) -> RunWatch {
         let gap = self.item.route.gap_objective.unwrap_or_default() * GAP_FACTOR;
         let patience = gap.max(LEAST_GAP);
-        RunWatch { place, pulse, patience, work_patience: Some(patience * WORK_FACTOR) }
+        RunWatch { place, liveness, patience, work_patience: Some(patience * WORK_FACTOR) }
     }
 
     /// The next whole events. A run that ends without them is cancelled here.
     async fn next_events(&mut self, events: &mut EventReader) -> EventStep {
         let watch = events.watch.clone();
-        let step = match self.wait_for(&watch, events.next()).await {
+        let step = match self.wait_or_replace(&watch, events.next()).await {
             WaitEnd::Came(EventStep::Events(batch)) => self.take_events(batch),
             WaitEnd::Came(step) => step,
             WaitEnd::Replaced => EventStep::Replaced,
@@ -191,8 +191,8 @@
             let answer = self.next_answer().await?;
             if answer.status.is_success() && is_event_stream(&answer) {
                 self.log.resumed(reason, self.last_event);
-                let AttemptAnswer { place, pulse, body, .. } = answer;
-                return Ok(EventReader::new(body, self.body_watch(place, pulse)));
+                let AttemptAnswer { place, liveness, body, .. } = answer;
+                return Ok(EventReader::new(body, self.body_watch(place, liveness)));
             }
             drop(answer);
             self.after_unknown(UnknownReason::Garbled)?;
@@ -339,7 +339,7 @@
 
     /// Ends the run.
     fn cancel(&mut self) {
-        self.was_at_work = Some(self.watch.pulse.is_at_work());
+        self.was_at_work = Some(self.watch.liveness.is_at_work());
         self.body = None;
         self.buffer.clear();
     }
--- a/crates/proxy/src/silence.rs
+++ b/crates/proxy/src/replacement.rs
@@ -1,14 +1,14 @@
 //! The wait for a run, and the search for another place beside it.
 //!
-//! A run is given up only for another one that is secured: its place is held and its repeat is taken
+//! A run is given up only for another one that is secured: its place is reserved and its repeat is taken
 //! out of the budget. Until then what comes of the old one counts. It is ended before the new one
 //! is sent, as two backend servers must not work on one request.
 
 use {
     crate::{
         journey::Journey,
+        liveness::RunWatch,
         outcome::{AttemptEnd, RepeatReason, UnknownReason},
-        pulse::RunWatch,
         search::{FoundPlace, PlaceSearch},
     },
     futures::future::{Either, select},
@@ -36,7 +36,7 @@
 
 impl Journey {
     /// Waits for `next`, the next thing of `run`.
-    pub(crate) async fn wait_for<T>(
+    pub(crate) async fn wait_or_replace<T>(
         &mut self,
         run: &RunWatch,
         next: impl Future<Output = T>,
@@ -94,7 +94,7 @@
             silence: now.since(began),
             patience: run.patience,
             work_patience: run.work_patience,
-            is_at_work: run.pulse.is_at_work(),
+            is_at_work: run.liveness.is_at_work(),
             may_be_replaced: self.may_be_replaced(),
             left: self.left(),
             searches: failed.count,
@@ -131,7 +131,7 @@
             return false;
         }
         run.note_silence(silence);
-        self.log.replaced(run.pulse.is_at_work());
+        self.log.replaced(run.liveness.is_at_work());
         self.note_place(run, &AttemptEnd::Unknown(reason));
         self.replace_with(found);
         true
--- a/crates/proxy/src/search.rs
+++ b/crates/proxy/src/search.rs
@@ -5,9 +5,9 @@
         CallerCall, Proxy,
         call_print::CallPrint,
         dispatcher::SentTicket,
-        forward::{ForwardCall, HeldForward},
+        forward::{ForwardCall, ReservedForward},
         journey::Journey,
-        pulse::RunWatch,
+        liveness::RunWatch,
     },
     gullglade_dispatch::{PromptCopy, Verdict, WorkItem},
     gullglade_event::EventDraft,
@@ -21,8 +21,8 @@
     Here(PlacedRun),
     /// In another region, whose gateways have not been asked yet.
     Away(RegionName),
-    /// In another region, held by the dispatcher of a gateway there.
-    Held(HeldForward),
+    /// In another region, reserved by the dispatcher of a gateway there.
+    Reserved(ReservedForward),
 }
 
 impl FoundPlace {
@@ -30,7 +30,7 @@
     pub(crate) fn may_be_used(&self) -> bool {
         match self {
             Self::Here(placed) => placed.ticket.may_be_used(),
-            Self::Away(_) | Self::Held(_) => true,
+            Self::Away(_) | Self::Reserved(_) => true,
         }
     }
 }
@@ -68,7 +68,7 @@
         }
     }
 
-    /// A place that is held; `None` where nobody has one now. Dropped, it leaves the queue.
+    /// A place that is reserved; `None` where nobody has one now. Dropped, it leaves the queue.
     pub(crate) async fn run(self) -> Option<FoundPlace> {
         let (ticket, verdict) = self.proxy.dispatcher().place(self.item.clone()).await;
         match verdict {
@@ -78,7 +78,7 @@
             }
             Verdict::SendAway { region, .. } => {
                 drop(ticket);
-                self.hold(region).await
+                self.reserve(region).await
             }
             Verdict::Refuse { reason, facts, .. } => {
                 let event = self.refused().field("reason", reason).field("serving", facts.serving);
@@ -89,17 +89,17 @@
         }
     }
 
-    async fn hold(&self, region: RegionName) -> Option<FoundPlace> {
+    async fn reserve(&self, region: RegionName) -> Option<FoundPlace> {
         let now = self.proxy.context().clock.now();
         let forward = ForwardCall {
             print: self.print.made(),
             ..ForwardCall::new(&self.call, &self.item, self.last_event, now)
         };
-        let held = self.proxy.forwarder().hold(&region, forward).await;
-        if held.is_none() {
+        let reserved = self.proxy.forwarder().reserve(&region, forward).await;
+        if reserved.is_none() {
             self.proxy.events().emit(self.refused().field("region", region));
         }
-        held.map(FoundPlace::Held)
+        reserved.map(FoundPlace::Reserved)
     }
 
     fn refused(&self) -> EventDraft {
