--- a/crates/proxy/src/forward_server.rs
+++ b/crates/proxy/src/forward_server.rs
@@ -87,8 +87,8 @@
             Err(end) => return put_end(reply, end).await,
         };
         if let Some(token) = forward.reservation {
-            let await_commit = self.await_commit(token, reply).await?;
-            if !await_commit || journey.check_hold().is_err() || !found.may_be_used() {
+            let is_committed = self.await_commit(token, reply).await?;
+            if !is_committed || journey.check_hold().is_err() || !found.may_be_used() {
                 return put(reply, &ForwardPiece::NotRun(NotRunReason::Revoked, None)).await;
             }
         }
