A run that is replaced is kept until the new one has begun

What callers saw: streams that broke off, and 502s, up to 2.4 s before the time of their request was over, while the backend server that had worked on them would have gone on.

Cause: a silent run was ended as soon as a place was reserved and the repeat taken; the request was sent after that. A link that broke, a connection that was reset or a rejection between the two lost both runs. Ruled out: that the wrong run was given up. All three lose the request to what happens right after the old run's end, however long it was waited for.

Change: the new run is sent first, and both are kept for a moment (proxy::handover, with the times of dispatch::HandoverDelays, which has no I/O). The old run ends when the new one answers, or when the time is over and the new one is known to have begun: its bytes are written, or the gateway of the other region has answered words that it sent after the run had begun. Otherwise the old one goes on. A new run in another region holds a lease and ends by itself where its gateway says nothing more. Only one run is read to the caller.

The scripted backend servers of the tests now use the permit of a send, as the real client does.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`CacheEstimate`] knows which prompt parts a model engine probably still holds.
 //! - [`HealthRecord`] believes outcomes, and lets a suspect back by trial.
 //! - [`SilentRun`] says when another place is sought beside a run from which nothing comes.
+//! - [`HandoverDelays`] says how long such a run is kept beside the one that replaces it.
 //! - [`RepeatBudget`] and [`AllowanceShare`] divide what all gateways together may do.
 
 mod backoff;
@@ -16,6 +17,7 @@
 mod cache;
 mod facts;
 mod fade;
+mod handover;
 mod health;
 mod hint;
 mod limit;
@@ -37,6 +39,7 @@
     budget::{RepeatBudget, RepeatDecision},
     cache::CacheEstimate,
     facts::{BackendFacts, SchedulerSettings},
+    handover::{HandoverDelays, HandoverTimes},
     health::HealthRecord,
     hint::{BackendHint, LimitNews, RequestNews},
     limit::{InvalidLimit, StatedLimit},
--- a/crates/http/src/client/permit.rs
+++ b/crates/http/src/client/permit.rs
@@ -30,4 +30,9 @@
             self.state.compare_exchange(WAITING, BEGUN, Ordering::Relaxed, Ordering::Relaxed);
         begun != Err(REVOKED)
     }
+
+    /// Whether the request is being sent, or was.
+    pub fn has_begun(&self) -> bool {
+        self.state.load(Ordering::Relaxed) == BEGUN
+    }
 }
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -123,6 +123,11 @@
         }
     }
 
+    /// Whether the request is being sent, or was, to where it was placed.
+    pub(crate) fn has_begun(&self, ticket: TicketId) -> bool {
+        self.permits.borrow().get(&ticket).is_some_and(|(permit, _)| permit.has_begun())
+    }
+
     fn set_alarm(self: &Rc<Self>, now: MonotonicTime) {
         let Some(wake) = self.scheduler.borrow().next_wake() else { return };
         if self.alarm.get().is_some_and(|at| at <= wake && at > now) {
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -3,7 +3,9 @@
 use {
     crate::{
         CallId, CallerCall, Proxy,
-        outcome::{AttemptEnd, AttemptPlace, FinalWord, RepeatReason, UnknownReason, WaitLimit},
+        outcome::{
+            AttemptEnd, AttemptPlace, FinalWord, KeptReason, RepeatReason, UnknownReason, WaitLimit,
+        },
     },
     gullglade_dispatch::{PromptCopy, RefusalFacts, RefusalReason, RepeatDecision, WorkItem},
     gullglade_event::{EventDraft, EventSink, Level, MetricSet, RequestOutcome},
@@ -180,6 +182,17 @@
         self.events.emit(self.with_progress(event));
     }
 
+    /// The run that was to replace this one did not, and this one goes on.
+    pub(crate) fn kept(&self, place: &AttemptPlace, reason: KeptReason) {
+        let event = self.event("request.run_kept").field("reason", reason.label());
+        self.events.emit(self.with_progress(event.field("place", place)));
+    }
+
+    /// The calling gateway did not say in time that the run may go on.
+    pub(crate) fn lease_ended(&self) {
+        self.events.emit(self.event("request.lease_ended").level(Level::Warn));
+    }
+
     /// The budget of repeats was asked for one.
     pub(crate) fn repeat(&mut self, reason: RepeatReason, decision: RepeatDecision) {
         let RepeatDecision { is_granted, requests, repeats, parts } = decision;
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -8,7 +8,11 @@
         outcome::{AttemptEnd, AttemptPlace, NotRunReason, UnknownReason},
     },
     bytes::Bytes,
-    gullglade_dispatch::{FirstByteTimes, PromptShape, WorkItem},
+    futures::{
+        channel::oneshot,
+        future::{Either, select},
+    },
+    gullglade_dispatch::{FirstByteTimes, HandoverTimes, PromptShape, WorkItem},
     gullglade_fleet::{FleetFollower, GatewayRow},
     gullglade_http::BodyError,
     gullglade_peer::{PeerError, PeerFault, PeerStream, PeerTransport},
@@ -19,7 +23,7 @@
     },
     http::{HeaderMap, HeaderName, HeaderValue, StatusCode},
     serde::{Deserialize, Serialize},
-    std::{cmp::Reverse, collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration},
+    std::{cmp::Reverse, collections::BTreeSet, net::SocketAddr, pin::pin, rc::Rc, time::Duration},
 };
 
 /// The prefix of the methods that gateways serve to each other.
@@ -31,6 +35,13 @@
 /// Has a place used that a [`FORWARD`] reserved: the request is sent there.
 pub(crate) const COMMIT: &str = "proxy.commit";
 
+/// The same for a run that is to replace one that has not ended: it ends by itself where no
+/// [`KEEP`] comes in time.
+pub(crate) const LEASE: &str = "proxy.lease";
+
+/// Has a run that a [`LEASE`] began go on: the one that it replaces has ended.
+pub(crate) const KEEP: &str = "proxy.keep";
+
 /// Does nothing, and keeps a session in use.
 pub(crate) const WARM: &str = "proxy.warm";
 
@@ -57,8 +68,8 @@
 /// How long a gateway of another region is waited for that looks for a place to reserve.
 const MOST_RESERVE: Duration = Duration::from_secs(1);
 
-/// How often a gateway is told that a place is to be used, until it answers.
-const COMMIT_CALLS: u32 = 2;
+/// How often a gateway is told something of a place that it reserved, until it answers.
+const WORD_CALLS: u32 = 2;
 
 /// The most gateways of a region that are tried for one request. Each takes a connection that may
 /// hang until its time is up.
@@ -240,34 +251,61 @@
         }
     }
 
-    /// Has the request sent at the place that is reserved for it.
+    /// Has the request sent at the place that is reserved for it; with `times`, to replace a run
+    /// that has not ended.
     pub(crate) async fn commit(
         &self,
         reserved: ReservedForward,
         service: &ServiceName,
         left: Duration,
         liveness: RunLiveness,
+        times: Option<HandoverTimes>,
+        begun: oneshot::Sender<()>,
     ) -> AttemptEnd {
         let ReservedForward { region, gateway, token, stream } = reserved;
         let mut pieces = PieceStream { stream, liveness };
-        let body = Bytes::from(encode(&token));
-        let limit = left.min(self.accept_limit(&region));
-        // A word that is lost may be repeated. Where its answer is lost, too, what comes of the
-        // request itself tells what became of it.
-        for _ in 0..COMMIT_CALLS {
-            match self.transport.call(gateway, COMMIT, body.clone(), limit).await {
-                Ok(_) => break,
-                Err(error) if error.nothing_sent() => {
-                    return AttemptEnd::NotRun(NotRunReason::Revoked, None);
+        let (method, body, limit, words) = match times {
+            Some(times) => (LEASE, encode(&(token, times.lease)), times.word_limit, times.words),
+            None => (COMMIT, encode(&token), self.accept_limit(&region), 1),
+        };
+        let body = Bytes::from(body);
+        let word = async {
+            for _ in 0..words {
+                match tell(&*self.transport, gateway, method, &body, limit.min(left)).await {
+                    WordEnd::Heard => {}
+                    end => return end,
                 }
-                Err(_) => {}
             }
-        }
-        let clock = &*self.context.clock;
-        let Some(first) = timeout(clock, left, pieces.next()).await else {
-            return AttemptEnd::Unknown(UnknownReason::Overdue);
+            WordEnd::Heard
         };
-        self.head(&region, service, left, pieces, first).await
+        // Where an answer is lost, what comes of the request tells as much.
+        let first = match select(pin!(pieces.next()), pin!(word)).await {
+            Either::Left((first, _)) => Some(first),
+            Either::Right((WordEnd::Heard, next)) => {
+                // Nobody waits for it where no other run is to end.
+                let _: Result<(), ()> = begun.send(());
+                timeout(&*self.context.clock, left, next).await
+            }
+            Either::Right((WordEnd::Lost, next)) => timeout(&*self.context.clock, left, next).await,
+            Either::Right((WordEnd::Refused, _)) => {
+                return AttemptEnd::NotRun(NotRunReason::Revoked, None);
+            }
+        };
+        match first {
+            Some(first) => self.head(&region, service, left, pieces, first).await,
+            None => AttemptEnd::Unknown(UnknownReason::Overdue),
+        }
+    }
+
+    /// Has a run go on that was begun with a lease.
+    pub(crate) fn keep(&self, run: LeasedRun) {
+        let transport = Rc::clone(&self.transport);
+        self.context.spawner.spawn(Box::pin(async move {
+            let LeasedRun { gateway, token, limit } = run;
+            let body = Bytes::from(encode(&token));
+            // Where it is lost, the run ends, and its reply says so.
+            let _: WordEnd = tell(&*transport, gateway, KEEP, &body, limit).await;
+        }));
     }
 
     /// Sends the request to a gateway of `region`.
@@ -448,6 +486,33 @@
     stream: PeerStream,
 }
 
+impl ReservedForward {
+    /// What keeps the run that begins there with a lease.
+    pub(crate) fn leased(&self, times: HandoverTimes) -> LeasedRun {
+        let Self { gateway, token, .. } = *self;
+        LeasedRun { gateway, token, limit: times.keep_limit }
+    }
+}
+
+/// A run in another region that ends by itself unless its gateway is told to keep it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LeasedRun {
+    gateway: SocketAddr,
+    token: u64,
+    /// How long the answer to one word is waited for.
+    limit: Duration,
+}
+
+/// What became of a word to a gateway of another region.
+enum WordEnd {
+    /// It was heard and obeyed.
+    Heard,
+    /// It was not obeyed: nothing is reserved under that number.
+    Refused,
+    /// It may have been heard.
+    Lost,
+}
+
 /// The first piece of a reply; `None` where it ended without one.
 type FirstPiece = Option<NextPiece>;
 
@@ -500,6 +565,31 @@
     }
 }
 
+/// Tells a gateway something of a place that it reserved, again where no answer comes.
+async fn tell(
+    transport: &dyn PeerTransport,
+    gateway: SocketAddr,
+    method: &'static str,
+    body: &Bytes,
+    limit: Duration,
+) -> WordEnd {
+    let mut is_certain = true;
+    for _ in 0..WORD_CALLS {
+        match transport.call(gateway, method, body.clone(), limit).await {
+            Ok(answer) => match decode(&answer) {
+                Ok(false) if is_certain => return WordEnd::Refused,
+                Ok(true) => return WordEnd::Heard,
+                // The word before this one may have been heard.
+                Ok(false) | Err(_) => return WordEnd::Lost,
+            },
+            Err(PeerError::Fault { .. }) => return WordEnd::Refused,
+            Err(error) if error.nothing_sent() && is_certain => return WordEnd::Refused,
+            Err(_) => is_certain = false,
+        }
+    }
+    WordEnd::Lost
+}
+
 /// The piece after the word that the request has arrived. `first`: what came in time for it.
 async fn next_content(pieces: &mut PieceStream, first: FirstPiece) -> FirstPiece {
     match first {
--- a/crates/proxy/src/forward_server.rs
+++ b/crates/proxy/src/forward_server.rs
@@ -5,21 +5,22 @@
         CallerCall,
         answer::AttemptAnswer,
         forward::{
-            COMMIT, FORWARD, ForwardCall, ForwardPiece, PROXY_PREFIX, WARM, pack_headers,
-            unpack_headers,
+            COMMIT, FORWARD, ForwardCall, ForwardPiece, KEEP, LEASE, PROXY_PREFIX, WARM,
+            pack_headers, unpack_headers,
         },
         journey::{ForwardedWork, Journey, SentRun},
         liveness::RunWatch,
         outcome::{AttemptEnd, AttemptPlace, NotRunReason, UnknownReason},
         proxy::Proxy,
+        reservation::{ReservationGuard, ReservationTable},
         search::FoundPlace,
     },
     bytes::Bytes,
-    futures::channel::oneshot,
+    futures::future::{Either, pending, select},
     gullglade_peer::{HandlerTable, PeerFault, PeerHandler, PeerIdentity, PeerReplySink},
     gullglade_units::{LocalFuture, ServiceName, decode, encode, timeout},
     http::Method,
-    std::{cell::RefCell, collections::HashMap, pin::pin, rc::Rc, time::Duration},
+    std::{pin::pin, rc::Rc, time::Duration},
 };
 
 /// How long a place is reserved for the word that it is to be used. Nobody else gets it meanwhile.
@@ -31,8 +32,7 @@
 /// Makes attempts for gateways of other regions.
 pub struct ForwardServer {
     proxy: Proxy,
-    /// By the numbers of the places that are reserved: who is told that one is to be used.
-    reserved: RefCell<HashMap<u64, oneshot::Sender<()>>>,
+    reservations: ReservationTable,
 }
 
 impl ForwardServer {
@@ -40,7 +40,7 @@
     pub fn register(proxy: &Proxy, handlers: &HandlerTable) {
         handlers.register(
             PROXY_PREFIX,
-            Rc::new(Self { proxy: proxy.clone(), reserved: RefCell::default() }),
+            Rc::new(Self { proxy: proxy.clone(), reservations: ReservationTable::default() }),
         );
     }
 
@@ -86,13 +86,60 @@
             Ok(found) => found,
             Err(end) => return put_end(reply, end).await,
         };
-        if let Some(token) = forward.reservation {
-            let is_committed = self.await_commit(token, reply).await?;
-            if !is_committed || journey.check_hold().is_err() || !found.may_be_used() {
-                return put(reply, &ForwardPiece::NotRun(NotRunReason::Revoked, None)).await;
+        let Some(token) = forward.reservation else {
+            return self.attempt(&mut journey, found, reply).await;
+        };
+        let (reservation, used) = self.reservations.offer(token);
+        put(reply, &ForwardPiece::Placed).await?;
+        let clock = Rc::clone(&self.proxy.context().clock);
+        let committed = timeout(&*clock, RESERVATION_LIMIT, used).await;
+        let Some(Ok(lease)) = committed.filter(|_| found.may_be_used()) else {
+            return put(reply, &ForwardPiece::NotRun(NotRunReason::Revoked, None)).await;
+        };
+        if journey.check_hold().is_err() {
+            return put(reply, &ForwardPiece::NotRun(NotRunReason::Revoked, None)).await;
+        }
+        match lease {
+            Some(lease) => self.leased(&mut journey, found, reply, &reservation, lease).await,
+            None => self.attempt(&mut journey, found, reply).await,
+        }
+    }
+
+    /// Makes an attempt that ends after `lease`, unless the calling gateway says that it may go on.
+    async fn leased(
+        &self,
+        journey: &mut Journey,
+        found: FoundPlace,
+        reply: &mut PeerReplySink,
+        reservation: &ReservationGuard<'_>,
+        lease: Duration,
+    ) -> Result<(), PeerFault> {
+        let kept = reservation.begin_lease();
+        let clock = Rc::clone(&self.proxy.context().clock);
+        let is_lost = async {
+            if !matches!(timeout(&*clock, lease, kept).await, Some(Ok(()))) {
+                return;
+            }
+            pending().await
+        };
+        {
+            let attempt = pin!(self.attempt(journey, found, reply));
+            if let Either::Left((end, _)) = select(attempt, pin!(is_lost)).await {
+                return end;
             }
         }
-        let SentRun { watch, end } = journey.send(found);
+        journey.log.lease_ended();
+        put(reply, &ForwardPiece::Unknown(UnknownReason::LostAway)).await
+    }
+
+    /// Makes an attempt, and passes on what comes of it.
+    async fn attempt(
+        &self,
+        journey: &mut Journey,
+        found: FoundPlace,
+        reply: &mut PeerReplySink,
+    ) -> Result<(), PeerFault> {
+        let SentRun { watch, end, .. } = journey.send(found);
         match self.reported(&watch, reply, end).await? {
             AttemptEnd::Answer(answer) => self.relay(*answer, reply).await,
             end => {
@@ -118,16 +165,6 @@
         }
     }
 
-    /// Tells that a place is reserved, and waits for whether it is to be used.
-    async fn await_commit(&self, token: u64, reply: &mut PeerReplySink) -> Result<bool, PeerFault> {
-        let (sender, used) = oneshot::channel();
-        self.reserved.borrow_mut().insert(token, sender);
-        let _forgotten = ReservationGuard { reserved: &self.reserved, token };
-        put(reply, &ForwardPiece::Placed).await?;
-        let clock = Rc::clone(&self.proxy.context().clock);
-        Ok(matches!(timeout(&*clock, RESERVATION_LIMIT, used).await, Some(Ok(()))))
-    }
-
     /// Waits for `next`, the next thing of `run`, and tells the calling gateway meanwhile whether the
     /// backend server is at work. That gateway decides whether to wait on.
     async fn reported<T>(
@@ -180,21 +217,19 @@
     /// Has the place used that `body` names, where it is still reserved.
     fn commit(&self, body: &[u8]) -> Result<Bytes, PeerFault> {
         let token: u64 = decode(body).map_err(PeerFault::malformed)?;
-        let sender = self.reserved.borrow_mut().remove(&token);
-        let is_reserved = sender.is_some_and(|sender| sender.send(()).is_ok());
-        Ok(Bytes::from(encode(&is_reserved)))
+        Ok(Bytes::from(encode(&self.reservations.commit(token, None))))
     }
-}
 
-/// The number of a place that is reserved. Dropped, it means nothing any more.
-struct ReservationGuard<'a> {
-    reserved: &'a RefCell<HashMap<u64, oneshot::Sender<()>>>,
-    token: u64,
-}
+    /// The same with a lease.
+    fn lease(&self, body: &[u8]) -> Result<Bytes, PeerFault> {
+        let (token, lease): (u64, Duration) = decode(body).map_err(PeerFault::malformed)?;
+        Ok(Bytes::from(encode(&self.reservations.commit(token, Some(lease)))))
+    }
 
-impl Drop for ReservationGuard<'_> {
-    fn drop(&mut self) {
-        self.reserved.borrow_mut().remove(&self.token);
+    /// Has the run go on that `body` names, where it has not ended.
+    fn keep(&self, body: &[u8]) -> Result<Bytes, PeerFault> {
+        let token: u64 = decode(body).map_err(PeerFault::malformed)?;
+        Ok(Bytes::from(encode(&self.reservations.keep(token))))
     }
 }
 
@@ -223,6 +258,8 @@
             match method {
                 WARM => Ok(Bytes::new()),
                 COMMIT => self.commit(&body),
+                LEASE => self.lease(&body),
+                KEEP => self.keep(&body),
                 _ => Err(PeerFault::unknown_method(method)),
             }
         })
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -7,7 +7,7 @@
         attempt::{Attempt, promises_not_run},
         call_print::CallPrint,
         events::JourneyLog,
-        forward::ForwardCall,
+        forward::{ForwardCall, LeasedRun},
         liveness::{RemoteLiveness, RunLiveness, RunWatch},
         outcome::{
             AttemptEnd, AttemptPlace, FinalWord, NotRunReason, RepeatReason, UnknownReason,
@@ -18,7 +18,8 @@
         search::{FoundPlace, PlacedRun},
         send_watch::SendWatch,
     },
-    gullglade_dispatch::{Verdict, WorkItem},
+    futures::channel::oneshot,
+    gullglade_dispatch::{HandoverTimes, Verdict, WorkItem},
     gullglade_poison::{RequestHold, RequestPrint},
     gullglade_traffic::{TrafficRoute, TrafficWorkspace},
     gullglade_units::{
@@ -65,8 +66,8 @@
     refused: u32,
     /// A repeat that is to be taken out of the budget when there is a place for it.
     pending: Option<PendingRepeat>,
-    /// The place of the next attempt, where it is secured.
-    secured: Option<FoundPlace>,
+    /// The next attempt, where it is secured.
+    secured: Option<SecuredRun>,
     /// Whether a run was given up here for another one that has not begun yet.
     owes_run: bool,
     /// The last event that the caller has.
@@ -78,6 +79,24 @@
     pub(crate) watch: RunWatch,
     /// How the attempt ends. Dropped, it cancels the work.
     pub(crate) end: LocalFuture<'static, AttemptEnd>,
+    /// Of a run that began with a lease.
+    pub(crate) leased: Option<LeasedStart>,
+}
+
+/// The start of a run in another region, beside one that has not ended.
+pub(crate) struct LeasedStart {
+    /// What keeps it; it ends by itself otherwise.
+    pub(crate) run: LeasedRun,
+    /// Told when it is certain that the run has begun.
+    pub(crate) begun: oneshot::Receiver<()>,
+}
+
+/// The attempt that follows a run that was given up.
+pub(crate) enum SecuredRun {
+    /// Its place is reserved.
+    Place(FoundPlace),
+    /// It is under way.
+    Sent(SentRun),
 }
 
 /// A request that has arrived at a backend server and is to be sent once more.
@@ -297,11 +316,14 @@
     /// Makes one attempt: at the place that is secured, or at the next one that is given. `None`
     /// where another place was secured while nothing came from it.
     async fn attempt(&mut self) -> Result<Option<AttemptEnd>, FinalWord> {
-        let found = match self.secured.take() {
-            Some(found) => found,
-            None => self.find_place().await?,
+        let SentRun { watch, end, .. } = match self.secured.take() {
+            Some(SecuredRun::Sent(sent)) => sent,
+            Some(SecuredRun::Place(found)) => self.send(found),
+            None => {
+                let found = self.find_place().await?;
+                self.send(found)
+            }
         };
-        let SentRun { watch, end } = self.send(found);
         let end = match self.wait_or_replace(&watch, end).await {
             WaitEnd::Came(end) => end,
             WaitEnd::Replaced => return Ok(None),
@@ -344,6 +366,15 @@
 
     /// Sends it to a place.
     pub(crate) fn send(&mut self, found: FoundPlace) -> SentRun {
+        self.send_within(found, None)
+    }
+
+    /// Sends it to a place; with `times`, while the run that it is to replace has not ended.
+    pub(crate) fn send_within(
+        &mut self,
+        found: FoundPlace,
+        times: Option<HandoverTimes>,
+    ) -> SentRun {
         if let Some(charge) = &mut self.charge {
             charge.note_sent();
         }
@@ -372,7 +403,7 @@
                     is_once_only: !self.item.route.kind.may_repeat(),
                 };
                 let end = Box::pin(async move { proxy.attempts().send(attempt, ticket).await });
-                SentRun { watch, end }
+                SentRun { watch, end, leased: None }
             }
             FoundPlace::Away(region) => {
                 let forward = ForwardCall {
@@ -385,17 +416,20 @@
                 let end = Box::pin(async move {
                     proxy.forwarder().send(&region, forward, may_repeat, liveness).await
                 });
-                SentRun { watch, end }
+                SentRun { watch, end, leased: None }
             }
             FoundPlace::Reserved(reserved) => {
                 self.log.away(&reserved.region, None, &self.item);
                 let watch = self.away_watch(&reserved.region);
                 let liveness = watch.liveness.clone();
                 let service = self.item.service.clone();
+                let (told, begun) = oneshot::channel();
+                let leased = times.map(|times| LeasedStart { run: reserved.leased(times), begun });
                 let end = Box::pin(async move {
-                    proxy.forwarder().commit(reserved, &service, left, liveness).await
+                    let forwarder = proxy.forwarder();
+                    forwarder.commit(reserved, &service, left, liveness, times, told).await
                 });
-                SentRun { watch, end }
+                SentRun { watch, end, leased }
             }
         }
     }
@@ -409,11 +443,19 @@
         }
     }
 
-    /// Has the next attempt made at `found`, in place of the run that is under way.
-    pub(crate) fn replace_with(&mut self, found: FoundPlace) {
+    /// Has `secured` follow the run that is under way, which may have run.
+    pub(crate) fn replace_with(&mut self, secured: SecuredRun) {
         self.ran += 1;
         self.owes_run = true;
-        self.secured = Some(found);
+        self.secured = Some(secured);
+    }
+
+    /// Counts an attempt beside the run that is under way, which goes on.
+    pub(crate) fn count_beside(&mut self, end: &AttemptEnd) {
+        match end {
+            AttemptEnd::NotRun(..) => self.refused += 1,
+            AttemptEnd::Unknown(_) | AttemptEnd::Answer(_) => self.ran += 1,
+        }
     }
 
     /// Whether it may be sent. One under which backend servers ended would end the next one, with
--- a/crates/proxy/src/liveness.rs
+++ b/crates/proxy/src/liveness.rs
@@ -86,6 +86,11 @@
 }
 
 impl LocalLiveness {
+    /// Whether the request is being sent, or was.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.dispatcher.has_begun(self.ticket)
+    }
+
     fn is_at_work(&self) -> bool {
         self.dispatcher.ask(|scheduler, now| scheduler.is_at_work(self.ticket, now))
     }
--- a/crates/proxy/src/outcome.rs
+++ b/crates/proxy/src/outcome.rs
@@ -125,6 +125,28 @@
     }
 }
 
+/// Why a run goes on that was to be replaced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum KeptReason {
+    /// Its answer is complete.
+    Complete,
+    /// The new run failed, or was turned away.
+    NewFailed,
+    /// The new run was not known to have begun.
+    NewNotBegun,
+}
+
+impl KeptReason {
+    /// Its label in the log.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::NewFailed => "new_failed",
+            Self::NewNotBegun => "new_not_begun",
+        }
+    }
+}
+
 /// Why a request that has arrived at a backend server is to be sent once more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RepeatReason {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         answer::{AnswerBody, AttemptAnswer},
+        handover::{OutputState, RunOutput},
         journey::Journey,
         liveness::{RunLiveness, RunWatch},
         outcome::{AttemptPlace, FinalWord, UnknownReason},
@@ -316,11 +317,21 @@
 enum EventStep {
     Events(EventBatch),
     End,
-    /// Another place is secured.
+    /// Another run is secured.
     Replaced,
     Broken(UnknownReason),
 }
 
+impl RunOutput for EventStep {
+    fn state(&self) -> OutputState {
+        match self {
+            Self::Events(_) => OutputState::Progress,
+            Self::End => OutputState::Complete,
+            Self::Replaced | Self::Broken(_) => OutputState::Failed,
+        }
+    }
+}
+
 /// Takes whole events from a body. A run may break off inside an event, and a half one must not
 /// reach the caller: another run sends it again from its beginning.
 struct EventReader {
--- a/crates/proxy/src/replacement.rs
+++ b/crates/proxy/src/replacement.rs
@@ -1,15 +1,15 @@
 //! The wait for a run, and the search for another place beside it.
 //!
-//! A run is given up only for another one that is secured: its place is reserved and its repeat is taken
-//! out of the budget. Until then what comes of the old one counts. It is ended before the new one
-//! is sent, as two backend servers must not work on one request.
+//! A run is given up only for another one that is secured: its place is reserved, its repeat is
+//! taken out of the budget, and the new run has begun. Until then what comes of the old one counts.
 
 use {
     crate::{
+        handover::{HandoverEnd, RunOutput},
         journey::Journey,
         liveness::RunWatch,
-        outcome::{AttemptEnd, RepeatReason, UnknownReason},
-        search::{FoundPlace, PlaceSearch},
+        outcome::{RepeatReason, UnknownReason},
+        search::PlaceSearch,
     },
     futures::future::{Either, select},
     gullglade_dispatch::{SilenceStep, SilentRun},
@@ -21,7 +21,7 @@
 pub(crate) enum WaitEnd<T> {
     /// Something came.
     Came(T),
-    /// Another place is secured. The run is to be ended before anything is sent there.
+    /// Another run is secured. This one is to be ended before anything else is done.
     Replaced,
     /// The time of the request is over.
     TimedOut,
@@ -36,7 +36,7 @@
 
 impl Journey {
     /// Waits for `next`, the next thing of `run`.
-    pub(crate) async fn wait_or_replace<T>(
+    pub(crate) async fn wait_or_replace<T: RunOutput>(
         &mut self,
         run: &RunWatch,
         next: impl Future<Output = T>,
@@ -68,9 +68,14 @@
                     // Its backend server may have answered others during the search.
                     let step = self.silent_run(run, began, &failed).next_step();
                     if let Some(found) = found.filter(|_| step == SilenceStep::Search)
-                        && self.secure(run, found, clock.now().since(began))
+                        && self.take_overdue_repeat()
                     {
-                        return WaitEnd::Replaced;
+                        let silence = clock.now().since(began);
+                        match self.hand_over(run, next.as_mut(), found, silence).await {
+                            HandoverEnd::Came(output) => return WaitEnd::Came(output),
+                            HandoverEnd::Kept => {}
+                            HandoverEnd::Replaced => return WaitEnd::Replaced,
+                        }
                     }
                     failed = FailedSearches { count: failed.count + 1, last: Some(clock.now()) };
                 }
@@ -117,23 +122,16 @@
         Some(PlaceSearch::beside(self, run))
     }
 
-    /// Takes the repeat for `found`. Without one left the place is given back, and `run` goes on.
-    fn secure(&mut self, run: &RunWatch, found: FoundPlace, silence: Duration) -> bool {
+    /// Takes the repeat for the place that was found. Without one left the place is given back,
+    /// and the run goes on.
+    fn take_overdue_repeat(&mut self) -> bool {
         if self.check_hold().is_err() {
             return false;
         }
-        let reason = UnknownReason::Overdue;
         let service = &self.item.service;
         let dispatcher = self.proxy.dispatcher();
         let decision = dispatcher.ask(|scheduler, now| scheduler.take_repeat(service, now));
-        self.log.repeat(RepeatReason::Unknown(reason), decision);
-        if !decision.is_granted {
-            return false;
-        }
-        run.note_silence(silence);
-        self.log.replaced(run.liveness.is_at_work());
-        self.note_place(run, &AttemptEnd::Unknown(reason));
-        self.replace_with(found);
-        true
+        self.log.repeat(RepeatReason::Unknown(UnknownReason::Overdue), decision);
+        decision.is_granted
     }
 }
--- /dev/null
+++ b/crates/proxy/tests/handover.rs
@@ -0,0 +1,146 @@
+//! From a silent run to the one that replaces it: what fails in that moment loses nothing.
+
+mod support;
+
+use {
+    futures::future::join,
+    gullglade_traffic::RequestKind,
+    std::time::Duration,
+    support::{BedSettings, Deed, Script, TestBed, address, take},
+};
+
+const IDEMPOTENT: RequestKind = RequestKind::Idempotent;
+const RESUMABLE: RequestKind = RequestKind::Stream { resumable: true };
+
+const ALL: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+const FIRST: &str = "id: 1\ndata: a\n\n";
+const REST: &str = "id: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+
+/// Longer than any wait for a run that another one might replace, shorter than callers wait.
+const LONG_PAUSE: Duration = Duration::from_millis(2_800);
+
+/// To the other region and back.
+const ROUND_TRIP: Duration = Duration::from_millis(110);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Backend servers of their own names in both regions, so many in each.
+fn settings(kind: RequestKind, backends: (u8, u8)) -> BedSettings {
+    BedSettings { backends, east_names: "e-", ..BedSettings::of(kind) }
+}
+
+fn turned_away() -> Deed {
+    Deed::Answer(Script::signed(503, &[]).header("not-run", "1"))
+}
+
+/// A run that goes on after a long pause: a stream in its middle, a whole answer in its middle, or
+/// one before its head.
+fn paused_runs() -> [(&'static str, RequestKind, Script, &'static str); 3] {
+    [
+        ("stream", RESUMABLE, Script::events(&[FIRST, REST]).paused(1, LONG_PAUSE), ALL),
+        ("body", IDEMPOTENT, Script::signed(200, &["one", "two"]).paused(1, LONG_PAUSE), "onetwo"),
+        ("head", IDEMPOTENT, Script::signed(200, &["late"]).after(LONG_PAUSE), "late"),
+    ]
+}
+
+#[test]
+fn a_run_goes_on_where_the_one_that_is_to_replace_it_fails() {
+    // The old run was ended right before the new one broke or was turned away.
+    struct Case {
+        what: &'static str,
+        backends: (u8, u8),
+        new: fn() -> Deed,
+    }
+    let case = |what, backends, new| Case { what, backends, new };
+    let cases = [
+        case("broken here", (2, 0), || Deed::Close),
+        case("turned away here", (2, 0), turned_away),
+        case("not reached here", (2, 0), || Deed::Unreachable),
+        case("a failure here", (2, 0), || Deed::Answer(Script::signed(500, &["no"]))),
+        case("broken in the other region", (1, 1), || Deed::Close),
+        case("turned away in the other region", (1, 1), turned_away),
+        case("not reached in the other region", (1, 1), || Deed::Unreachable),
+    ];
+    for (run, kind, script, whole) in paused_runs() {
+        for Case { what, backends, new } in &cases {
+            let bed = TestBed::new(&settings(kind, *backends));
+            bed.script(0, &[Deed::Answer(script.clone())]);
+            let there = usize::from(backends.1 > 0);
+            bed.script(there, &vec![new(); 8]);
+            let served = bed.serve(bed.call());
+            let got = (served.status, served.is_broken, served.body.as_str());
+            assert_eq!(got, (200, false, whole), "{run}, {what}: {:#?}", bed.events.lines());
+            let lines = bed.events.lines();
+            let kept = lines.iter().any(|line| line.starts_with("request.run_kept"));
+            assert!(kept, "{run}, {what}: not replaced: {lines:#?}");
+        }
+    }
+}
+
+#[test]
+fn a_link_that_breaks_at_any_moment_of_a_handover_loses_no_run() {
+    // The word that the new run may begin, or its answer, was lost with the link.
+    for (run, kind, script, whole) in paused_runs() {
+        // A search begins after 0.15 to 1.2 s, and its words take up to half a second.
+        for cut_after in (150..1_500).step_by(15) {
+            let bed = TestBed::new(&settings(kind, (1, 1)));
+            bed.script(0, &[Deed::Answer(script.clone())]);
+            bed.script(1, &[Deed::Hang, Deed::Hang]);
+            let began = bed.world.now();
+            let clock = bed.clock();
+            let cut = async {
+                clock.sleep(ms(cut_after)).await;
+                bed.link.cut(address(2), address(3));
+            };
+            let (served, ()) = bed.world.run_until(join(take(bed.proxy(), bed.call()), cut));
+            let ended = bed.backends(0).cancelled_at.borrow().first().copied();
+            let begun = bed.backends(1).arrivals.borrow().first().map(|arrival| arrival.at);
+            // Lost is a run that had begun in the other region, and replaced the old one, before
+            // its gateway could know of the cut.
+            let cut_at = began + ms(cut_after);
+            let is_over = begun.is_some_and(|begun| begun <= cut_at)
+                && ended.is_some_and(|ended| ended <= cut_at + ROUND_TRIP);
+            let got = (served.status, served.is_broken, served.body.as_str());
+            let is_whole = ended.is_none() && got == (200, false, whole);
+            let lines = bed.events.lines();
+            assert!(is_whole || is_over, "{run}, cut after {cut_after} ms: {got:?}: {lines:#?}");
+        }
+    }
+}
+
+#[test]
+fn a_run_in_another_region_ends_where_its_gateway_says_nothing_more() {
+    // Runs went on for nobody after a link had broken in a handover.
+    for cut_after in [1_375, 1_400, 1_425] {
+        let bed = TestBed::new(&settings(RESUMABLE, (1, 1)));
+        let silent = Script::events(&[FIRST, REST]).paused(1, LONG_PAUSE);
+        bed.script(0, &[Deed::Answer(silent)]);
+        bed.script(1, &[Deed::Hang, Deed::Hang]);
+        let clock = bed.clock();
+        let cut = async {
+            clock.sleep(ms(cut_after)).await;
+            bed.link.cut(address(2), address(3));
+        };
+        let (served, ()) = bed.world.run_until(join(take(bed.proxy(), bed.call()), cut));
+        assert_eq!((served.is_broken, served.body.as_str()), (false, ALL), "{cut_after}");
+        let begun = bed.backends(1).arrivals.borrow().first().expect("a second run").at;
+        let ended = bed.backends(1).cancelled_at.borrow().first().copied();
+        let lasted = ended.expect("its end").since(begun);
+        assert!(lasted <= ms(1_000), "cut after {cut_after} ms: it ran for {lasted:?}");
+    }
+}
+
+#[test]
+fn an_answer_that_completes_in_a_handover_is_passed_on() {
+    // A whole answer was dropped for a run that had just begun.
+    let bed = TestBed::new(&settings(RESUMABLE, (2, 0)));
+    let late = Script::events(&[ALL, ""]).paused(1, ms(1_250));
+    bed.script(0, &[Deed::Answer(late), Deed::Hang]);
+    let served = bed.serve(bed.call());
+    let got = (served.status, served.is_broken, served.body.as_str());
+    assert_eq!(got, (200, false, ALL), "{:#?}", bed.events.lines());
+    let arrivals = bed.backends(0).arrivals.borrow().len();
+    assert_eq!(arrivals, 2, "no handover");
+}
--- a/crates/proxy/tests/support/servers.rs
+++ b/crates/proxy/tests/support/servers.rs
@@ -164,9 +164,9 @@
         }
         if let Deed::Accept(after, _) = &deed {
             self.context.clock.sleep(*after).await;
-            if request.extensions().get::<SendPermit>().is_some_and(|permit| !permit.begin()) {
-                return Err(ClientError::Revoked { address });
-            }
+        }
+        if request.extensions().get::<SendPermit>().is_some_and(|permit| !permit.begin()) {
+            return Err(ClientError::Revoked { address });
         }
         let (head, body) = request.into_parts();
         let target = head.uri.to_string();
