A word to another region that is never answered ends the wait

What callers saw: where the link was cut while a reserved place was told that it is to be used, nothing more came until the deadline (replacement.rs on: request.away at 1,316 ms, then attempt_failed pause_ms=3994 limit=deadline at 4,000).

Cause: Forwarder::commit gave the reply all the time that was left, also where both of its calls had failed, and with the attempts used up no search ran beside it. Now the attempt ends as lost with its second call, and the region is paused like any to which a forward was lost. It matters where the old run still has to end first, over long links; elsewhere the old run is kept.

Test: a_word_that_is_never_answered_is_not_waited_for_to_the_deadline, which failed before (cut after 1,540 ms: limit=deadline). silent_plays with 10,000 schedules: no rule broken, as before.

--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -286,7 +286,7 @@
                 let _: Result<(), ()> = begun.send(());
                 timeout(&*self.context.clock, left, next).await
             }
-            Either::Right((WordEnd::Lost, next)) => timeout(&*self.context.clock, left, next).await,
+            Either::Right((WordEnd::Lost, _)) => return self.lost(&region),
             Either::Right((WordEnd::Refused, _)) => {
                 return AttemptEnd::NotRun(NotRunReason::Revoked, None);
             }
--- a/crates/proxy/tests/handover.rs
+++ b/crates/proxy/tests/handover.rs
@@ -144,3 +144,30 @@
     let arrivals = bed.backends(0).arrivals.borrow().len();
     assert_eq!(arrivals, 2, "no handover");
 }
+
+#[test]
+fn a_word_that_is_never_answered_is_not_waited_for_to_the_deadline() {
+    // A caller was left waiting for a run that nobody had been told to begin.
+    let mut lost = 0;
+    for cut_after in (1_200..2_000).step_by(20) {
+        let bed = TestBed::new(&settings(RESUMABLE, (0, 2)));
+        bed.link.set_delay(ms(110));
+        let silent = Script::events(&[FIRST, REST]).paused(1, LONG_PAUSE);
+        bed.script(1, &[Deed::Answer(silent), Deed::Hang, Deed::Hang]);
+        let clock = bed.clock();
+        let cut = async {
+            clock.sleep(ms(cut_after)).await;
+            bed.link.cut(address(2), address(3));
+        };
+        bed.world.run_until(join(take(bed.proxy(), bed.call()), cut));
+        let lines = bed.events.lines();
+        let given_up = |line: &&String| line.starts_with("request.away");
+        let never_began = bed.backends(1).arrivals.borrow().len() == 1;
+        if lines.iter().filter(given_up).count() == 2 && never_began {
+            lost += 1;
+            let is_late = lines.iter().any(|line| line.contains("limit=deadline"));
+            assert!(!is_late, "cut after {cut_after} ms: {lines:#?}");
+        }
+    }
+    assert!(lost > 0, "no word was lost");
+}
