One word commits a reserved place for good, also after a lease

The table of reservations now makes the lease with the word that begins it, and proxy.commit stands for "for good" in every state: it begins a run, or ends the lease of one. One method less, and a lost first word is made up for by it.

A new run of the own region that was not sent by the end of the handover counts as not run, as it certainly is; before it counted as an attempt.

--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -32,16 +32,14 @@
 /// Makes one attempt at a request in the region of the gateway that is called.
 pub(crate) const FORWARD: &str = "proxy.forward";
 
-/// Has a place used that a [`FORWARD`] reserved: the request is sent there.
+/// Has a place used for good that a [`FORWARD`] reserved: the request is sent there. After a
+/// [`LEASE`] its run goes on.
 pub(crate) const COMMIT: &str = "proxy.commit";
 
-/// The same for a run that is to replace one that has not ended: it ends by itself where no
-/// [`KEEP`] comes in time.
+/// Has such a place used for a run that is to replace one that has not ended. It ends by itself
+/// where no [`COMMIT`] comes in time.
 pub(crate) const LEASE: &str = "proxy.lease";
 
-/// Has a run that a [`LEASE`] began go on: the one that it replaces has ended.
-pub(crate) const KEEP: &str = "proxy.keep";
-
 /// Does nothing, and keeps a session in use.
 pub(crate) const WARM: &str = "proxy.warm";
 
@@ -304,7 +302,7 @@
             let LeasedRun { gateway, token, limit } = run;
             let body = Bytes::from(encode(&token));
             // Where it is lost, the run ends, and its reply says so.
-            let _: WordEnd = tell(&*transport, gateway, KEEP, &body, limit).await;
+            let _: WordEnd = tell(&*transport, gateway, COMMIT, &body, limit).await;
         }));
     }
 
--- a/crates/proxy/src/forward_server.rs
+++ b/crates/proxy/src/forward_server.rs
@@ -5,18 +5,18 @@
         CallerCall,
         answer::AttemptAnswer,
         forward::{
-            COMMIT, FORWARD, ForwardCall, ForwardPiece, KEEP, LEASE, PROXY_PREFIX, WARM,
-            pack_headers, unpack_headers,
+            COMMIT, FORWARD, ForwardCall, ForwardPiece, LEASE, PROXY_PREFIX, WARM, pack_headers,
+            unpack_headers,
         },
         journey::{ForwardedWork, Journey, SentRun},
         liveness::RunWatch,
         outcome::{AttemptEnd, AttemptPlace, NotRunReason, UnknownReason},
         proxy::Proxy,
-        reservation::{ReservationGuard, ReservationTable},
+        reservation::ReservationTable,
         search::FoundPlace,
     },
     bytes::Bytes,
-    futures::future::{Either, pending, select},
+    futures::future::{Either, select},
     gullglade_peer::{HandlerTable, PeerFault, PeerHandler, PeerIdentity, PeerReplySink},
     gullglade_units::{LocalFuture, ServiceName, decode, encode, timeout},
     http::Method,
@@ -89,42 +89,18 @@
         let Some(token) = forward.reservation else {
             return self.attempt(&mut journey, found, reply).await;
         };
-        let (reservation, used) = self.reservations.offer(token);
+        let (_reservation, used) = self.reservations.offer(token);
         put(reply, &ForwardPiece::Placed).await?;
         let clock = Rc::clone(&self.proxy.context().clock);
         let committed = timeout(&*clock, RESERVATION_LIMIT, used).await;
-        let Some(Ok(lease)) = committed.filter(|_| found.may_be_used()) else {
+        let may_begin = found.may_be_used() && journey.check_hold().is_ok();
+        let Some(Ok(commitment)) = committed.filter(|_| may_begin) else {
             return put(reply, &ForwardPiece::NotRun(NotRunReason::Revoked, None)).await;
         };
-        if journey.check_hold().is_err() {
-            return put(reply, &ForwardPiece::NotRun(NotRunReason::Revoked, None)).await;
-        }
-        match lease {
-            Some(lease) => self.leased(&mut journey, found, reply, &reservation, lease).await,
-            None => self.attempt(&mut journey, found, reply).await,
-        }
-    }
-
-    /// Makes an attempt that ends after `lease`, unless the calling gateway says that it may go on.
-    async fn leased(
-        &self,
-        journey: &mut Journey,
-        found: FoundPlace,
-        reply: &mut PeerReplySink,
-        reservation: &ReservationGuard<'_>,
-        lease: Duration,
-    ) -> Result<(), PeerFault> {
-        let kept = reservation.begin_lease();
-        let clock = Rc::clone(&self.proxy.context().clock);
-        let is_lost = async {
-            if !matches!(timeout(&*clock, lease, kept).await, Some(Ok(()))) {
-                return;
-            }
-            pending().await
-        };
         {
-            let attempt = pin!(self.attempt(journey, found, reply));
-            if let Either::Left((end, _)) = select(attempt, pin!(is_lost)).await {
+            let attempt = pin!(self.attempt(&mut journey, found, reply));
+            let ended = pin!(commitment.ended(&*clock));
+            if let Either::Left((end, _)) = select(attempt, ended).await {
                 return end;
             }
         }
@@ -214,23 +190,17 @@
         Ok(())
     }
 
-    /// Has the place used that `body` names, where it is still reserved.
+    /// Has the place used for good that `body` names, where it is still reserved.
     fn commit(&self, body: &[u8]) -> Result<Bytes, PeerFault> {
         let token: u64 = decode(body).map_err(PeerFault::malformed)?;
         Ok(Bytes::from(encode(&self.reservations.commit(token, None))))
     }
 
-    /// The same with a lease.
+    /// Has it used with a lease.
     fn lease(&self, body: &[u8]) -> Result<Bytes, PeerFault> {
         let (token, lease): (u64, Duration) = decode(body).map_err(PeerFault::malformed)?;
         Ok(Bytes::from(encode(&self.reservations.commit(token, Some(lease)))))
     }
-
-    /// Has the run go on that `body` names, where it has not ended.
-    fn keep(&self, body: &[u8]) -> Result<Bytes, PeerFault> {
-        let token: u64 = decode(body).map_err(PeerFault::malformed)?;
-        Ok(Bytes::from(encode(&self.reservations.keep(token))))
-    }
 }
 
 /// Tells how an attempt ended without an answer.
@@ -259,7 +229,6 @@
                 WARM => Ok(Bytes::new()),
                 COMMIT => self.commit(&body),
                 LEASE => self.lease(&body),
-                KEEP => self.keep(&body),
                 _ => Err(PeerFault::unknown_method(method)),
             }
         })
--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -10,7 +10,7 @@
     crate::{
         journey::{Journey, LeasedStart, SecuredRun, SentRun},
         liveness::{RunLiveness, RunWatch},
-        outcome::{AttemptEnd, AttemptPlace, KeptReason, UnknownReason},
+        outcome::{AttemptEnd, AttemptPlace, KeptReason, NotRunReason, UnknownReason},
         search::FoundPlace,
     },
     bytes::Bytes,
@@ -120,7 +120,7 @@
                 Box::pin(ready(attempt))
             }
             NewRunStep::Settled(false) => {
-                self.ran_beside(&watch, KeptReason::NewNotBegun);
+                self.not_begun_beside(&watch);
                 return held.map_or(HandoverEnd::Kept, HandoverEnd::Came);
             }
             NewRunStep::Ended(attempt) => {
@@ -191,6 +191,17 @@
         self.count_beside(&AttemptEnd::Unknown(UnknownReason::Overdue));
     }
 
+    /// The new run is ended before it is known to have begun. In the own region it has not.
+    fn not_begun_beside(&mut self, new: &RunWatch) {
+        let end = match new.place {
+            AttemptPlace::Here(_) => AttemptEnd::NotRun(NotRunReason::Unreachable, None),
+            AttemptPlace::Away(_) => AttemptEnd::Unknown(UnknownReason::LostAway),
+        };
+        self.note_place(new, &end);
+        self.log.kept(&new.place, KeptReason::NewNotBegun);
+        self.count_beside(&end);
+    }
+
     /// The new run has ended as `end` says.
     fn failed_beside(&mut self, new: &RunWatch, end: AttemptEnd) {
         let end = match end {
--- a/crates/proxy/src/reservation.rs
+++ b/crates/proxy/src/reservation.rs
@@ -2,19 +2,39 @@
 
 use {
     futures::channel::oneshot,
-    std::{cell::RefCell, collections::HashMap, time::Duration},
+    gullglade_units::{Clock, timeout},
+    std::{cell::RefCell, collections::HashMap, future::pending, time::Duration},
 };
 
 /// What the calling gateway has said of a place.
 enum ReservedPlace {
-    /// Nothing yet. Told: the lease of the run, where it has one.
-    Offered(oneshot::Sender<Option<Duration>>),
+    /// Nothing yet. Told: that it is to be used.
+    Offered(oneshot::Sender<RunCommitment>),
     /// The request was sent there. Told: that the run may go on after its lease.
     Leased(oneshot::Sender<()>),
-    /// The run goes on.
+    /// The request was sent there for good.
     Kept,
 }
 
+/// What a run is begun for.
+pub(crate) struct RunCommitment {
+    /// Where it replaces a run that has not ended: how long it may go on without a further word,
+    /// and that word.
+    lease: Option<(Duration, oneshot::Receiver<()>)>,
+}
+
+impl RunCommitment {
+    /// Returns when the run has to end, as its gateway has not said that it may go on.
+    pub(crate) async fn ended(self, clock: &dyn Clock) {
+        if let Some((lease, kept)) = self.lease
+            && !matches!(timeout(clock, lease, kept).await, Some(Ok(())))
+        {
+            return;
+        }
+        pending().await
+    }
+}
+
 /// All of them, by their numbers. Each word may come twice.
 #[derive(Default)]
 pub(crate) struct ReservationTable(RefCell<HashMap<u64, ReservedPlace>>);
@@ -26,62 +46,39 @@
 }
 
 impl ReservationTable {
-    /// Offers a place under `token`. The receiver is told that it is to be used, and the lease.
+    /// Offers a place under `token`. The receiver is told that it is to be used.
     pub(crate) fn offer(
         &self,
         token: u64,
-    ) -> (ReservationGuard<'_>, oneshot::Receiver<Option<Duration>>) {
+    ) -> (ReservationGuard<'_>, oneshot::Receiver<RunCommitment>) {
         let (sender, used) = oneshot::channel();
         self.0.borrow_mut().insert(token, ReservedPlace::Offered(sender));
         (ReservationGuard { table: self, token }, used)
     }
 
-    /// Has the place used, with a lease or for good; false where it is no longer reserved.
+    /// Has the place used, with a lease or for good, also after a lease; false where it is no
+    /// longer reserved, or its run has ended.
     pub(crate) fn commit(&self, token: u64, lease: Option<Duration>) -> bool {
         let mut places = self.0.borrow_mut();
-        match places.remove(&token) {
-            None => false,
-            Some(ReservedPlace::Offered(sender)) => {
-                let is_reserved = sender.send(lease).is_ok();
-                if is_reserved {
-                    places.insert(token, ReservedPlace::Kept);
-                }
-                is_reserved
-            }
-            Some(begun) => {
-                places.insert(token, begun);
-                true
-            }
-        }
-    }
-
-    /// Has a run go on after its lease; false where it has ended.
-    pub(crate) fn keep(&self, token: u64) -> bool {
-        let mut places = self.0.borrow_mut();
-        match places.remove(&token) {
-            None => false,
-            Some(ReservedPlace::Leased(sender)) => {
-                let is_running = sender.send(()).is_ok();
-                if is_running {
-                    places.insert(token, ReservedPlace::Kept);
-                }
-                is_running
+        let Some(place) = places.remove(&token) else { return false };
+        let next = match place {
+            ReservedPlace::Offered(used) => {
+                let (keep, kept) = oneshot::channel();
+                let next = match lease {
+                    Some(_) => ReservedPlace::Leased(keep),
+                    None => ReservedPlace::Kept,
+                };
+                let lease = lease.map(|lease| (lease, kept));
+                used.send(RunCommitment { lease }).is_ok().then_some(next)
             }
-            Some(place) => {
-                let is_kept = matches!(place, ReservedPlace::Kept);
-                places.insert(token, place);
-                is_kept
+            ReservedPlace::Leased(keep) if lease.is_none() => {
+                keep.send(()).is_ok().then_some(ReservedPlace::Kept)
             }
-        }
-    }
-}
-
-impl ReservationGuard<'_> {
-    /// The run begins with a lease; told when it may go on after that.
-    pub(crate) fn begin_lease(&self) -> oneshot::Receiver<()> {
-        let (sender, kept) = oneshot::channel();
-        self.table.0.borrow_mut().insert(self.token, ReservedPlace::Leased(sender));
-        kept
+            begun => Some(begun),
+        };
+        let is_reserved = next.is_some();
+        places.extend(next.map(|place| (token, place)));
+        is_reserved
     }
 }
 
--- a/crates/proxy/tests/handover.rs
+++ b/crates/proxy/tests/handover.rs
@@ -171,3 +171,22 @@
     }
     assert!(lost > 0, "no word was lost");
 }
+
+#[test]
+fn a_run_that_fails_by_itself_in_a_handover_leaves_the_new_one() {
+    // The word that the old run had ended came before the new run had its lease.
+    for backends in [(2, 0), (1, 1)] {
+        for fails_after in (1_150..1_700).step_by(5) {
+            let bed = TestBed::new(&settings(RESUMABLE, backends));
+            let failing = Script::events(&[FIRST]).paused(1, ms(fails_after)).broken();
+            bed.script(0, &[Deed::Answer(failing)]);
+            let there = usize::from(backends.1 > 0);
+            let rest = Script::events(&[REST]).after(ms(1_500));
+            bed.script(there, &[Deed::Answer(rest)]);
+            let served = bed.serve(bed.call());
+            let got = (served.status, served.is_broken, served.body.as_str());
+            let lines = bed.events.lines();
+            assert_eq!(got, (200, false, ALL), "{backends:?}, after {fails_after} ms: {lines:#?}");
+        }
+    }
+}
