Handover: one way to take a repeat, one round trip, one cut of the link in its tests

Three pieces stood twice: - Taking a repeat out of the budget and telling of it: Journey::take_repeat and take_overdue_repeat. Both call Journey::take_from_budget. - The usual time to a region and back, from the scheduler's milliseconds: Forwarder::accept_limit and handover_times. Both call Forwarder::round_trip. - The closure that cuts the link during a call, three times in the handover tests: serve_with_cut. The assertions are as they were. Within HandoverDelays the limit of 250 ms and the one for the last word are named once.

--- a/crates/dispatch/src/handover.rs
+++ b/crates/dispatch/src/handover.rs
@@ -21,14 +21,13 @@
 /// A cancellation may take so many times its usual time before both runs are together too long.
 const CANCEL_FACTOR: u32 = 2;
 
-/// The longest that both runs may be expected to be together in the own region.
+/// The longest that both runs may usually be expected to be together.
 const MOST_TOGETHER: Duration = Duration::from_millis(250);
 
 /// How many words a gateway of another region has to answer before the old run is ended, and the
 /// longest that both runs may then be expected to be together. A second answer tells that the link
 /// has not failed since the new run began; over long links there is no time for it.
-const WORDS: [(u32, Duration); 2] =
-    [(2, Duration::from_millis(250)), (1, Duration::from_millis(350))];
+const WORDS: [(u32, Duration); 2] = [(2, MOST_TOGETHER), (1, Duration::from_millis(350))];
 
 /// The usual delays of words to the two runs. Zero: in the own region.
 #[derive(Clone, Copy, Debug, Default)]
@@ -73,14 +72,15 @@
     fn within(&self, words: u32, overlap: Duration, most: Duration) -> Option<HandoverTimes> {
         let together = overlap.saturating_sub(self.begin) + self.cancel * CANCEL_FACTOR;
         let word_limit = self.begin * 2 + WORD_MARGIN;
+        let keep_limit = word_limit.max(KEEP_LIMIT);
         (together <= most).then_some(HandoverTimes {
             overlap,
             grace: WORD_MARGIN,
             words,
             word_limit,
-            keep_limit: word_limit.max(KEEP_LIMIT),
+            keep_limit,
             // The word that the old run has ended may be late, or lost once.
-            lease: overlap + word_limit.max(KEEP_LIMIT) + word_limit,
+            lease: overlap + keep_limit + word_limit,
         })
     }
 }
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -329,8 +329,13 @@
 
     /// How long the word of arrival may take.
     pub(crate) fn accept_limit(&self, region: &RegionName) -> Duration {
+        LEAST_ACCEPT.max(self.round_trip(region) * ACCEPT_FACTOR)
+    }
+
+    /// The usual time of a word to the region and its answer.
+    pub(crate) fn round_trip(&self, region: &RegionName) -> Duration {
         let usual_ms = self.dispatcher.ask(|scheduler, _| scheduler.region_delay_ms(region));
-        LEAST_ACCEPT.max(Duration::from_secs_f64(usual_ms / 1_000.0) * ACCEPT_FACTOR)
+        Duration::from_secs_f64(usual_ms / 1_000.0)
     }
 
     /// Notes what the region offers, where the first piece tells it.
--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -160,11 +160,7 @@
 
     /// The times of a handover from `run` to `found`; `None` where `run` has to end first.
     fn handover_times(&self, run: &RunWatch, found: &FoundPlace) -> Option<HandoverTimes> {
-        let way = |region| {
-            let dispatcher = self.proxy.dispatcher();
-            let round_ms = dispatcher.ask(|scheduler, _| scheduler.region_delay_ms(region));
-            Duration::from_secs_f64(round_ms / 2_000.0)
-        };
+        let way = |region| self.proxy.forwarder().round_trip(region) / 2;
         let cancel = match &run.place {
             AttemptPlace::Here(_) => Duration::ZERO,
             AttemptPlace::Away(region) => way(region),
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -575,11 +575,16 @@
     /// sent: it may have waited for its place for longer than a window has room for.
     fn take_repeat(&mut self) -> Result<(), FinalWord> {
         let Some(PendingRepeat { reason, otherwise }) = self.pending.take() else { return Ok(()) };
+        if self.take_from_budget(reason) { Ok(()) } else { Err(otherwise) }
+    }
+
+    /// Takes a repeat out of the service's budget; whether there was one.
+    pub(crate) fn take_from_budget(&mut self, reason: RepeatReason) -> bool {
         let service = &self.item.service;
         let dispatcher = self.proxy.dispatcher();
         let decision = dispatcher.ask(|scheduler, now| scheduler.take_repeat(service, now));
         self.log.repeat(reason, decision);
-        if decision.is_granted { Ok(()) } else { Err(otherwise) }
+        decision.is_granted
     }
 
     fn unknown(&self, reason: UnknownReason) -> FinalWord {
--- a/crates/proxy/src/replacement.rs
+++ b/crates/proxy/src/replacement.rs
@@ -125,13 +125,7 @@
     /// Takes the repeat for the place that was found. Without one left the place is given back,
     /// and the run goes on.
     fn take_overdue_repeat(&mut self) -> bool {
-        if self.check_hold().is_err() {
-            return false;
-        }
-        let service = &self.item.service;
-        let dispatcher = self.proxy.dispatcher();
-        let decision = dispatcher.ask(|scheduler, now| scheduler.take_repeat(service, now));
-        self.log.repeat(RepeatReason::Unknown(UnknownReason::Overdue), decision);
-        decision.is_granted
+        let reason = RepeatReason::Unknown(UnknownReason::Overdue);
+        self.check_hold().is_ok() && self.take_from_budget(reason)
     }
 }
--- a/crates/proxy/tests/handover.rs
+++ b/crates/proxy/tests/handover.rs
@@ -6,7 +6,7 @@
     futures::future::join,
     gullglade_traffic::RequestKind,
     std::time::Duration,
-    support::{BedSettings, Deed, Script, TestBed, address, take},
+    support::{BedSettings, Deed, Script, Served, TestBed, address, take},
 };
 
 const IDEMPOTENT: RequestKind = RequestKind::Idempotent;
@@ -35,6 +35,17 @@
     Deed::Answer(Script::signed(503, &[]).header("not-run", "1"))
 }
 
+/// What the caller gets where the link between the regions is cut so long after it called.
+fn serve_with_cut(bed: &TestBed, cut_after: u64) -> Served {
+    let clock = bed.clock();
+    let cut = async {
+        clock.sleep(ms(cut_after)).await;
+        bed.link.cut(address(2), address(3));
+    };
+    let (served, ()) = bed.world.run_until(join(take(bed.proxy(), bed.call()), cut));
+    served
+}
+
 /// A run that goes on after a long pause: a stream in its middle, a whole answer in its middle, or
 /// one before its head.
 fn paused_runs() -> [(&'static str, RequestKind, Script, &'static str); 3] {
@@ -89,12 +100,7 @@
             bed.script(0, &[Deed::Answer(script.clone())]);
             bed.script(1, &[Deed::Hang, Deed::Hang]);
             let began = bed.world.now();
-            let clock = bed.clock();
-            let cut = async {
-                clock.sleep(ms(cut_after)).await;
-                bed.link.cut(address(2), address(3));
-            };
-            let (served, ()) = bed.world.run_until(join(take(bed.proxy(), bed.call()), cut));
+            let served = serve_with_cut(&bed, cut_after);
             let ended = bed.backends(0).cancelled_at.borrow().first().copied();
             let begun = bed.backends(1).arrivals.borrow().first().map(|arrival| arrival.at);
             // Lost is a run that had begun in the other region, and replaced the old one, before
@@ -118,12 +124,7 @@
         let silent = Script::events(&[FIRST, REST]).paused(1, LONG_PAUSE);
         bed.script(0, &[Deed::Answer(silent)]);
         bed.script(1, &[Deed::Hang, Deed::Hang]);
-        let clock = bed.clock();
-        let cut = async {
-            clock.sleep(ms(cut_after)).await;
-            bed.link.cut(address(2), address(3));
-        };
-        let (served, ()) = bed.world.run_until(join(take(bed.proxy(), bed.call()), cut));
+        let served = serve_with_cut(&bed, cut_after);
         assert_eq!((served.is_broken, served.body.as_str()), (false, ALL), "{cut_after}");
         let begun = bed.backends(1).arrivals.borrow().first().expect("a second run").at;
         let ended = bed.backends(1).cancelled_at.borrow().first().copied();
@@ -154,12 +155,7 @@
         bed.link.set_delay(ms(110));
         let silent = Script::events(&[FIRST, REST]).paused(1, LONG_PAUSE);
         bed.script(1, &[Deed::Answer(silent), Deed::Hang, Deed::Hang]);
-        let clock = bed.clock();
-        let cut = async {
-            clock.sleep(ms(cut_after)).await;
-            bed.link.cut(address(2), address(3));
-        };
-        bed.world.run_until(join(take(bed.proxy(), bed.call()), cut));
+        serve_with_cut(&bed, cut_after);
         let lines = bed.events.lines();
         let given_up = |line: &&String| line.starts_with("request.away");
         let never_began = bed.backends(1).arrivals.borrow().len() == 1;
