Status names a dead region that only its control process was known of

What operators saw: a whole region was gone, and gladectl status named its VM and no region.

Cause: regions were collected from reports of gateways. A gateway reports to the control process of its own VM first, so where that was ready at its start, nobody else has a report of the region. The members of the log, which have their regions, were read for names of VMs only.

The mend collects the members' regions too.

--- a/src/commands/status.rs
+++ b/src/commands/status.rs
@@ -154,7 +154,8 @@
 fn unseen_regions(nodes: &[AskedNode], control: Option<&ClusterStatus>) -> BTreeSet<RegionName> {
     let told = reports(nodes).flat_map(|report| report.regions.iter().map(|r| &r.region));
     let replicas = control.into_iter().flat_map(|c| c.replicas.iter().map(|row| &row.region));
-    let all: BTreeSet<RegionName> = told.chain(replicas).cloned().collect();
+    let members = control.into_iter().flat_map(|c| c.members.iter().map(|row| &row.member.region));
+    let all: BTreeSet<RegionName> = told.chain(replicas).chain(members).cloned().collect();
     let seen: BTreeSet<RegionName> = reports(nodes).map(|report| report.region.clone()).collect();
     all.difference(&seen).cloned().collect()
 }
--- a/tests/operating.rs
+++ b/tests/operating.rs
@@ -116,6 +116,31 @@
     assert!(String::from_utf8_lossy(&output.stderr).contains("no process answers"));
 }
 
+/// Waits until each of three control processes answers and knows the others.
+fn wait_for_members(tool: &Tool) {
+    wait_for("three control processes that know each other", || {
+        let status = status(tool);
+        let members = status["control"]["members"].as_array().map_or(0, Vec::len);
+        members == 3 && status["unseen_vms"] == Value::Array(Vec::new())
+    });
+}
+
+/// Guards against a dead region missing from the status, as only its own process had its reports.
+#[test]
+fn status_names_a_region_that_has_reported_to_nobody_else() {
+    let (mut deployment, tool) = start();
+    // The others forget what they were told before the region's own control process was ready.
+    for vm in 0..2 {
+        deployment.vms[vm].kill();
+        deployment.vms[vm].start();
+        wait_for_members(&tool);
+    }
+    deployment.vms[2].kill();
+    let status = status(&tool);
+    assert_eq!(status["unseen_vms"], serde_json::json!(["vm-2"]));
+    assert_eq!(status["unseen_regions"], serde_json::json!(["inland"]));
+}
+
 #[test]
 fn drained_backend_servers_and_gateways_are_shown_so() {
     // Symptom: a backend server that an operator took out of use gets work again.
