A send can be taken back from its verdict on

Cause: a back-off or a departure takes back what was placed and is not sent yet by a permit, and the send made that permit for itself when the task of the request took its verdict up. A verdict given earlier in the same turn of the loop had none.

Evidence: the gateway's log has backoff_requested at .0002 to .0015 and request.placed at .0018, so the place is older than the rejection and its task later. The new test has answers end and a rejection come in one turn, in virtual time: places given in it were used after the rejection before the mend, none after it.

The permit is issued with the place in the queue, so it is there from the verdict on.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -50,9 +50,8 @@
 
 impl AttemptParts {
     /// Sends, and waits for the head of the answer. Dropped, it cancels the work there.
-    pub(crate) async fn send(&self, attempt: Attempt, ticket: SentTicket) -> AttemptEnd {
-        let (permit, revoked) = ticket.permit();
-        let request = match self.request(&attempt, permit) {
+    pub(crate) async fn send(&self, attempt: Attempt, mut ticket: SentTicket) -> AttemptEnd {
+        let request = match self.request(&attempt, ticket.permit().permit.clone()) {
             Ok(request) => request,
             Err(_invalid) => {
                 // The caller's own method, path and headers were parsed before, so they can be
@@ -61,7 +60,7 @@
                 return AttemptEnd::NotRun(NotRunReason::Unreachable, None);
             }
         };
-        match self.exchange(attempt.address, request, revoked).await {
+        match self.exchange(attempt.address, request, &mut ticket.permit().revoked).await {
             Ok(reply) => self.judge(&attempt, reply, ticket),
             Err(error) => failed(&error, &attempt, ticket),
         }
@@ -72,7 +71,7 @@
         &self,
         address: SocketAddr,
         request: Request<bytes::Bytes>,
-        revoked: oneshot::Receiver<()>,
+        revoked: &mut oneshot::Receiver<()>,
     ) -> Result<ClientReply, ClientError> {
         match select(self.client.send(address, request), revoked).await {
             Either::Left((outcome, _)) => outcome,
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -24,7 +24,7 @@
 pub struct Dispatcher {
     scheduler: RefCell<Scheduler>,
     waiting: RefCell<HashMap<TicketId, oneshot::Sender<Verdict>>>,
-    /// Those of the requests that were sent, and who is told when one is taken back.
+    /// Those of the requests that have not ended, and who is told when one is taken back.
     permits: RefCell<HashMap<TicketId, (SendPermit, oneshot::Sender<()>)>>,
     context: ProcessContext,
     /// When the next look at the queue is due.
@@ -69,6 +69,7 @@
         let sent = SentTicket {
             dispatcher: Rc::clone(self),
             ticket,
+            permit: self.issue_permit(ticket),
             watch: None,
             overdue: Rc::default(),
             is_over: false,
@@ -83,6 +84,15 @@
         (sent, verdict)
     }
 
+    /// Leave to send the request, which can be taken back from its verdict on: its task may take that
+    /// up only after the backend server has said that it wants nothing more.
+    fn issue_permit(&self, ticket: TicketId) -> IssuedPermit {
+        let (told, revoked) = oneshot::channel();
+        let permit = SendPermit::default();
+        self.permits.borrow_mut().insert(ticket, (permit.clone(), told));
+        IssuedPermit { permit, revoked }
+    }
+
     /// Has the scheduler decide, and hands out the verdicts.
     fn pump(self: &Rc<Self>) {
         let now = self.context.clock.now();
@@ -110,8 +120,8 @@
         }
     }
 
-    /// Takes back the sends to the run of a backend server that have no connection yet, for one
-    /// that wants nothing more.
+    /// Takes back the sends to the run of a backend server that have not begun or have no connection
+    /// yet, for one that wants nothing more.
     fn revoke_sends(&self, run: &BackendRun) {
         let tickets = self.scheduler.borrow().sent_to_run(run);
         for ticket in tickets {
@@ -146,11 +156,19 @@
     }
 }
 
+/// Leave to send a request.
+pub(crate) struct IssuedPermit {
+    pub(crate) permit: SendPermit,
+    /// Told when it is taken back.
+    pub(crate) revoked: oneshot::Receiver<()>,
+}
+
 /// A request's place in the queue and, once it is sent, at a backend server. Dropped before the
 /// end is told, it counts as left by its caller.
 pub(crate) struct SentTicket {
     dispatcher: Rc<Dispatcher>,
     ticket: TicketId,
+    permit: IssuedPermit,
     watch: Option<SendWatch>,
     /// The silence after which it counts against the backend server where it is cancelled.
     overdue: Rc<Cell<Option<Duration>>>,
@@ -164,12 +182,9 @@
         self
     }
 
-    /// Leave to send it, and what is told when that is taken back.
-    pub(crate) fn permit(&self) -> (SendPermit, oneshot::Receiver<()>) {
-        let (told, revoked) = oneshot::channel();
-        let permit = SendPermit::default();
-        self.dispatcher.permits.borrow_mut().insert(self.ticket, (permit.clone(), told));
-        (permit, revoked)
+    /// Leave to send it.
+    pub(crate) fn permit(&mut self) -> &mut IssuedPermit {
+        &mut self.permit
     }
 
     /// The first byte of the answer has come.
--- a/crates/proxy/tests/backoff.rs
+++ b/crates/proxy/tests/backoff.rs
@@ -3,9 +3,10 @@
 mod support;
 
 use {
+    futures::future::join_all,
     gullglade_traffic::RequestKind,
     std::time::Duration,
-    support::{BedSettings, Deed, Script, TestBed},
+    support::{BedSettings, Deed, Script, TestBed, take},
 };
 
 /// A rejection with a time to wait was like one without: the next requests went there again.
@@ -59,6 +60,50 @@
     assert_eq!(there, 1, "nothing after the rejection");
 }
 
+/// Guards against a send to a backend server whose back-off came between the verdict and the send.
+#[test]
+fn a_place_that_was_given_in_the_turn_of_a_rejection_is_not_used() {
+    struct Case {
+        kind: RequestKind,
+        waiting: usize,
+    }
+    const BACKOFF: Duration = Duration::from_secs(3);
+    const REJECTED: Duration = Duration::from_millis(50);
+    const RUNNING: usize = 8;
+    let cases = [
+        Case { kind: RequestKind::AtMostOnce, waiting: 12 },
+        Case { kind: RequestKind::Idempotent, waiting: 12 },
+        Case { kind: RequestKind::Idempotent, waiting: 20 },
+    ];
+    for Case { kind, waiting } in cases {
+        let bed = TestBed::new(&BedSettings { backends: (1, 0), ..BedSettings::of(kind) });
+        // The bodies of the others end, and give their places away, as the rejection comes.
+        let good = Script::signed(200, &["yes"]).after(REJECTED - Duration::from_millis(2));
+        let full = Script::signed(503, &[]).header("not-run", "1").header("backoff", "3");
+        bed.script(0, &vec![Deed::Answer(good.clone()); RUNNING - 1]);
+        bed.script(0, &[Deed::Answer(full.after(REJECTED))]);
+        bed.script(0, &vec![Deed::Answer(good); 3 * waiting]);
+        let clock = bed.clock();
+        let began = clock.now();
+        // Those that wait are polled before those that run.
+        let starts = vec![Duration::from_millis(10); waiting];
+        let starts = starts.into_iter().chain([Duration::ZERO; RUNNING]);
+        let calls = starts.map(|start| {
+            let clock = bed.clock();
+            let (proxy, call) = (bed.proxy(), bed.call());
+            async move {
+                clock.sleep(start).await;
+                take(proxy, call).await
+            }
+        });
+        bed.world.run_until(join_all(calls));
+        let arrivals = bed.backends(0).arrivals.borrow();
+        let after: Vec<Duration> = arrivals.iter().map(|a| a.at.since(began)).collect();
+        let early = after.iter().filter(|at| (REJECTED..REJECTED + BACKOFF).contains(*at)).count();
+        assert_eq!(early, 0, "{kind:?}, {waiting} waiting: {after:?}");
+    }
+}
+
 /// Two statements in a row were passed on for days before anybody saw that nobody reads them.
 #[test]
 fn a_header_of_rejections_that_nobody_reads_is_told_once() {
