Own face: a request that waits for its connection is taken back by a statement

What callers saw: on the product's own face a request that waited for a new connection was sent to a backend server that had said meanwhile that it backs off or leaves, and was rejected there or kept it from leaving.

OpenSends keeps a permit for each send that has not ended; the wait for it is now one function of the http crate for both faces.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,7 +14,7 @@
     gullglade_event::{EventDraft, Promise},
     gullglade_http::{
         BodyError, ClientError, ClientReply, FreshConnection, HeadTimeout, LocalStream, RunState,
-        strip_hop_by_hop,
+        send_unless_revoked, strip_hop_by_hop,
     },
     gullglade_peer::{PeerError, PeerStream},
     gullglade_units::{BackendName, BackendRun, RegionName, RequestId, decode, encode, timeout},
@@ -121,9 +121,12 @@
         work.dispatch = Some(guard);
         work.cost = Some(self.cost_meter(plan));
         self.emit(plan, "request.dispatched", |e| e.field("backend", place.name()));
-        let request = self.backend_request(plan)?;
-        let sent = self.client.send(place.address, request).await;
-        let reply = sent.map_err(|e| self.failed_send(place, &e))?;
+        let mut request = self.backend_request(plan)?;
+        let mut open = self.open_sends.begin(&place.run);
+        request.extensions_mut().insert(open.permit.clone());
+        let sent = send_unless_revoked(&*self.client, place.address, request, &mut open.revoked);
+        let reply = sent.await.map_err(|e| self.failed_send(place, &e))?;
+        drop(open);
         self.note_statements(place, &reply.head);
         self.check_reply(plan, place, &reply)?;
         let run = match stated_run(&reply.head.headers) {
@@ -170,6 +173,9 @@
     }
 
     fn failed_send(&self, place: &BackendPlace, error: &ClientError) -> AttemptFailure {
+        if let ClientError::Revoked { .. } = error {
+            return not_run("the backend server wanted nothing more before this one was sent");
+        }
         self.backends.note_failure(place.name());
         self.events.emit(
             EventDraft::new("backend.failed").field("backend", place.name()).error("reason", error),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod intake;
 mod listing;
 mod memory;
+mod open_sends;
 mod place;
 mod plain;
 mod queue_place;
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -46,6 +46,7 @@
         }
         self.events.emit(EventDraft::new("backend.states_leaving").field("backend", backend));
         self.client.retire(place.address);
+        self.open_sends.revoke(&place.run);
         let announcement = Announcement {
             name: backend.clone(),
             incarnation: *incarnation,
@@ -79,6 +80,7 @@
         }
         let draft = EventDraft::new("backend.backoff_requested").field("backend", place.name());
         self.events.emit(draft.field("backoff_ms", backoff));
+        self.open_sends.revoke(&place.run);
         self.backends_changed();
         let (gateway, waiting) = (self.clone(), self.context.clock.sleep(wait));
         self.context.spawner.spawn(Box::pin(async move {
--- a/crates/gateway/src/statements/tests.rs
+++ b/crates/gateway/src/statements/tests.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::testing::{AnswerPause, BackendFate, DOCUMENT, StatedHeader, TestGateway, TestSetup},
+    futures::future::join_all,
     http::{StatusCode, header::RETRY_AFTER},
     std::time::Duration,
 };
@@ -98,6 +99,38 @@
     }
 }
 
+struct LateCase {
+    status: u16,
+    headers: &'static [StatedHeader],
+}
+
+/// Guards against requests that wait for a connection to a backend server that wants nothing more.
+#[test]
+fn what_waits_for_a_connection_is_taken_back_by_a_statement() {
+    const FIRST: Duration = Duration::from_millis(50);
+    const TOGETHER: usize = 8;
+    let cases = [
+        LateCase { status: 503, headers: &[NOT_RUN, ("retry-after", "2")] },
+        LateCase { status: 503, headers: &[NOT_RUN, ("gullglade-leaving", "true")] },
+        LateCase { status: 200, headers: &[("gullglade-leaving", "true")] },
+    ];
+    for LateCase { status, headers } in cases {
+        let name = format!("{status} {headers:?}");
+        let status = StatusCode::from_u16(status).unwrap();
+        let gateway = TestGateway::with(&TestSetup {
+            fate: BackendFate::AcceptsLate(status, headers, FIRST),
+            has_second: true,
+            ..TestSetup::default()
+        });
+        let asks = (0..TOGETHER).map(|_| gateway.answer(CHAT, ASK));
+        let replies = gateway.world.run_until(join_all(asks));
+        let served = replies.iter().filter(|(head, _)| head.status == StatusCode::OK).count();
+        assert_eq!(served, TOGETHER, "{name}");
+        assert_eq!(gateway.client.came.borrow().len(), 1, "{name}: nothing after the statement");
+        assert!(gateway.client.sends.get() > TOGETHER as u32, "{name}: some waited there");
+    }
+}
+
 /// Guards against a backend server that is lost for the day by one absurd back-off.
 #[test]
 fn an_absurd_back_off_ends_after_ten_minutes() {
--- a/crates/gateway/src/testing/neighbours.rs
+++ b/crates/gateway/src/testing/neighbours.rs
@@ -9,7 +9,9 @@
     },
     bytes::Bytes,
     futures::{Stream, StreamExt, stream},
-    gullglade_http::{BodyError, ClientBody, ClientError, ClientReply, HeadTimeout, HttpClient},
+    gullglade_http::{
+        BodyError, ClientBody, ClientError, ClientReply, HeadTimeout, HttpClient, SendPermit,
+    },
     gullglade_peer::{PeerError, PeerStream, PeerTransport},
     gullglade_units::{BackendName, Clock, LocalFuture, MonotonicTime, decode, encode, timeout},
     http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE},
@@ -37,6 +39,9 @@
     States(&'static [StatedHeader], AnswerPause),
     /// Rejects so many requests and states this, then answers whole.
     Rejects(u32, StatusCode, &'static [StatedHeader]),
+    /// States this with the first answer, after a while, and takes twice as long to accept the
+    /// connections of all other requests. The second engine answers after the same while.
+    AcceptsLate(StatusCode, &'static [StatedHeader], Duration),
 }
 
 /// A header of an answer.
@@ -90,6 +95,7 @@
     pub(crate) runs: Rc<RunCount>,
     /// When each request came to the first engine.
     pub(crate) came: RefCell<Vec<MonotonicTime>>,
+    has_begun: Cell<bool>,
     fate: BackendFate,
     clock: Rc<dyn Clock>,
 }
@@ -100,6 +106,7 @@
             sends: Cell::new(0),
             runs: Rc::default(),
             came: RefCell::default(),
+            has_begun: Cell::new(false),
             fate,
             clock: Rc::clone(clock),
         }
@@ -108,8 +115,14 @@
     /// What becomes of a request that comes now; the second engine always answers.
     fn take_fate(&self, address: SocketAddr) -> BackendFate {
         self.sends.set(self.sends.get() + 1);
-        if address == second_address() {
-            return BackendFate::Pauses(AnswerPause::NONE);
+        let is_second = address == second_address();
+        match self.fate {
+            BackendFate::AcceptsLate(.., after) if is_second => {
+                return BackendFate::Pauses(AnswerPause { before: 0, length: after });
+            }
+            BackendFate::AcceptsLate(..) => return self.fate,
+            _ if is_second => return BackendFate::Pauses(AnswerPause::NONE),
+            _ => {}
         }
         let mut came = self.came.borrow_mut();
         came.push(self.clock.now());
@@ -121,6 +134,31 @@
         }
     }
 
+    /// The reply to a request whose connection may be accepted late.
+    async fn late_reply(
+        &self,
+        address: SocketAddr,
+        request: &Request<Bytes>,
+        (status, stated, after): (StatusCode, &[StatedHeader], Duration),
+    ) -> Result<ClientReply, ClientError> {
+        let is_first = !self.has_begun.replace(true);
+        if !is_first {
+            self.clock.sleep(after * 2).await;
+        }
+        if request.extensions().get::<SendPermit>().is_some_and(|permit| !permit.begin()) {
+            return Err(ClientError::Revoked { address });
+        }
+        self.came.borrow_mut().push(self.clock.now());
+        let length = if is_first { after } else { Duration::ZERO };
+        let pause = AnswerPause { before: 0, length };
+        let mut reply = self.pausing_reply(address, request, pause).await?;
+        if is_first {
+            reply.head.status = status;
+            state(&mut reply.head.headers, stated);
+        }
+        Ok(reply)
+    }
+
     async fn pausing_reply(
         &self,
         address: SocketAddr,
@@ -235,6 +273,10 @@
                 state(&mut head.headers, stated);
                 Ok(ClientBody::from_bytes("{}"))
             }
+            BackendFate::AcceptsLate(status, stated, after) => {
+                let first = (status, stated, after);
+                return Box::pin(async move { self.late_reply(address, &request, first).await });
+            }
             BackendFate::Pauses(pause) => {
                 let reply = async move { self.pausing_reply(address, &request, pause).await };
                 return Box::pin(reply);
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -17,7 +17,7 @@
 pub use {
     config::ClientConfig,
     error::ClientError,
-    permit::SendPermit,
+    permit::{SendPermit, send_unless_revoked},
     pool::PooledClient,
     reply::{ClientBody, ClientReply},
 };
--- a/crates/http/src/client/permit.rs
+++ b/crates/http/src/client/permit.rs
@@ -1,14 +1,42 @@
 //! Leave to send a request that may be taken back while it waits for its connection.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU8, Ordering},
+use {
+    super::{ClientError, ClientReply, HttpClient},
+    bytes::Bytes,
+    futures::{
+        channel::oneshot,
+        future::{Either, select},
+    },
+    http::Request,
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU8, Ordering},
+        },
+    },
 };
 
 const WAITING: u8 = 0;
 const BEGUN: u8 = 1;
 const REVOKED: u8 = 2;
 
+/// Sends until the head of the reply, or until `revoked` is told: that the request's [`SendPermit`]
+/// was taken back before anything was sent.
+pub async fn send_unless_revoked(
+    client: &dyn HttpClient,
+    address: SocketAddr,
+    request: Request<Bytes>,
+    revoked: &mut oneshot::Receiver<()>,
+) -> Result<ClientReply, ClientError> {
+    match select(client.send(address, request), revoked).await {
+        Either::Left((outcome, _)) => outcome,
+        Either::Right((Ok(()), _)) => Err(ClientError::Revoked { address }),
+        // It is being sent, and can no longer be taken back.
+        Either::Right((Err(_), sending)) => sending.await,
+    }
+}
+
 /// Request extension: the request is sent only if this has not been revoked by the time at which
 /// its connection is open. It may wait for a connection for as long as the client is allowed to
 /// connect.
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -8,12 +8,11 @@
         outcome::{AttemptEnd, AttemptPlace, NotRunReason, UnknownReason},
         unread_headers::UnreadHeaders,
     },
-    futures::{
-        channel::oneshot,
-        future::{Either, select},
-    },
     gullglade_dispatch::{StatementChange, WorkOutcome},
-    gullglade_http::{ClientError, ClientReply, HeadTimeout, HttpClient, KeptWithin, SendPermit},
+    gullglade_http::{
+        ClientError, ClientReply, HeadTimeout, HttpClient, KeptWithin, SendPermit,
+        send_unless_revoked,
+    },
     gullglade_traffic::TrafficWorkspace,
     gullglade_units::BackendName,
     http::{Request, StatusCode, header::CONTENT_ENCODING},
@@ -60,27 +59,13 @@
                 return AttemptEnd::NotRun(NotRunReason::Unreachable, None);
             }
         };
-        match self.exchange(attempt.address, request, &mut ticket.permit().revoked).await {
+        let revoked = &mut ticket.permit().revoked;
+        match send_unless_revoked(&*self.client, attempt.address, request, revoked).await {
             Ok(reply) => self.judge(&attempt, reply, ticket),
             Err(error) => failed(&error, &attempt, ticket),
         }
     }
 
-    /// Sends until the head of the answer, or until the permit is `revoked` before anything is sent.
-    async fn exchange(
-        &self,
-        address: SocketAddr,
-        request: Request<bytes::Bytes>,
-        revoked: &mut oneshot::Receiver<()>,
-    ) -> Result<ClientReply, ClientError> {
-        match select(self.client.send(address, request), revoked).await {
-            Either::Left((outcome, _)) => outcome,
-            Either::Right((Ok(()), _)) => Err(ClientError::Revoked { address }),
-            // It is being sent, and can no longer be taken back.
-            Either::Right((Err(_), sending)) => sending.await,
-        }
-    }
-
     fn request(
         &self,
         attempt: &Attempt,
