A handover allows for the round trip that its reservation took

Cause: both runs are kept for a moment that is computed from the usual round trip to the region, an average that follows slowly. The link had become slower in the middle of the run, so the word that the new run had begun came after that moment; the new run was ended, the last attempt was used, and the old run was lost later.

The new test (ten cases) fails at 60 ms with both engines in the other region before the mend.

The reservation keeps how long its first word took, and the handover takes the longer of that and the usual time.

--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -231,13 +231,16 @@
         let liveness = RunLiveness::Away(RemoteLiveness::new(&self.context.clock));
         let mut pieces = PieceStream { stream, liveness };
         let service = &call.service;
-        let first = self.accepted(region, service, call.left, &mut pieces, true).await?;
         let clock = &*self.context.clock;
+        let asked = clock.now();
+        let first = self.accepted(region, service, call.left, &mut pieces, true).await?;
+        let round_trip = clock.now().since(asked);
         let answer = next_content(&mut pieces, first);
         match timeout(clock, call.left.min(MOST_RESERVE), answer).await? {
             Some(Ok(ForwardPiece::Placed)) => Some(ReservedForward {
                 region: region.clone(),
                 gateway,
+                round_trip,
                 token,
                 stream: pieces.stream,
             }),
@@ -260,7 +263,7 @@
         times: Option<HandoverTimes>,
         begun: oneshot::Sender<()>,
     ) -> AttemptEnd {
-        let ReservedForward { region, gateway, token, stream } = reserved;
+        let ReservedForward { region, gateway, token, stream, .. } = reserved;
         let mut pieces = PieceStream { stream, liveness };
         let (method, body, limit, words) = match times {
             Some(times) => (LEASE, encode(&(token, times.lease)), times.word_limit, times.words),
@@ -484,6 +487,8 @@
 /// A place that a gateway of another region has reserved for a request. Dropped, it is given back.
 pub(crate) struct ReservedForward {
     pub(crate) region: RegionName,
+    /// How long the word took that the call for it had arrived.
+    pub(crate) round_trip: Duration,
     gateway: SocketAddr,
     token: u64,
     stream: PeerStream,
--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -20,7 +20,7 @@
     },
     gullglade_dispatch::{HandoverDelays, HandoverTimes},
     gullglade_http::BodyError,
-    gullglade_units::{LocalFuture, timeout},
+    gullglade_units::{LocalFuture, RegionName, timeout},
     std::{pin::pin, rc::Rc, time::Duration},
 };
 
@@ -160,7 +160,15 @@
 
     /// The times of a handover from `run` to `found`; `None` where `run` has to end first.
     fn handover_times(&self, run: &RunWatch, found: &FoundPlace) -> Option<HandoverTimes> {
-        let way = |region| self.proxy.forwarder().round_trip(region) / 2;
+        // The usual time lags behind a link that has just become slower.
+        let way = |region: &RegionName| {
+            let usual = self.proxy.forwarder().round_trip(region);
+            let latest = match found {
+                FoundPlace::Reserved(reserved) if reserved.region == *region => reserved.round_trip,
+                _ => Duration::ZERO,
+            };
+            usual.max(latest) / 2
+        };
         let cancel = match &run.place {
             AttemptPlace::Here(_) => Duration::ZERO,
             AttemptPlace::Away(region) => way(region),
--- a/crates/proxy/tests/handover.rs
+++ b/crates/proxy/tests/handover.rs
@@ -133,6 +133,38 @@
     }
 }
 
+/// Guards against a new run that is given up as its link has become slower than it usually is.
+#[test]
+fn a_run_that_begins_over_a_slower_link_than_usual_is_kept() {
+    struct Case {
+        backends: (u8, u8),
+        slow: u64,
+    }
+    let cases = [(0, 2), (1, 1)]
+        .into_iter()
+        .flat_map(|backends| [60, 100, 140, 200, 300].map(|slow| Case { backends, slow }));
+    for Case { backends, slow } in cases {
+        let bed = TestBed::new(&settings(RESUMABLE, backends));
+        let old = usize::from(backends.0 == 0);
+        bed.link.set_delay(ms(5));
+        bed.script(old, &vec![Deed::Answer(Script::events(&[ALL])); 20]);
+        for _ in 0..20 {
+            assert_eq!(bed.serve(bed.call()).status, 200);
+        }
+        let silent = Script::events(&[FIRST, REST]).paused(1, Duration::from_secs(30));
+        bed.script(old, &[Deed::Answer(silent)]);
+        bed.script(1, &[Deed::Answer(Script::events(&[REST]))]);
+        let clock = bed.clock();
+        let slower = async {
+            clock.sleep(ms(300)).await;
+            bed.link.set_delay(ms(slow));
+        };
+        let (served, ()) = bed.world.run_until(join(take(bed.proxy(), bed.call()), slower));
+        let got = (served.status, served.is_broken, served.body.as_str());
+        assert_eq!(got, (200, false, ALL), "{backends:?}, {slow} ms: {:#?}", bed.events.lines());
+    }
+}
+
 #[test]
 fn an_answer_that_completes_in_a_handover_is_passed_on() {
     // A whole answer was dropped for a run that had just begun.
