A stream is given up a moment before its caller leaves without a first event

Cause: callers of a stream leave after a gap that the platform states (2 s, four objectives or eight pauses, whichever is the longest), also before the first event. The gateway knew nothing of it, placed and waited to the deadline, and ended the run when it had read that the caller's connection was closed; at a busy gateway, behind bodies in its link, that comes too late.

Routes say how long callers wait for an event; a request that has not begun by a moment before that is refused, or answered with 504 and its run ended. Not begun streams only: one that has begun is read to its end.

Ruled out as the main part: the way of the close to the gateway, and the time handed to engines. What is left is the way of the cancellation itself.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -22,6 +22,7 @@
 mod hint;
 mod limit;
 mod load;
+mod patience;
 mod rate;
 mod regions;
 mod roster;
@@ -44,6 +45,7 @@
     hint::{BackendHint, LimitNews, RequestNews},
     limit::{InvalidLimit, StatedLimit},
     load::{BackendLoad, BackendReport, SentRequest, WorkCost},
+    patience::begin_deadline,
     regions::{FirstByteTimes, RegionFacts},
     scheduler::Scheduler,
     share::AllowanceShare,
--- a/crates/dispatch/src/scheduler/deciding.rs
+++ b/crates/dispatch/src/scheduler/deciding.rs
@@ -40,7 +40,7 @@
         now: MonotonicTime,
     ) -> Option<Verdict> {
         let item = &waiting.item;
-        if now + ANSWER_SLACK >= item.ends {
+        if now + ANSWER_SLACK >= item.begins_by {
             return Some(self.refuse(RefusalReason::TooLate, waiting, Duration::ZERO, now));
         }
         let local = match item.allows(&self.settings.region) {
@@ -65,19 +65,19 @@
             Local::Later { here, again, backoff_ends } => {
                 let wait = Duration::from_secs_f64((here.expected_ms + look.queued_ms()) / 1_000.0);
                 let worthwhile = item.arrived + item.route.objective * WORTHWHILE_FACTOR;
-                if now + wait >= item.ends.min(worthwhile) {
+                if now + wait >= item.begins_by.min(worthwhile) {
                     let (reason, wait) = match backoff_ends {
                         Some(end) => (RefusalReason::Backoff, end.since(now)),
                         None => (RefusalReason::TooLate, wait.min(LONGEST_RETRY)),
                     };
                     return Some(self.refuse(reason, waiting, wait, now));
                 }
-                self.look_again(again.min(item.ends));
+                self.look_again(again.min(item.begins_by));
                 None
             }
             Local::Suspects { again } => {
                 let wait = again.since(now);
-                let left = item.ends.since(now);
+                let left = item.begins_by.since(now);
                 if wait * 3 < left && wait < item.route.objective / 2 {
                     self.look_again(again);
                     return None;
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -63,6 +63,8 @@
     pub arrived: MonotonicTime,
     /// When its caller stops waiting, or its route's timeout comes.
     pub ends: MonotonicTime,
+    /// When the answer has to begin, since its caller leaves otherwise; `ends` at the latest.
+    pub begins_by: MonotonicTime,
     /// Its prompt, where it has one.
     pub prompt: Option<PromptShape>,
     /// Backend servers that it was sent to and that are not to be tried again.
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -143,6 +143,7 @@
         max_attempts: 2,
         has_affinity: true,
         gap_objective: None,
+        event_patience: None,
         homes: Vec::new(),
         is_public: false,
     })
@@ -159,6 +160,7 @@
         workspace: None,
         arrived: now,
         ends: now + route.timeout,
+        begins_by: now + route.timeout,
         prompt,
         tried: Vec::new(),
         may_leave: true,
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -99,6 +99,7 @@
             max_attempts: 1,
             has_affinity: false,
             gap_objective: None,
+            event_patience: None,
             homes: Vec::new(),
             is_public: false,
         };
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -19,7 +19,7 @@
         send_watch::SendWatch,
     },
     futures::channel::oneshot,
-    gullglade_dispatch::{HandoverTimes, Verdict, WorkItem},
+    gullglade_dispatch::{HandoverTimes, Verdict, WorkItem, begin_deadline},
     gullglade_poison::{RequestHold, RequestPrint},
     gullglade_traffic::{TrafficRoute, TrafficWorkspace},
     gullglade_units::{
@@ -190,12 +190,18 @@
         let now = proxy.context().clock.now();
         // A clock of this process that is younger than the request must not run below its start.
         let arrived = MonotonicTime(now.0.saturating_sub(waited));
+        let ends = now + left;
+        let begins_by = match call.resume_after {
+            Some(_) => ends,
+            None => begin_deadline(arrived, ends, route.event_patience),
+        };
         let item = WorkItem {
             service,
             route,
             workspace,
             arrived,
-            ends: now + left,
+            ends,
+            begins_by,
             prompt: call.prompt.clone(),
             tried: Vec::new(),
             may_leave: is_own,
@@ -227,9 +233,22 @@
         self.proxy.context().clock.now()
     }
 
-    /// The time after which nobody waits for the answer.
+    /// The time after which nobody waits for the answer, or for its begin where it has not begun.
     pub(crate) fn left(&self) -> Duration {
-        self.item.ends.since(self.now())
+        self.item.begins_by.since(self.now())
+    }
+
+    /// The answer has begun for the caller, who waits to the end now.
+    pub(crate) fn note_begun(&mut self) {
+        self.item.begins_by = self.item.ends;
+    }
+
+    /// The limit that is reached when nothing is left.
+    pub(crate) fn reached_limit(&self) -> WaitLimit {
+        match self.item.begins_by < self.item.ends {
+            true => WaitLimit::FirstEvent,
+            false => self.bound,
+        }
     }
 
     /// The next answer: attempts until one begins, or none may be made any more.
@@ -275,7 +294,7 @@
         }
         self.proxy.context().clock.sleep(PERSIST_PAUSE.min(self.left())).await;
         if self.left().is_zero() {
-            self.log.reached(self.bound);
+            self.log.reached(self.reached_limit());
             return Err(FinalWord::TimedOut);
         }
         if self.pending.is_none() {
@@ -378,7 +397,7 @@
         if let Some(charge) = &mut self.charge {
             charge.note_sent();
         }
-        let left = self.left();
+        let left = self.item.ends.since(self.now());
         let proxy = self.proxy.clone();
         match found {
             FoundPlace::Here(placed) => {
--- a/crates/proxy/src/outcome.rs
+++ b/crates/proxy/src/outcome.rs
@@ -113,6 +113,8 @@
     Deadline,
     /// The timeout of its route, as the configuration has it that routed the request.
     RouteTimeout,
+    /// The time that callers of its route wait for the first event of a stream.
+    FirstEvent,
 }
 
 impl WaitLimit {
@@ -121,6 +123,7 @@
         match self {
             Self::Deadline => "deadline",
             Self::RouteTimeout => "route_timeout",
+            Self::FirstEvent => "first_event",
         }
     }
 }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -155,6 +155,7 @@
     /// Takes note of events that came, where they go on after those that the caller has.
     fn take_events(&mut self, batch: EventBatch) -> EventStep {
         self.log.piece_came();
+        self.note_begun();
         if !batch.follows(self.last_event) {
             return EventStep::Broken(UnknownReason::Garbled);
         }
--- a/crates/proxy/src/replacement.rs
+++ b/crates/proxy/src/replacement.rs
@@ -82,7 +82,7 @@
             }
             if self.left().is_zero() {
                 run.note_silence(clock.now().since(began));
-                self.log.reached(self.bound);
+                self.log.reached(self.reached_limit());
                 return WaitEnd::TimedOut;
             }
         }
--- a/crates/proxy/tests/replacement.rs
+++ b/crates/proxy/tests/replacement.rs
@@ -312,6 +312,7 @@
         max_attempts: 2,
         has_affinity: false,
         gap_objective: Some(ms(300)),
+        event_patience: None,
         homes: vec![],
         is_public: true,
     };
@@ -321,6 +322,7 @@
         workspace: None,
         arrived: now,
         ends: now + Duration::from_secs(5),
+        begins_by: now + Duration::from_secs(5),
         prompt: None,
         tried: vec![],
         may_leave: true,
--- a/crates/proxy/tests/support/configuration.rs
+++ b/crates/proxy/tests/support/configuration.rs
@@ -17,6 +17,7 @@
     pub(super) kind: RequestKind,
     pub(super) timeout: Duration,
     pub(super) objective: Duration,
+    pub(super) event_patience: Option<Duration>,
     /// The timeout of versions after the first.
     pub(super) later_timeout: Option<Duration>,
     pub(super) homes: Vec<String>,
@@ -52,6 +53,7 @@
             max_attempts: self.max_attempts,
             has_affinity: false,
             gap_objective: Some(Duration::from_millis(300)),
+            event_patience: self.event_patience,
             homes: self.homes.clone(),
             is_public: self.is_public,
         };
@@ -60,6 +62,7 @@
             prefix: prefix.to_owned(),
             kind: RequestKind::Idempotent,
             gap_objective: None,
+            event_patience: None,
             ..route.clone()
         });
         let limits = CallerLimits {
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -74,6 +74,8 @@
     pub(crate) kind: RequestKind,
     pub(crate) timeout: Duration,
     pub(crate) objective: Duration,
+    /// How long callers wait for an event of a stream.
+    pub(crate) event_patience: Option<Duration>,
     /// The timeout of every version of the configuration after the first.
     pub(crate) later_timeout: Option<Duration>,
     pub(crate) homes: &'static [&'static str],
@@ -104,6 +106,7 @@
             kind,
             timeout: Duration::from_secs(5),
             objective: Duration::from_millis(300),
+            event_patience: None,
             later_timeout: None,
             homes: &[],
             backends: (2, 0),
@@ -270,6 +273,7 @@
             kind: settings.kind,
             timeout: settings.timeout,
             objective: settings.objective,
+            event_patience: settings.event_patience,
             later_timeout: settings.later_timeout,
             homes: settings.homes.iter().map(|home| (*home).to_owned()).collect(),
             is_public: settings.is_public,
--- a/crates/traffic/src/raw.rs
+++ b/crates/traffic/src/raw.rs
@@ -51,6 +51,8 @@
     pub has_affinity: bool,
     /// The longest pause between two events of a stream that callers accept as prompt.
     pub gap_objective: Option<Duration>,
+    /// How long callers wait for an event of a stream before they leave; none: to the end.
+    pub event_patience: Option<Duration>,
     /// The only regions in which its requests may be served; none: anywhere.
     pub homes: Vec<String>,
     /// Whether its requests need no key.
--- a/crates/traffic/src/route.rs
+++ b/crates/traffic/src/route.rs
@@ -67,6 +67,8 @@
     pub has_affinity: bool,
     /// The longest pause between two events of a stream that callers accept as prompt.
     pub gap_objective: Option<Duration>,
+    /// How long callers wait for an event of a stream before they leave; none: to the end.
+    pub event_patience: Option<Duration>,
     /// The only regions in which its requests may be served; none: anywhere.
     pub homes: Vec<RegionName>,
     /// Whether its requests need no key.
@@ -125,6 +127,7 @@
             max_attempts: raw.max_attempts.max(1),
             has_affinity: raw.has_affinity,
             gap_objective: raw.gap_objective,
+            event_patience: raw.event_patience,
             homes: raw.homes.into_iter().map(RegionName::try_from).collect::<Result<_, _>>()?,
             is_public: raw.is_public,
         })
--- a/crates/traffic/tests/traffic.rs
+++ b/crates/traffic/tests/traffic.rs
@@ -22,6 +22,7 @@
         max_attempts: 1,
         has_affinity: false,
         gap_objective: None,
+        event_patience: None,
         homes: Vec::new(),
         is_public: false,
     }
