A run in another region ends by itself with the time of its request

Cause: the gateway there waited for the word that nobody waits any more, and that word comes late over a full link or to a busy gateway. The time that the request was on its way there counted for nobody.

The gateway there ends the attempt with the request's time, or before the first event with that in which it has to begin; half of the usual round trip counts as spent. The fake network can now cancel late.

--- a/crates/peer/src/fake/network.rs
+++ b/crates/peer/src/fake/network.rs
@@ -7,7 +7,7 @@
     },
     crate::{HandlerTable, PeerIdentity},
     gullglade_units::{HybridClock, ProcessContext},
-    std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc},
+    std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// A process on the network.
@@ -59,6 +59,10 @@
         self.shared.nodes.borrow().get(&address).cloned()
     }
 
+    pub(super) fn cancel_delay(&self) -> Duration {
+        self.shared.policy.cancel_delay()
+    }
+
     pub(super) fn fate(&self, path: MessagePath<'_>) -> MessageFate {
         self.shared.policy.fate(path)
     }
--- a/crates/peer/src/fake/policy.rs
+++ b/crates/peer/src/fake/policy.rs
@@ -47,19 +47,25 @@
 pub trait FakePolicy {
     /// The fate of the message on `path`.
     fn fate(&self, path: MessagePath<'_>) -> MessageFate;
+
+    /// How long the word takes that nobody waits for a reply any more.
+    fn cancel_delay(&self) -> Duration {
+        Duration::ZERO
+    }
 }
 
 /// One delay for all, and cuts between pairs of addresses, both ways.
 #[derive(Debug, Default)]
 pub struct FakeLink {
     delay: Cell<Duration>,
+    cancel_delay: Cell<Duration>,
     cuts: RefCell<HashSet<(SocketAddr, SocketAddr)>>,
 }
 
 impl FakeLink {
     /// A link of `delay` one way.
     pub fn new(delay: Duration) -> Self {
-        Self { delay: Cell::new(delay), cuts: RefCell::default() }
+        Self { delay: Cell::new(delay), ..Self::default() }
     }
 
     /// Sets the one-way delay.
@@ -67,6 +73,11 @@
         self.delay.set(delay);
     }
 
+    /// Sets how long it takes to cancel a call. Default: no time.
+    pub fn set_cancel_delay(&self, delay: Duration) {
+        self.cancel_delay.set(delay);
+    }
+
     /// Loses everything between `a` and `b` from now on.
     pub fn cut(&self, a: SocketAddr, b: SocketAddr) {
         self.cuts.borrow_mut().extend([(a, b), (b, a)]);
@@ -100,4 +111,8 @@
         }
         MessageFate::Deliver(self.delay.get())
     }
+
+    fn cancel_delay(&self) -> Duration {
+        self.cancel_delay.get()
+    }
 }
--- a/crates/peer/src/fake/serve.rs
+++ b/crates/peer/src/fake/serve.rs
@@ -92,8 +92,14 @@
     async fn run(self, delay: Duration, inlet: ReplyInlet) {
         let ReplyInlet { items, mut alive } = inlet;
         let items = Rc::new(RefCell::new(items));
+        let network = self.network.clone();
+        let clock = Rc::clone(&self.target.context.clock);
         let writer = FakeWriter { call: Rc::new(self), items, lost: Rc::default() };
-        select(pin!(serve(writer, delay)), alive.cancellation()).await;
+        let cancelled = async {
+            alive.cancellation().await;
+            clock.sleep(network.cancel_delay()).await;
+        };
+        select(pin!(serve(writer, delay)), pin!(cancelled)).await;
     }
 
     async fn answer(&self, writer: &FakeWriter) -> Result<(), PeerFault> {
@@ -165,7 +171,11 @@
     async fn send(&self, item: ReplyItem) -> Result<(), PeerFault> {
         let ready = poll_fn(|cx| self.items.borrow_mut().poll_ready(cx)).await;
         let sent = ready.and_then(|()| self.items.borrow_mut().start_send(item));
-        sent.map_err(|_| PeerFault::cancelled())
+        match sent {
+            // The handler does not know yet that nobody waits for it.
+            Err(_) if !self.call.network.cancel_delay().is_zero() => Ok(()),
+            sent => sent.map_err(|_| PeerFault::cancelled()),
+        }
     }
 }
 
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -311,6 +311,8 @@
 
     /// Sends the request to a gateway of `region`.
     async fn open(&self, region: &RegionName, call: &mut ForwardCall) -> OpenedForward {
+        // The time on the way there, which the gateway there cannot know.
+        call.spend(self.round_trip(region) / 2);
         for gateway in self.some_gateways(region) {
             let began = self.context.clock.now();
             let to = gateway.profile.peer_address;
--- a/crates/proxy/src/forward_server.rs
+++ b/crates/proxy/src/forward_server.rs
@@ -108,7 +108,8 @@
         put(reply, &ForwardPiece::Unknown(UnknownReason::LostAway)).await
     }
 
-    /// Makes an attempt, and passes on what comes of it.
+    /// Makes an attempt, and passes on what comes of it. The run ends with the time of the request,
+    /// also where the word of that is late or lost on its way from the calling gateway.
     async fn attempt(
         &self,
         journey: &mut Journey,
@@ -116,9 +117,12 @@
         reply: &mut PeerReplySink,
     ) -> Result<(), PeerFault> {
         let SentRun { watch, end, .. } = journey.send(found);
-        match self.reported(&watch, reply, end).await? {
-            AttemptEnd::Answer(answer) => self.relay(*answer, reply).await,
+        let clock = Rc::clone(&self.proxy.context().clock);
+        let reported = timeout(&*clock, journey.left(), self.reported(&watch, reply, end)).await;
+        match reported.transpose()? {
+            Some(AttemptEnd::Answer(answer)) => self.relay(journey, *answer, reply).await,
             end => {
+                let end = end.unwrap_or(AttemptEnd::Unknown(UnknownReason::Overdue));
                 journey.note_place(&watch, &end);
                 put_end(reply, end).await
             }
@@ -170,6 +174,7 @@
 
     async fn relay(
         &self,
+        journey: &mut Journey,
         answer: AttemptAnswer,
         reply: &mut PeerReplySink,
     ) -> Result<(), PeerFault> {
@@ -181,13 +186,21 @@
         let (backend, headers) = (backend.clone(), pack_headers(&headers));
         put(reply, &ForwardPiece::Head { status: status.as_u16(), headers, backend }).await?;
         let run = RunWatch { place, liveness, patience: Duration::ZERO, work_patience: None };
-        while let Some(piece) = self.reported(&run, reply, body.next()).await? {
-            let Ok(bytes) = piece else {
-                return put(reply, &ForwardPiece::Unknown(UnknownReason::Incomplete)).await;
+        let clock = Rc::clone(&self.proxy.context().clock);
+        loop {
+            let next = self.reported(&run, reply, body.next());
+            let reason = match timeout(&*clock, journey.left(), next).await.transpose()? {
+                Some(Some(Ok(bytes))) => {
+                    journey.note_begun();
+                    put(reply, &ForwardPiece::Chunk(bytes)).await?;
+                    continue;
+                }
+                Some(None) => return Ok(()),
+                Some(Some(Err(_))) => UnknownReason::Incomplete,
+                None => UnknownReason::Overdue,
             };
-            put(reply, &ForwardPiece::Chunk(bytes)).await?;
+            return put(reply, &ForwardPiece::Unknown(reason)).await;
         }
-        Ok(())
     }
 
     /// Has the place used for good that `body` names, where it is still reserved.
