--- a/crates/gateway/src/claimed/tests.rs
+++ b/crates/gateway/src/claimed/tests.rs
@@ -41,8 +41,7 @@
     fn spawn(&self, _task: LocalFuture<'static, ()>) {}
 }
 
-/// Symptom: an order placed twice after "not run". Events: this send is refused for want of a
-/// backend server, while another send under the key may have run. Cause: telling of this send only.
+/// Guards against an order placed twice, since another send under its key had run.
 #[test]
 fn not_run_is_said_only_with_the_replicas_proof() {
     struct Case {
--- a/crates/gateway/src/completion/tests.rs
+++ b/crates/gateway/src/completion/tests.rs
@@ -2,8 +2,7 @@
 
 use crate::testing::{BackendFate, DOCUMENT, TestGateway};
 
-/// Symptom: an answer without its last words that looks whole. Events: an engine gives up a stream
-/// and its front end still closes it with `[DONE]`. Cause: taking that marker alone for the end.
+/// Guards against an answer without its last words that looks whole.
 #[test]
 fn a_stream_without_a_finish_reason_is_not_whole() {
     let document = DOCUMENT.replace(r#"["puget", "columbia", "inland"]"#, r#"["columbia"]"#);
--- a/crates/gateway/src/forward_server/tests.rs
+++ b/crates/gateway/src/forward_server/tests.rs
@@ -81,9 +81,7 @@
     reason: &'static str,
 }
 
-/// Symptom: one request id arrives again and again and nobody answers. Events: a gateway hands over
-/// a request that it was itself handed over, or that came from the receiver's region. Cause: a
-/// receiver that trusts its sender to make one hop only.
+/// Guards against a request that goes round between regions.
 #[test]
 fn a_request_on_its_second_hop_is_refused() {
     let travelled = "the request has travelled between regions before";
@@ -105,9 +103,7 @@
     }
 }
 
-/// Symptom: a request travels on to a third region, and perhaps back. Events: it is handed over to
-/// a region whose engines have just gone, while another region offers plenty. Cause: a receiver
-/// that places a request of another region's caller as it would one of its own.
+/// Guards against a request that travels on to a third region.
 #[test]
 fn a_forwarded_request_is_run_here_or_nowhere() {
     let receiver = TestGateway::new(DOCUMENT, false, BackendFate::Answers);
@@ -123,9 +119,7 @@
     reason: &'static str,
 }
 
-/// Symptom: a request is served in a region that its team has just forbidden. Events: the sender
-/// was cut off from control and still goes by the older document; the receiver has the new one.
-/// Cause: a receiver that leaves residency to the sender.
+/// Guards against a request that runs in a region that its team has just forbidden.
 #[test]
 fn the_receivers_document_decides_whatever_the_sender_knew() {
     let forbidden = "the service's document does not allow this region";
@@ -166,9 +160,7 @@
     }
 }
 
-/// Symptom: an order placed twice after "not run", or half an answer that looks whole, where the
-/// request was handed over. Events: the backend server takes the request and its connection
-/// breaks. Cause: a receiver that tells the sender of a refusal, tries again, or ends the reply.
+/// Guards against orders placed twice, and half answers that look whole, after a lost connection.
 #[test]
 fn what_was_lost_here_is_not_told_as_refused_or_whole() {
     let receiver = TestGateway::new(DOCUMENT, true, BackendFate::Loses);
@@ -182,8 +174,7 @@
     assert!(outcome.ended.is_err(), "a broken answer ended as a whole one");
 }
 
-/// Symptom: a stop of a gateway takes long, or cuts off what was handed over late. Events: another
-/// region, which has not heard yet, hands over a request. Cause: taking new work while draining.
+/// Guards against a stop that is held up by work of other regions.
 #[test]
 fn a_draining_gateway_takes_nothing_over() {
     let receiver = TestGateway::new(DOCUMENT, true, BackendFate::Answers);
--- a/crates/proxy/tests/hints.rs
+++ b/crates/proxy/tests/hints.rs
@@ -74,10 +74,9 @@
     assert_ne!(first, second);
 }
 
+/// Guards against gateways that avoid a backend server whose prompts have long been read.
 #[test]
 fn a_neighbour_is_told_when_an_answer_begins() {
-    // Symptom: gateways kept away from an engine that had long read everything. Cause: they knew
-    // what others had sent there, and not that it had begun to answer.
     let bed = bed();
     serve(&bed, prompted(&bed, 20));
     let first = bed.backends(0).arrivals.borrow()[0].address;
--- a/crates/proxy/tests/journey.rs
+++ b/crates/proxy/tests/journey.rs
@@ -180,10 +180,9 @@
     assert_eq!(bed.serve(call).status, 404);
 }
 
+/// Guards against callers who wait for longer than their route allows.
 #[test]
 fn the_routes_timeout_ends_what_hangs() {
-    // Symptom: callers wait for longer than the route allows. Sequence: a backend server takes a
-    // request that may not be repeated and says nothing.
     let settings = BedSettings { timeout: Duration::from_secs(2), ..BedSettings::of(ONCE) };
     let bed = TestBed::new(&settings);
     bed.script(0, &[Deed::Hang]);
@@ -206,10 +205,9 @@
     assert_eq!(bed.backends(0).cancelled.get(), 1);
 }
 
+/// Guards against backend servers that work for callers who have hung up, in any region.
 #[test]
 fn a_caller_who_leaves_cancels_the_work() {
-    // Symptom: engines work for callers that are gone. Sequence: the caller hangs up before the
-    // answer, here or through a gateway of another region.
     for backends in [(2, 0), (0, 2)] {
         let bed = TestBed::new(&BedSettings { backends, ..BedSettings::of(ONCE) });
         let there = usize::from(backends.0 == 0);
@@ -379,12 +377,9 @@
     }
 }
 
+/// Guards against a stop that waits for its own callers only and cuts those of other regions.
 #[test]
 fn a_stop_waits_for_answers_to_other_regions() {
-    // Symptom: streams end in the middle, with gateways of another region, while gateways here are
-    // replaced one after the other. Sequence: a gateway here stops; its own callers are done
-    // before what it does for the other region. Cause: the stop waited for its own callers'
-    // connections alone, and then closed its sessions to peers.
     const ANSWER: Duration = Duration::from_millis(900);
     let bed = TestBed::new(&BedSettings { backends: (0, 2), ..BedSettings::of(STREAM) });
     let script = Script { after: ANSWER, ..Script::events(&["id: 1\ndata: a\n\n"]) };
@@ -407,11 +402,9 @@
     assert!(stopped >= ANSWER, "the stop waited only {stopped:?}");
 }
 
+/// Guards against requests that wait to their end for a region that is cut off.
 #[test]
 fn a_forward_into_a_broken_link_is_given_up_soon() {
-    // Symptom: a request waits to its end although its region is cut off from the one that would
-    // serve it. Sequence: the link drops everything without a word. Cause: a session that is lost
-    // is noticed only seconds later.
     for (kind, status) in [(IDEMPOTENT, 503), (ONCE, 504)] {
         let bed = TestBed::new(&BedSettings { backends: (0, 2), ..BedSettings::of(kind) });
         bed.link.isolate(support::address(3), &[support::address(2)]);
@@ -443,12 +436,9 @@
     assert!(has("request.unknown", "reason=broken"), "{lines:#?}");
 }
 
+/// Guards against refusals by gateways that start and will have a configuration in a moment.
 #[test]
 fn what_comes_before_the_configuration_waits_for_it() {
-    // Symptom: after a loss of power everywhere, callers are refused for a second by gateways that
-    // run, and many have no attempt left when these are ready. Sequence: gateways start, callers
-    // come back, the control log elects a leader, the configuration comes. Cause: a gateway
-    // without a configuration told everyone to come back.
     struct Case {
         what: &'static str,
         /// How long after the request the control process is there, milliseconds.
--- a/tests/operating.rs
+++ b/tests/operating.rs
@@ -82,11 +82,9 @@
     }
 }
 
+/// Guards against a region that is cut off and looks healthy, as only what answers is shown.
 #[test]
 fn status_names_what_it_cannot_see() {
-    // Symptom: an operator takes a region that is cut off for a healthy one.
-    // Sequence: a region's only process dies; the others go on and status is asked of all.
-    // Cause: a screen of what answers, without what does not.
     let (mut deployment, tool) = start();
     wait_for("three gateways that control has heard of", || {
         let status = status(&tool);
@@ -141,11 +139,9 @@
     assert_eq!(status["unseen_regions"], serde_json::json!(["inland"]));
 }
 
+/// Guards against a drain that the next renewal of the backend server takes back.
 #[test]
 fn drained_backend_servers_and_gateways_are_shown_so() {
-    // Symptom: a backend server that an operator took out of use gets work again.
-    // Sequence: it is drained at one gateway, and goes on renewing as if nothing were.
-    // Cause: a drain that the next renewal takes back.
     let (deployment, tool) = start();
     let _engine = Engine::start(&deployment);
     let health = |status: &Value| {
