--- a/crates/dispatch/src/patience.rs
+++ b/crates/dispatch/src/patience.rs
@@ -12,7 +12,7 @@
 const CANCEL_MARGIN: Duration = Duration::from_millis(800);
 
 /// The margin is this part of the caller's patience at most.
-const LARGEST_PART: u32 = 4;
+const LARGEST_PART: u32 = 6;
 
 /// When the answer to a request has to begin, which is to end by `ends`. `event_patience`: how long
 /// its caller waits for an event of a stream.
