--- a/crates/dispatch/tests/repeats.rs
+++ b/crates/dispatch/tests/repeats.rs
@@ -6,8 +6,11 @@
 
 use {
     gullglade_units::{RandomSource, SeededRandom},
+    std::ops::Range,
     support::{
-        repeat_play::{Kill, REGIONS, RepeatPlay, RepeatScenario, Trouble},
+        repeat_play::{
+            Delay, Freeze, Kill, REGIONS, RepeatPlay, RepeatScenario, Trouble, WINDOW_MS,
+        },
         setting,
     },
 };
@@ -89,6 +92,73 @@
     assert!(lines.is_empty(), "{}", lines.join("\n"));
 }
 
+/// While a link or a full region held up sends, repeats that had been granted in two windows
+/// arrived in one.
+#[test]
+fn repeats_that_arrive_late_stay_within_their_budget() {
+    struct Case {
+        what: &'static str,
+        delays: Vec<Delay>,
+    }
+    let unknown = |time, share| Delay { time, share, is_known: false };
+    let known = |time, share| Delay { time, share, is_known: true };
+    let cases = [
+        Case { what: "the first ones are slow", delays: vec![known(4_000..4_600, 1.0)] },
+        Case { what: "a link is cut", delays: vec![unknown(4_000..8_000, 0.8)] },
+        Case {
+            what: "links are cut again and again",
+            delays: [4_000, 7_000, 14_000, 17_000].map(|at| unknown(at..at + 2_500, 0.6)).into(),
+        },
+        Case { what: "a region is full", delays: vec![known(4_000..8_000, 0.7)] },
+        Case {
+            what: "a region is full, then another one",
+            delays: vec![known(4_000..8_000, 0.5), known(14_000..18_000, 0.8)],
+        },
+    ];
+    let mut lines = Vec::new();
+    for Case { what, delays } in cases {
+        for (gateways, per_second) in [(8, 300.0), (8, 1_200.0), (100, 2_400.0)] {
+            let failures = vec![(4_000..34_000, 0.95)];
+            let trouble = Trouble { failures, delays: delays.clone(), ..Trouble::default() };
+            lines.extend(broken(what, &scenario(gateways, per_second, trouble), 0..3));
+        }
+    }
+    assert!(lines.is_empty(), "{}", lines.join("\n"));
+}
+
+/// Gateways that had stood still took requests of long ago for those of now.
+#[test]
+fn requests_that_are_read_late_earn_repeats_of_their_own_time() {
+    struct Case {
+        what: &'static str,
+        bursts: Vec<(Range<u64>, f64)>,
+        freezes: Vec<Freeze>,
+    }
+    let freeze = |time| Freeze { time, share: 0.9 };
+    let cases = [
+        Case {
+            what: "they stand still in a burst, and few callers come after it",
+            bursts: vec![(6_000..10_000, 4.0), (10_000..34_000, 0.1)],
+            freezes: vec![freeze(6_000..12_000)],
+        },
+        Case {
+            what: "they stand still twice",
+            bursts: vec![(4_000..8_000, 4.0), (8_000..34_000, 0.1)],
+            freezes: vec![freeze(4_000..8_500), freeze(9_000..14_000)],
+        },
+    ];
+    let mut lines = Vec::new();
+    for Case { what, bursts, freezes } in cases {
+        for (gateways, per_second) in [(8, 300.0), (8, 1_200.0), (100, 2_400.0)] {
+            let failures = vec![(4_000..34_000, 0.95)];
+            let (bursts, freezes) = (bursts.clone(), freezes.clone());
+            let trouble = Trouble { failures, bursts, freezes, ..Trouble::default() };
+            lines.extend(broken(what, &scenario(gateways, per_second, trouble), 0..3));
+        }
+    }
+    assert!(lines.is_empty(), "{}", lines.join("\n"));
+}
+
 /// Any of these troubles at any time, several at once.
 #[test]
 fn repeats_stay_within_their_budget_under_troubles_at_random() {
@@ -102,6 +172,35 @@
     assert!(lines.is_empty(), "{} of {plays}:\n{}", lines.len(), lines.join("\n"));
 }
 
+/// The same, with links that hold up sends and gateways that stand still.
+#[test]
+fn repeats_stay_within_their_budget_under_late_arrivals_at_random() {
+    let first = setting("GULLGLADE_SEED", 0);
+    let plays = setting("GULLGLADE_REPEAT_SEEDS", DEFAULT_PLAYS);
+    let mut lines = Vec::new();
+    for seed in first..first + plays {
+        let random = SeededRandom::new(seed);
+        let mut scenario = random_scenario(&random);
+        add_late_arrivals(&mut scenario.trouble, &random);
+        lines.extend(broken("at random", &scenario, [seed].into_iter()));
+    }
+    assert!(lines.is_empty(), "{} of {plays}:\n{}", lines.len(), lines.join("\n"));
+}
+
+fn add_late_arrivals(trouble: &mut Trouble, random: &SeededRandom) {
+    let time = |longest: u64| {
+        let from = random.below(LENGTH_MS);
+        from..from + 500 + random.below(longest)
+    };
+    for _ in 0..random.below(4) {
+        let (time, share) = (time(WINDOW_MS / 2), 0.2 + 0.8 * random.unit());
+        trouble.delays.push(Delay { time, share, is_known: random.below(2) > 0 });
+    }
+    for _ in 0..random.below(3) {
+        trouble.freezes.push(Freeze { time: time(WINDOW_MS / 2), share: random.unit() });
+    }
+}
+
 fn random_scenario(random: &SeededRandom) -> RepeatScenario {
     let below = |most: u64| random.below(most);
     let time = |longest: u64| {
@@ -123,6 +222,7 @@
         cut: (below(2) > 0).then(|| time(20_000)),
         control_restarts: (0..below(3)).map(|_| below(LENGTH_MS)).collect(),
         moves: (0..below(4)).map(|_| (below(LENGTH_MS), weights())).collect(),
+        ..Trouble::default()
     };
     scenario(gateways, per_second, trouble)
 }
--- a/crates/dispatch/tests/support/repeat_play.rs
+++ b/crates/dispatch/tests/support/repeat_play.rs
@@ -6,7 +6,11 @@
     gullglade_dispatch::{Scheduler, SchedulerSettings},
     gullglade_traffic::TrafficRoute,
     gullglade_units::{RandomSource, SeededRandom, VmName},
-    std::{collections::BTreeSet, ops::Range, rc::Rc},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        ops::Range,
+        rc::Rc,
+    },
 };
 
 pub(crate) const REGIONS: usize = 3;
@@ -23,8 +27,12 @@
 const SILENCE_MS: u64 = 2_500;
 /// Gateways announce themselves this often.
 const ANNOUNCE_MS: u64 = 1_000;
+/// The chance that a send fails where nothing else is said.
+const USUAL_FAILURES: f64 = 0.02;
 /// The most sends of one request.
 const MOST_SENDS: u32 = 4;
+/// A gateway that hears nothing of a send gives it up after this.
+const PATIENCE_MS: u64 = 700;
 
 /// Gateways that end at once, and start again.
 #[derive(Clone, Debug)]
@@ -34,6 +42,24 @@
     pub(crate) down_ms: u64,
 }
 
+/// Sends that arrive late.
+#[derive(Clone, Debug)]
+pub(crate) struct Delay {
+    /// What is sent in this time arrives at its end.
+    pub(crate) time: Range<u64>,
+    /// The part of the sends that it concerns.
+    pub(crate) share: f64,
+    /// Whether the gateway knows that the send waits. It gives it up otherwise.
+    pub(crate) is_known: bool,
+}
+
+/// Gateways that stand still.
+#[derive(Clone, Debug)]
+pub(crate) struct Freeze {
+    pub(crate) time: Range<u64>,
+    pub(crate) share: f64,
+}
+
 /// What happens, in milliseconds from the first caller.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Trouble {
@@ -48,6 +74,8 @@
     pub(crate) control_restarts: Vec<u64>,
     /// From this time on callers are spread over the regions by these weights.
     pub(crate) moves: Vec<(u64, [f64; REGIONS])>,
+    pub(crate) delays: Vec<Delay>,
+    pub(crate) freezes: Vec<Freeze>,
 }
 
 #[derive(Clone, Debug)]
@@ -66,6 +94,29 @@
     told: Option<(usize, usize)>,
     /// When in each interval it announces itself.
     phase_ms: u64,
+    /// It stands still until then.
+    wakes_ms: u64,
+}
+
+/// A request at a gateway.
+#[derive(Clone, Copy)]
+struct PlayedRequest {
+    number: usize,
+    gateway: usize,
+    /// When the gateway's run began. What another run knew is lost.
+    run_began_ms: u64,
+    sends: u32,
+}
+
+/// What a gateway turns to at its time, or when it stands still no more.
+#[derive(Clone, Copy)]
+enum PlayedStep {
+    /// It reads a request that has waited for it.
+    Read,
+    /// A send that has waited arrives.
+    Arrived,
+    /// It gives up a send.
+    GivenUp,
 }
 
 /// Most repeats in a window against what was allowed in it.
@@ -90,9 +141,12 @@
     now_ms: u64,
     control_ms: u64,
     weights: [f64; REGIONS],
-    /// When callers sent requests that reached a gateway, and when repeats were sent.
+    /// When callers sent requests that reached a gateway, and when each of them arrived.
     requests: Vec<u64>,
-    repeats: Vec<u64>,
+    arrivals: Vec<Vec<u64>>,
+    /// In the order in which they were added, which is that of steps at the same time.
+    steps: BTreeMap<(u64, usize), (PlayedRequest, PlayedStep)>,
+    steps_added: usize,
 }
 
 impl<'a> RepeatPlay<'a> {
@@ -105,6 +159,7 @@
                 changed_ms: 0,
                 told: None,
                 phase_ms: random.below(ANNOUNCE_MS),
+                wakes_ms: 0,
             })
             .collect();
         Self {
@@ -116,7 +171,9 @@
             control_ms: 0,
             weights: [1.0; REGIONS],
             requests: Vec::new(),
-            repeats: Vec::new(),
+            arrivals: Vec::new(),
+            steps: BTreeMap::new(),
+            steps_added: 0,
         }
     }
 
@@ -125,6 +182,7 @@
         while self.now_ms < LEAD_MS + self.scenario.length_ms {
             self.change_fleet();
             self.tell_fleet();
+            self.take_steps();
             self.send_requests();
             self.now_ms += STEP_MS;
         }
@@ -151,6 +209,13 @@
         if trouble.kills.iter().any(|kill| is_now(kill.at_ms + kill.down_ms)) {
             self.start_gateways();
         }
+        for freeze in trouble.freezes.iter().filter(|freeze| is_now(freeze.time.start)) {
+            for gateway in &mut self.gateways {
+                if self.random.unit() < freeze.share {
+                    gateway.wakes_ms = gateway.wakes_ms.max(LEAD_MS + freeze.time.end);
+                }
+            }
+        }
         if trouble.control_restarts.iter().any(|at_ms| is_now(*at_ms)) {
             self.control_ms = self.now_ms;
         }
@@ -165,6 +230,7 @@
                 gateway.run = Some(new_run(index, gateway.region));
                 gateway.changed_ms = self.now_ms;
                 gateway.told = None;
+                gateway.wakes_ms = 0;
             }
         }
     }
@@ -210,32 +276,102 @@
     fn send_requests(&mut self) {
         let Some(day) = self.day_ms() else { return };
         let trouble = &self.scenario.trouble;
-        let in_time = |list: &[(Range<u64>, f64)]| {
-            list.iter().find(|(time, _)| time.contains(&day)).map(|(_, value)| *value)
-        };
-        let factor = in_time(&trouble.bursts).unwrap_or(1.0);
-        let failing = in_time(&trouble.failures).unwrap_or(0.02);
+        let burst = trouble.bursts.iter().find(|(time, _)| time.contains(&day));
+        let factor = burst.map_or(1.0, |(_, factor)| *factor);
         for chance in chances(self.scenario.per_second * factor * STEP_MS as f64 / 1_000.0) {
             if self.random.unit() < chance {
-                self.send_request(failing);
+                self.send_request();
             }
         }
     }
 
-    fn send_request(&mut self, failing: f64) {
+    fn send_request(&mut self) {
         let Some(index) = self.draw_gateway() else { return };
-        let now = at(self.now_ms);
-        let Some(run) = self.gateways[index].run.as_mut() else { return };
         self.requests.push(self.now_ms);
-        let ticket = run.submit(item(&self.route, None, now), now);
-        // No backend server is known, and what becomes of the request is this play's own matter.
-        let _verdicts = run.poll(now);
-        run.withdraw(ticket);
-        for _ in 1..MOST_SENDS {
-            if self.random.unit() >= failing || !run.take_repeat(&service("pool"), now).is_granted {
+        let PlayedGateway { changed_ms, wakes_ms, .. } = self.gateways[index];
+        let number = self.arrivals.len();
+        self.arrivals.push(Vec::new());
+        let request = PlayedRequest { number, gateway: index, run_began_ms: changed_ms, sends: 0 };
+        self.add_step(wakes_ms, request, PlayedStep::Read);
+    }
+
+    /// Has the gateway of `request` take a step, now or later.
+    fn add_step(&mut self, at_ms: u64, request: PlayedRequest, step: PlayedStep) {
+        if at_ms <= self.now_ms {
+            return self.take_step(request, step);
+        }
+        self.steps_added += 1;
+        self.steps.insert((at_ms, self.steps_added), (request, step));
+    }
+
+    fn take_steps(&mut self) {
+        while let Some(entry) = self.steps.first_entry() {
+            if entry.key().0 > self.now_ms {
                 return;
             }
-            self.repeats.push(self.now_ms);
+            let (request, step) = entry.remove();
+            self.add_step(self.gateways[request.gateway].wakes_ms, request, step);
+        }
+    }
+
+    fn take_step(&mut self, request: PlayedRequest, step: PlayedStep) {
+        let now = at(self.now_ms);
+        let played = &mut self.gateways[request.gateway];
+        let run = played.run.as_mut().filter(|_| played.changed_ms == request.run_began_ms);
+        let Some(run) = run else { return };
+        match step {
+            PlayedStep::Read => {
+                let ticket = run.submit(item(&self.route, None, now), now);
+                // No backend server is known, and what becomes of the request is this play's own
+                // matter.
+                let _verdicts = run.poll(now);
+                run.withdraw(ticket);
+                self.send(request);
+            }
+            PlayedStep::Arrived => self.answer(request),
+            PlayedStep::GivenUp => self.send_again(request),
+        }
+    }
+
+    /// Sends a request: to arrive at once, or late.
+    fn send(&mut self, request: PlayedRequest) {
+        let request = PlayedRequest { sends: request.sends + 1, ..request };
+        let Some(Delay { time, is_known, .. }) = self.delay() else {
+            self.arrivals[request.number].push(self.now_ms);
+            return self.answer(request);
+        };
+        let arrives_ms = LEAD_MS + time.end;
+        self.arrivals[request.number].push(arrives_ms);
+        match is_known {
+            true => self.add_step(arrives_ms, request, PlayedStep::Arrived),
+            false => self.add_step(self.now_ms + PATIENCE_MS, request, PlayedStep::GivenUp),
+        }
+    }
+
+    /// What holds up what is sent now.
+    fn delay(&mut self) -> Option<Delay> {
+        let day = self.day_ms()?;
+        let trouble = &self.scenario.trouble;
+        let delay = trouble.delays.iter().find(|delay| delay.time.contains(&day))?;
+        (self.random.unit() < delay.share).then(|| delay.clone())
+    }
+
+    /// The backend server answers: the request is sent again where that is a failure.
+    fn answer(&mut self, request: PlayedRequest) {
+        let day = self.day_ms().unwrap_or_default();
+        let failures = &self.scenario.trouble.failures;
+        let failing = failures.iter().find(|(time, _)| time.contains(&day));
+        let failing = failing.map_or(USUAL_FAILURES, |(_, chance)| *chance);
+        if request.sends < MOST_SENDS && self.random.unit() < failing {
+            self.send_again(request);
+        }
+    }
+
+    fn send_again(&mut self, request: PlayedRequest) {
+        let now = at(self.now_ms);
+        let Some(run) = self.gateways[request.gateway].run.as_mut() else { return };
+        if request.sends < MOST_SENDS && run.take_repeat(&service("pool"), now).is_granted {
+            self.send(request);
         }
     }
 
@@ -254,16 +390,29 @@
         serving.get(drawn).copied()
     }
 
+    /// The arrivals beyond the first of each request.
+    fn repeats(&self) -> Vec<u64> {
+        let mut repeats = Vec::new();
+        for arrivals in &self.arrivals {
+            let mut arrivals = arrivals.clone();
+            arrivals.sort_unstable();
+            repeats.extend(arrivals.into_iter().skip(1));
+        }
+        repeats.sort_unstable();
+        repeats
+    }
+
     /// Every window that begins with a repeat. Its requests are those of the window, of the one
     /// before it, or of the one half a window before it, whichever are most.
     fn worst_window(&self) -> Option<WorstWindow> {
+        let repeats = self.repeats();
         let count = |times: &[u64], from| count_within(times, from, WINDOW_MS);
-        let windows = self.repeats.iter().map(|&from_ms| {
+        let windows = repeats.iter().map(|&from_ms| {
             let begins = [from_ms, from_ms - WINDOW_MS / 2, from_ms.saturating_sub(WINDOW_MS)];
             let requests = begins.into_iter().map(|begin| count(&self.requests, begin)).max();
             WorstWindow {
                 from_ms,
-                repeats: count(&self.repeats, from_ms),
+                repeats: count(&repeats, from_ms),
                 allowed: RATIO * requests.unwrap_or_default() as f64 + SLACK,
             }
         });
