Repeats: tell what is known of the arrival of each send

The log told when a repeat was granted, and nothing told whether it had arrived, so the hypotheses of the incident (grants and arrivals apart, requests read late, arrivals without a grant) could not be told apart.

Each send of a request is followed to its end: an answer, a rejection or a broken connection shows that it has arrived or never will; one that is given up, or whose link is lost, may arrive at any later time. gullglade_repeats_settled_total counts repeats by that, request.repeat_unheard names those of unknown arrival. The budget itself is as it was.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -52,6 +52,25 @@
     pub parts: usize,
 }
 
+/// What is known of the sends of a request when its repeat is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatArrival {
+    /// Each of them has arrived, or never will.
+    Past,
+    /// One of them may arrive later.
+    Unknown,
+}
+
+impl RepeatArrival {
+    /// Its label in the metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Past => "past",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 impl RepeatBudget {
     /// A budget in which repeats in any `window` are at most `ratio` of the requests, and `slack`
     /// more for all gateways together.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -37,7 +37,7 @@
 
 pub use {
     backoff::{InvalidBackoff, StatedBackoff},
-    budget::{RepeatBudget, RepeatDecision},
+    budget::{RepeatArrival, RepeatBudget, RepeatDecision},
     cache::CacheEstimate,
     facts::{BackendFacts, SchedulerSettings},
     handover::{HandoverDelays, HandoverTimes},
--- a/crates/event/src/metrics.rs
+++ b/crates/event/src/metrics.rs
@@ -106,6 +106,7 @@
     model_series: RefCell<HashMap<ModelName, Rc<ModelSeries>>>,
     away: IntCounterVec,
     repeats: IntCounterVec,
+    repeats_settled: IntCounterVec,
     streams_broken_off: IntCounterVec,
     stream_pauses: HistogramVec,
     breaches: IntCounterVec,
@@ -193,6 +194,13 @@
                  and by whether the service's budget allowed it",
                 &["service", "reason", "granted"],
             )?,
+            repeats_settled: counters(
+                &registry,
+                "repeats_settled_total",
+                "Repeats of a service that were granted and are over: whether the request's sends \
+                 have all arrived by then (past), or one of them may arrive later (unknown)",
+                &["service", "arrival"],
+            )?,
             streams_broken_off: counters(
                 &registry,
                 "streams_broken_off_total",
@@ -335,6 +343,12 @@
         self.repeats.with_label_values(&[service, reason, granted]).inc();
     }
 
+    /// A repeat that was granted is over; `arrival`: what is known of it.
+    pub fn repeat_settled(&self, service: &ServiceName, arrival: &'static str) {
+        let service = self.services.admit(service.as_str());
+        self.repeats_settled.with_label_values(&[service, arrival]).inc();
+    }
+
     /// A stream ended before its last event. `limit`: what ended the wait for its run; `is_at_work`:
     /// whether the run's backend server had answered anybody lately, where that is known.
     pub fn stream_broke_off(
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -4,6 +4,7 @@
     crate::{
         CallerCall, Proxy,
         answer::AttemptAnswer,
+        arrival::{OpenRepeat, SendFlight, UnheardSends},
         attempt::{Attempt, promises_not_run},
         call_print::CallPrint,
         events::JourneyLog,
@@ -66,6 +67,9 @@
     refused: u32,
     /// A repeat that is to be taken out of the budget when there is a place for it.
     pending: Option<PendingRepeat>,
+    /// A repeat that the budget has granted for the next send.
+    repeat: Option<OpenRepeat>,
+    unheard: UnheardSends,
     /// The next attempt, where it is secured.
     secured: Option<SecuredRun>,
     /// Whether a run was given up here for another one that has not begun yet.
@@ -223,6 +227,8 @@
             ran: 0,
             refused: 0,
             pending: None,
+            repeat: None,
+            unheard: UnheardSends::default(),
             secured: None,
             owes_run: false,
             last_event,
@@ -399,6 +405,7 @@
         }
         let left = self.item.ends.since(self.now());
         let proxy = self.proxy.clone();
+        let flight = SendFlight::new(&self.unheard, self.repeat.take());
         match found {
             FoundPlace::Here(placed) => {
                 let PlacedRun { ticket, run, address, priority, expected_ms, copy } = placed;
@@ -421,7 +428,10 @@
                     copy_from: copy.map(|copy| copy.from),
                     is_once_only: !self.item.route.kind.may_repeat(),
                 };
-                let end = Box::pin(async move { proxy.attempts().send(attempt, ticket).await });
+                let end =
+                    Box::pin(
+                        async move { flight.follow(proxy.attempts().send(attempt, ticket)).await },
+                    );
                 SentRun { watch, end, leased: None }
             }
             FoundPlace::Away(region) => {
@@ -433,7 +443,8 @@
                 let watch = self.away_watch(&region);
                 let liveness = watch.liveness.clone();
                 let end = Box::pin(async move {
-                    proxy.forwarder().send(&region, forward, may_repeat, liveness).await
+                    let forwarder = proxy.forwarder();
+                    flight.follow(forwarder.send(&region, forward, may_repeat, liveness)).await
                 });
                 SentRun { watch, end, leased: None }
             }
@@ -446,7 +457,9 @@
                 let leased = times.map(|times| LeasedStart { run: reserved.leased(times), begun });
                 let end = Box::pin(async move {
                     let forwarder = proxy.forwarder();
-                    forwarder.commit(reserved, &service, left, liveness, times, told).await
+                    let committed =
+                        forwarder.commit(reserved, &service, left, liveness, times, told);
+                    flight.follow(committed).await
                 });
                 SentRun { watch, end, leased }
             }
@@ -603,6 +616,8 @@
         let dispatcher = self.proxy.dispatcher();
         let decision = dispatcher.ask(|scheduler, now| scheduler.take_repeat(service, now));
         self.log.repeat(reason, decision);
+        self.repeat =
+            decision.is_granted.then(|| OpenRepeat::new(&self.proxy, &self.call.id, service));
         decision.is_granted
     }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod access;
 mod answer;
+mod arrival;
 mod attempt;
 mod call;
 mod call_print;
