Repeats: one counts until all sends of its request have arrived

What callers saw: nothing by itself; operators saw more repeats at a service than its budget permits.

Cause: the budget bounds arrivals, and the gateways counted grants. A repeat that a cut link, a full region or a dial holds up counted in the window of its grant and arrived in a later one, with what that window granted. A first send that is given up may arrive after its repeat, and is then the one too many. Grants come in bursts a window apart, so that what is held up at the first burst meets the second. Class: a bound is kept at another event than the one that it speaks of.

Why it works: a repeat counts in each window that begins before it is settled, and it is settled only when its arrival is known, or a window after nothing more was heard. Any arrival in a window was counted when the last grant was given that arrives there. A repeat that certainly never arrived is kept for the request's next send, which was free before. a_repeat_counts_until_all_sends_of_its_request_are_known_to_have_arrived pins the wiring; it fails where unknown arrivals are settled at once.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -11,8 +11,8 @@
     std::{collections::VecDeque, time::Duration},
 };
 
-/// The used part of what is allowed. The rest covers requests and repeats that are counted at
-/// another moment than that at which they were sent or arrive.
+/// The used part of what is allowed. The rest covers requests that are counted at another moment
+/// than that at which they were sent, and repeats that arrive even later than allowed for.
 const USED_SHARE: f64 = 0.85;
 
 /// Repeats and requests of one service at one run of a gateway.
@@ -23,6 +23,10 @@
 /// mean of a window and the one before it, which is never more than the larger of the two: a run
 /// keeps the repeats since any moment within half of `ratio` of its requests since one window
 /// before that moment.
+///
+/// Bounded are arrivals, and a repeat arrives at some moment between its grant and its
+/// [settlement](Self::settle). It counts in each window that begins before it is settled: whatever
+/// holds it up, it cannot arrive in a window without having counted there.
 #[derive(Debug)]
 pub struct RepeatBudget {
     window: Duration,
@@ -30,12 +34,15 @@
     slack: f64,
     /// Those of the last window.
     requests: VecDeque<MonotonicTime>,
-    repeats: VecDeque<MonotonicTime>,
+    grants: VecDeque<MonotonicTime>,
     request_count: u64,
-    repeat_count: u64,
-    /// For windows that begin with a repeat: when, and how many repeats came before, less those
-    /// that the requests of more than a window before allowed. Ascending; of windows that begin
-    /// earlier and have more room nothing is kept.
+    granted_count: u64,
+    settled_count: u64,
+    /// When repeats of unknown arrival are settled. Ascending.
+    unknown: VecDeque<MonotonicTime>,
+    /// For windows that begin when a repeat is settled: when, and how many were settled before,
+    /// less those that the requests of more than a window before allowed. Ascending; of windows
+    /// that begin earlier and have more room nothing is kept.
     begins: VecDeque<(MonotonicTime, f64)>,
 }
 
@@ -80,9 +87,11 @@
             ratio,
             slack,
             requests: VecDeque::new(),
-            repeats: VecDeque::new(),
+            grants: VecDeque::new(),
             request_count: 0,
-            repeat_count: 0,
+            granted_count: 0,
+            settled_count: 0,
+            unknown: VecDeque::new(),
             begins: VecDeque::new(),
         }
     }
@@ -94,32 +103,46 @@
         self.request_count += 1;
     }
 
-    /// Takes one repeat, where there is one left, with `share` of the common allowance.
+    /// Takes one repeat, where there is one left, with `share` of the common allowance. It has to
+    /// be [settled](Self::settle) later.
     pub fn take(&mut self, share: &AllowanceShare, now: MonotonicTime) -> RepeatDecision {
         let decision = self.look(share, now);
         if decision.is_granted {
-            let begin = self.begin();
-            self.repeat_count += 1;
-            self.repeats.push_back(now);
-            while self.begins.back().is_some_and(|(_, later)| *later >= begin) {
-                self.begins.pop_back();
-            }
-            self.begins.push_back((now, begin));
+            self.granted_count += 1;
+            self.grants.push_back(now);
         }
         decision
     }
 
+    /// Settles a repeat that was taken. One of unknown arrival counts for another window.
+    pub fn settle(&mut self, arrival: RepeatArrival, now: MonotonicTime) {
+        self.expire(now);
+        match arrival {
+            RepeatArrival::Past => self.note_settled(now),
+            RepeatArrival::Unknown => self.unknown.push_back(now + self.window),
+        }
+    }
+
+    fn note_settled(&mut self, now: MonotonicTime) {
+        let begin = self.begin();
+        self.settled_count += 1;
+        while self.begins.back().is_some_and(|(_, later)| *later >= begin) {
+            self.begins.pop_back();
+        }
+        self.begins.push_back((now, begin));
+    }
+
     /// Whether [`take`](Self::take) would grant a repeat now.
     pub fn look(&mut self, share: &AllowanceShare, now: MonotonicTime) -> RepeatDecision {
         self.expire(now);
         let begin = self.begin();
         let least = self.begins.front().map_or(begin, |(_, oldest)| oldest.min(begin));
         let slack = USED_SHARE * share.part(self.slack, self.window, now);
-        let taken = (self.repeat_count + 1) as f64 - self.earned(self.request_count);
+        let taken = (self.granted_count + 1) as f64 - self.earned(self.request_count);
         RepeatDecision {
             is_granted: taken - least <= slack,
             requests: self.requests.len(),
-            repeats: self.repeats.len(),
+            repeats: self.grants.len(),
             parts: share.parts(),
         }
     }
@@ -127,7 +150,7 @@
     /// What is kept of a window that begins now.
     fn begin(&self) -> f64 {
         let earlier = self.request_count - self.requests.len() as u64;
-        self.repeat_count as f64 - self.earned(earlier)
+        self.settled_count as f64 - self.earned(earlier)
     }
 
     /// The repeats that so many requests allow, of those in a window and in the one before it.
@@ -141,8 +164,12 @@
         while self.requests.front().is_some_and(is_old) {
             self.requests.pop_front();
         }
-        while self.repeats.front().is_some_and(is_old) {
-            self.repeats.pop_front();
+        while self.grants.front().is_some_and(is_old) {
+            self.grants.pop_front();
+        }
+        while self.unknown.front().is_some_and(|at| *at <= now) {
+            self.unknown.pop_front();
+            self.note_settled(now);
         }
         while self.begins.front().is_some_and(|(at, _)| is_old(at)) {
             self.begins.pop_front();
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -21,8 +21,8 @@
     crate::{
         AllowanceShare, BackendFacts, BackendHint, BackendLoad, BackendReport, BackendStatements,
         CacheEstimate, FirstByteTimes, HealthRecord, LimitNews, PromptShape, RegionFacts,
-        RepeatBudget, RepeatDecision, RequestNews, SchedulerSettings, SentRequest, StatementChange,
-        TicketId, Verdict, WorkCost, WorkItem, WorkOutcome,
+        RepeatArrival, RepeatBudget, RepeatDecision, RequestNews, SchedulerSettings, SentRequest,
+        StatementChange, TicketId, Verdict, WorkCost, WorkItem, WorkOutcome,
         hint::{OwnHint, ago, statement_news},
         load::PROGRESS_AGE,
         rate::RateGate,
@@ -403,12 +403,23 @@
         self.budget(service).look(&share, now)
     }
 
-    /// Takes one repeat out of the budget of `service`, where there is one left.
+    /// Takes one repeat out of the budget of `service`, where there is one left. It counts there
+    /// until a window after [`settle_repeat`](Self::settle_repeat).
     pub fn take_repeat(&mut self, service: &ServiceName, now: MonotonicTime) -> RepeatDecision {
         let share = self.share;
         self.budget(service).take(&share, now)
     }
 
+    /// Settles a repeat of `service` that was taken: it is over, or will never be sent.
+    pub fn settle_repeat(
+        &mut self,
+        service: &ServiceName,
+        arrival: RepeatArrival,
+        now: MonotonicTime,
+    ) {
+        self.budget(service).settle(arrival, now);
+    }
+
     /// Notes that the path to a region is broken: it gets no work for `pause`.
     pub fn pause_region(&mut self, region: &RegionName, pause: Duration, now: MonotonicTime) {
         self.regions.note_broken(region.clone(), now + pause);
--- a/crates/dispatch/tests/support/repeat_play.rs
+++ b/crates/dispatch/tests/support/repeat_play.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{at, chances, count_within, gateway, item, pool, region, route, service, settings},
-    gullglade_dispatch::{Scheduler, SchedulerSettings},
+    gullglade_dispatch::{RepeatArrival, Scheduler, SchedulerSettings},
     gullglade_traffic::TrafficRoute,
     gullglade_units::{RandomSource, SeededRandom, VmName},
     std::{
@@ -106,6 +106,8 @@
     /// When the gateway's run began. What another run knew is lost.
     run_began_ms: u64,
     sends: u32,
+    /// Sends that were given up, and may arrive later.
+    given_up: u32,
 }
 
 /// What a gateway turns to at its time, or when it stands still no more.
@@ -291,7 +293,13 @@
         let PlayedGateway { changed_ms, wakes_ms, .. } = self.gateways[index];
         let number = self.arrivals.len();
         self.arrivals.push(Vec::new());
-        let request = PlayedRequest { number, gateway: index, run_began_ms: changed_ms, sends: 0 };
+        let request = PlayedRequest {
+            number,
+            gateway: index,
+            run_began_ms: changed_ms,
+            sends: 0,
+            given_up: 0,
+        };
         self.add_step(wakes_ms, request, PlayedStep::Read);
     }
 
@@ -329,7 +337,11 @@
                 self.send(request);
             }
             PlayedStep::Arrived => self.answer(request),
-            PlayedStep::GivenUp => self.send_again(request),
+            PlayedStep::GivenUp => {
+                let request = PlayedRequest { given_up: request.given_up + 1, ..request };
+                self.settle_repeat(request);
+                self.send_again(request);
+            }
         }
     }
 
@@ -356,8 +368,22 @@
         (self.random.unit() < delay.share).then(|| delay.clone())
     }
 
+    /// The last send of the request is over.
+    fn settle_repeat(&mut self, request: PlayedRequest) {
+        let arrival = match request.given_up {
+            0 => RepeatArrival::Past,
+            _ => RepeatArrival::Unknown,
+        };
+        let now = at(self.now_ms);
+        let run = self.gateways[request.gateway].run.as_mut().filter(|_| request.sends > 1);
+        if let Some(run) = run {
+            run.settle_repeat(&service("pool"), arrival, now);
+        }
+    }
+
     /// The backend server answers: the request is sent again where that is a failure.
     fn answer(&mut self, request: PlayedRequest) {
+        self.settle_repeat(request);
         let day = self.day_ms().unwrap_or_default();
         let failures = &self.scenario.trouble.failures;
         let failing = failures.iter().find(|(time, _)| time.contains(&day));
--- a/crates/proxy/src/arrival.rs
+++ b/crates/proxy/src/arrival.rs
@@ -8,14 +8,25 @@
     gullglade_dispatch::RepeatArrival,
     gullglade_event::EventDraft,
     gullglade_units::{MonotonicTime, ServiceName},
-    std::{cell::Cell, rc::Rc},
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+    },
 };
 
-/// How many sends of one request nothing has been heard of. Each may have arrived, or arrive yet.
+/// The sends of one request.
 #[derive(Clone, Default)]
-pub(crate) struct UnheardSends(Rc<Cell<u32>>);
+pub(crate) struct SendBook(Rc<SendCounts>);
+
+#[derive(Default)]
+struct SendCounts {
+    /// Sends of which nothing has been heard. Each may have arrived, or arrive yet.
+    unheard: Cell<u32>,
+    /// A repeat that no send has used yet.
+    repeat: RefCell<Option<OpenRepeat>>,
+}
 
-/// A repeat that its service's budget has granted. Open until it is dropped.
+/// A repeat that its service's budget has granted. Dropped, it is settled there.
 pub(crate) struct OpenRepeat {
     proxy: Proxy,
     request: CallId,
@@ -26,9 +37,20 @@
 
 /// One send that is under way. Dropped before its end, it may arrive at any later time.
 pub(crate) struct SendFlight {
-    unheard: UnheardSends,
+    book: SendBook,
     repeat: Option<OpenRepeat>,
-    is_heard: bool,
+    arrival: SendArrival,
+}
+
+/// What is known of the arrival of one send.
+#[derive(Clone, Copy)]
+enum SendArrival {
+    /// Nothing.
+    Unheard,
+    /// The backend server has it, or the connection broke: nothing of it is on its way.
+    Past,
+    /// It never arrives.
+    Never,
 }
 
 impl OpenRepeat {
@@ -46,7 +68,10 @@
 
 impl Drop for OpenRepeat {
     fn drop(&mut self) {
-        self.proxy.metrics().repeat_settled(&self.service, self.arrival.label());
+        let Self { service, arrival, .. } = self;
+        self.proxy.metrics().repeat_settled(service, arrival.label());
+        let dispatcher = self.proxy.dispatcher();
+        dispatcher.ask(|scheduler, now| scheduler.settle_repeat(service, *arrival, now));
         if self.arrival == RepeatArrival::Unknown {
             let age = self.proxy.context().clock.now().since(self.granted);
             let event = EventDraft::new("request.repeat_unheard").field("request", &self.request);
@@ -56,39 +81,59 @@
     }
 }
 
-impl SendFlight {
-    /// A send of the request whose other sends `unheard` counts.
-    pub(crate) fn new(unheard: &UnheardSends, repeat: Option<OpenRepeat>) -> Self {
-        unheard.0.set(unheard.0.get() + 1);
-        Self { unheard: unheard.clone(), repeat, is_heard: false }
+impl SendBook {
+    /// Whether a repeat is granted that no send has used.
+    pub(crate) fn has_repeat(&self) -> bool {
+        self.0.repeat.borrow().is_some()
     }
 
+    /// Keeps a repeat for the next send.
+    pub(crate) fn add_repeat(&self, repeat: OpenRepeat) {
+        self.0.repeat.replace(Some(repeat));
+    }
+
+    /// Begins the next send.
+    pub(crate) fn begin(&self) -> SendFlight {
+        self.0.unheard.set(self.0.unheard.get() + 1);
+        let repeat = self.0.repeat.take();
+        SendFlight { book: self.clone(), repeat, arrival: SendArrival::Unheard }
+    }
+}
+
+impl SendFlight {
     /// Follows the send to its end.
     pub(crate) async fn follow(mut self, send: impl Future<Output = AttemptEnd>) -> AttemptEnd {
         let end = send.await;
-        self.is_heard = tells_of_arrival(&end);
+        self.arrival = SendArrival::of(&end);
         end
     }
 }
 
 impl Drop for SendFlight {
     fn drop(&mut self) {
-        if self.is_heard {
-            self.unheard.0.set(self.unheard.0.get() - 1);
+        let unheard = &self.book.0.unheard;
+        if !matches!(self.arrival, SendArrival::Unheard) {
+            unheard.set(unheard.get() - 1);
         }
-        // An earlier send may arrive after this one, and is then the one beyond the first.
-        if let Some(repeat) = self.repeat.as_mut().filter(|_| self.unheard.0.get() > 0) {
-            repeat.arrival = RepeatArrival::Unknown;
+        let Some(mut repeat) = self.repeat.take() else { return };
+        match self.arrival {
+            SendArrival::Never => self.book.add_repeat(repeat),
+            // An earlier send may arrive after this one, and is then the one beyond the first.
+            _ if unheard.get() > 0 => repeat.arrival = RepeatArrival::Unknown,
+            _ => {}
         }
     }
 }
 
-/// Whether the end of a send shows that it has arrived, or never will.
-fn tells_of_arrival(end: &AttemptEnd) -> bool {
-    match end {
-        AttemptEnd::Answer(_) | AttemptEnd::NotRun(..) => true,
-        AttemptEnd::Unknown(reason) => {
-            !matches!(reason, UnknownReason::Overdue | UnknownReason::LostAway)
+impl SendArrival {
+    /// What the end of a send tells of it.
+    fn of(end: &AttemptEnd) -> Self {
+        match end {
+            AttemptEnd::Answer(_) => Self::Past,
+            AttemptEnd::NotRun(reason, _) if reason.has_arrived() => Self::Past,
+            AttemptEnd::NotRun(..) => Self::Never,
+            AttemptEnd::Unknown(UnknownReason::Overdue | UnknownReason::LostAway) => Self::Unheard,
+            AttemptEnd::Unknown(_) => Self::Past,
         }
     }
 }
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -4,7 +4,7 @@
     crate::{
         CallerCall, Proxy,
         answer::AttemptAnswer,
-        arrival::{OpenRepeat, SendFlight, UnheardSends},
+        arrival::{OpenRepeat, SendBook},
         attempt::{Attempt, promises_not_run},
         call_print::CallPrint,
         events::JourneyLog,
@@ -67,9 +67,7 @@
     refused: u32,
     /// A repeat that is to be taken out of the budget when there is a place for it.
     pending: Option<PendingRepeat>,
-    /// A repeat that the budget has granted for the next send.
-    repeat: Option<OpenRepeat>,
-    unheard: UnheardSends,
+    sends: SendBook,
     /// The next attempt, where it is secured.
     secured: Option<SecuredRun>,
     /// Whether a run was given up here for another one that has not begun yet.
@@ -227,8 +225,7 @@
             ran: 0,
             refused: 0,
             pending: None,
-            repeat: None,
-            unheard: UnheardSends::default(),
+            sends: SendBook::default(),
             secured: None,
             owes_run: false,
             last_event,
@@ -405,7 +402,7 @@
         }
         let left = self.item.ends.since(self.now());
         let proxy = self.proxy.clone();
-        let flight = SendFlight::new(&self.unheard, self.repeat.take());
+        let flight = self.sends.begin();
         match found {
             FoundPlace::Here(placed) => {
                 let PlacedRun { ticket, run, address, priority, expected_ms, copy } = placed;
@@ -548,13 +545,12 @@
             return Err(FinalWord::HeldBack { print: self.print.get(), ends, left });
         }
         self.refused += 1;
-        let has_arrived = matches!(reason, NotRunReason::Shed | NotRunReason::Misdirected);
         let word = match self.ran {
             0 => FinalWord::NotRun(reason, wait.unwrap_or(SHED_RETRY)),
             _ => self.unknown(UnknownReason::Broken),
         };
         match self.refused < MOST_REFUSALS {
-            true if has_arrived => self.plan_repeat(RepeatReason::NotRun(reason), word),
+            true if reason.has_arrived() => self.plan_repeat(RepeatReason::NotRun(reason), word),
             true => Ok(()),
             false => Err(word),
         }
@@ -592,15 +588,25 @@
 
     /// Has the request sent once more, where the budget has a repeat left.
     fn plan_repeat(&mut self, reason: RepeatReason, otherwise: FinalWord) -> Result<(), FinalWord> {
+        if !self.has_repeat_left(reason) {
+            return Err(otherwise);
+        }
+        self.pending = Some(PendingRepeat { reason, otherwise });
+        Ok(())
+    }
+
+    /// Whether the service's budget has a repeat left.
+    pub(crate) fn has_repeat_left(&mut self, reason: RepeatReason) -> bool {
+        if self.sends.has_repeat() {
+            return true;
+        }
         let service = &self.item.service;
         let dispatcher = self.proxy.dispatcher();
         let decision = dispatcher.ask(|scheduler, now| scheduler.look_at_repeats(service, now));
         if !decision.is_granted {
             self.log.repeat(reason, decision);
-            return Err(otherwise);
         }
-        self.pending = Some(PendingRepeat { reason, otherwise });
-        Ok(())
+        decision.is_granted
     }
 
     /// Takes the repeat that is pending out of the service's budget, at the time at which it is
@@ -612,12 +618,17 @@
 
     /// Takes a repeat out of the service's budget; whether there was one.
     pub(crate) fn take_from_budget(&mut self, reason: RepeatReason) -> bool {
+        // One that was granted and never arrived has not been used.
+        if self.sends.has_repeat() {
+            return true;
+        }
         let service = &self.item.service;
         let dispatcher = self.proxy.dispatcher();
         let decision = dispatcher.ask(|scheduler, now| scheduler.take_repeat(service, now));
         self.log.repeat(reason, decision);
-        self.repeat =
-            decision.is_granted.then(|| OpenRepeat::new(&self.proxy, &self.call.id, service));
+        if decision.is_granted {
+            self.sends.add_repeat(OpenRepeat::new(&self.proxy, &self.call.id, service));
+        }
         decision.is_granted
     }
 
--- a/crates/proxy/src/outcome.rs
+++ b/crates/proxy/src/outcome.rs
@@ -47,6 +47,11 @@
 }
 
 impl NotRunReason {
+    /// Whether a backend server had the request, and turned it away.
+    pub(crate) fn has_arrived(self) -> bool {
+        matches!(self, Self::Shed | Self::Misdirected)
+    }
+
     fn label(self) -> &'static str {
         match self {
             Self::Unreachable => "unreachable",
--- a/crates/proxy/src/replacement.rs
+++ b/crates/proxy/src/replacement.rs
@@ -109,17 +109,9 @@
 
     /// A search for a place beside `run`, where the budget has a repeat left.
     fn begin_search(&mut self, run: &RunWatch) -> Option<PlaceSearch> {
-        if self.check_hold().is_err() {
-            return None;
-        }
-        let service = &self.item.service;
-        let dispatcher = self.proxy.dispatcher();
-        let decision = dispatcher.ask(|scheduler, now| scheduler.look_at_repeats(service, now));
-        if !decision.is_granted {
-            self.log.repeat(RepeatReason::Unknown(UnknownReason::Overdue), decision);
-            return None;
-        }
-        Some(PlaceSearch::beside(self, run))
+        let reason = RepeatReason::Unknown(UnknownReason::Overdue);
+        let may_search = self.check_hold().is_ok() && self.has_repeat_left(reason);
+        may_search.then(|| PlaceSearch::beside(self, run))
     }
 
     /// Takes the repeat for the place that was found. Without one left the place is given back,
--- a/crates/proxy/tests/budget.rs
+++ b/crates/proxy/tests/budget.rs
@@ -136,6 +136,52 @@
     assert!(apart < BUSY / 10, "granted after {age:?}, sent after {waited:?}");
 }
 
+/// A send that nothing was heard of counted for its own window only, and arrived in a later one
+/// together with what that window granted.
+#[test]
+fn a_repeat_counts_until_all_sends_of_its_request_are_known_to_have_arrived() {
+    struct Case {
+        what: &'static str,
+        kind: RequestKind,
+        /// What becomes of the two sends of the first request.
+        deeds: [Deed; 2],
+        /// The repeats that are granted by a window after that, and by two.
+        granted: [usize; 2],
+    }
+    let shed = || Deed::Answer(Script::signed(503, &[]).header("not-run", "1"));
+    let whole = || Deed::Answer(Script::signed(200, &["whole"]));
+    let once = RequestKind::AtMostOnce;
+    let cases = [
+        Case { what: "answered", kind: once, deeds: [shed(), whole()], granted: [2, 3] },
+        Case { what: "turned away", kind: once, deeds: [shed(), shed()], granted: [2, 3] },
+        Case { what: "broken", kind: once, deeds: [shed(), Deed::Close], granted: [2, 3] },
+        Case { what: "given up", kind: once, deeds: [shed(), Deed::Hang], granted: [1, 2] },
+        Case {
+            what: "the first send was given up",
+            kind: IDEMPOTENT,
+            deeds: [Deed::Hang, whole()],
+            granted: [1, 2],
+        },
+    ];
+    for Case { what, kind, deeds, granted } in cases {
+        let bed = TestBed::new(&BedSettings { repeat_slack: 3.0, ..BedSettings::of(kind) });
+        bed.world.run_for(WINDOW);
+        let ask = |deeds: &[Deed]| {
+            bed.backends(0).deeds.borrow_mut().clear();
+            bed.script(0, deeds);
+            let patience = Some(Duration::from_secs(1));
+            bed.world.run_until(take(bed.proxy(), CallerCall { patience, ..bed.call() }));
+        };
+        ask(&deeds);
+        let counts = [(); 2].map(|()| {
+            bed.world.run_for(WINDOW + WINDOW / 10);
+            ask(&[shed(), whole()]);
+            granted_ages(&bed).len()
+        });
+        assert_eq!(counts, granted, "{what}: {:#?}", bed.events.lines());
+    }
+}
+
 /// The ages of requests at which the budget granted them a repeat.
 fn granted_ages(bed: &TestBed) -> Vec<Duration> {
     let lines = bed.events.lines();
--- a/crates/proxy/tests/support/servers.rs
+++ b/crates/proxy/tests/support/servers.rs
@@ -104,7 +104,7 @@
 /// Backend servers that do what they are told, in the order of arrival.
 pub(crate) struct ScriptedBackends {
     context: ProcessContext,
-    pub(super) deeds: RefCell<VecDeque<Deed>>,
+    pub(crate) deeds: RefCell<VecDeque<Deed>>,
     pub(crate) arrivals: RefCell<Vec<Arrival>>,
     /// Requests whose answer was dropped before its end.
     pub(crate) cancelled: Rc<Cell<usize>>,
