Repeats: requests that are read after a stall count for its time

What callers saw: nothing by itself; a service got more repeats than its budget permits some seconds after gateways had stood still.

Cause: a gateway counted a request when it read it. After a stall it reads at once what callers sent over seconds, and took that for requests of now: where engines turned work away ten seconds later, repeats of that size were granted, though the operators' window had few requests by then.

Change: a check four times a second notices that the process has stood still; what is read from then on, for as long as it stood still, counts as sent at the beginning of the stall. A table of cases pins that, and gateway.stood_still tells of it.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -96,11 +96,12 @@
         }
     }
 
-    /// Notes a request that came for the first time.
-    pub fn note_request(&mut self, now: MonotonicTime) {
-        self.expire(now);
-        self.requests.push_back(now);
+    /// Notes a request that came for the first time, and may have been sent at `sent` already.
+    pub fn note_request(&mut self, sent: MonotonicTime, now: MonotonicTime) {
+        let latest = self.requests.back().copied();
+        self.requests.push_back(latest.map_or(sent, |latest| sent.max(latest)));
         self.request_count += 1;
+        self.expire(now);
     }
 
     /// Takes one repeat, where there is one left, with `share` of the common allowance. It has to
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -29,6 +29,7 @@
 mod scheduler;
 mod share;
 mod silence;
+mod stall;
 mod statement;
 mod unread;
 mod urgency;
@@ -47,9 +48,10 @@
     load::{BackendLoad, BackendReport, SentRequest, WorkCost},
     patience::begin_deadline,
     regions::{FirstByteTimes, RegionFacts},
-    scheduler::Scheduler,
+    scheduler::{STALL_CHECK_INTERVAL, Scheduler},
     share::AllowanceShare,
     silence::{SilenceStep, SilentRun},
+    stall::StallWatch,
     statement::{BackendStatements, StatementChange},
     verdict::{PromptCopy, RefusalFacts, Verdict},
     work::{PromptPart, PromptShape, RefusalReason, TicketId, WorkItem, WorkOutcome},
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -22,7 +22,7 @@
         AllowanceShare, BackendFacts, BackendHint, BackendLoad, BackendReport, BackendStatements,
         CacheEstimate, FirstByteTimes, HealthRecord, LimitNews, PromptShape, RegionFacts,
         RepeatArrival, RepeatBudget, RepeatDecision, RequestNews, SchedulerSettings, SentRequest,
-        StatementChange, TicketId, Verdict, WorkCost, WorkItem, WorkOutcome,
+        StallWatch, StatementChange, TicketId, Verdict, WorkCost, WorkItem, WorkOutcome,
         hint::{OwnHint, ago, statement_news},
         load::PROGRESS_AGE,
         rate::RateGate,
@@ -57,6 +57,9 @@
     stated: StatementRecord,
 }
 
+/// How often [`Scheduler::check_stall`] is to be called.
+pub const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Where a request runs.
 struct SentPlace {
     run: BackendRun,
@@ -84,6 +87,7 @@
     /// Its part of what all gateways together may do.
     share: AllowanceShare,
     budgets: HashMap<ServiceName, RepeatBudget>,
+    stalls: StallWatch,
     waiting: Vec<Waiting>,
     /// What other gateways of the region have not yet been told of.
     hints: Vec<OwnHint>,
@@ -114,6 +118,7 @@
             evacuated: Rc::default(),
             returned: BTreeMap::new(),
             budgets: HashMap::new(),
+            stalls: StallWatch::new(STALL_CHECK_INTERVAL),
             waiting: Vec::new(),
             hints: Vec::new(),
             ended: BTreeSet::new(),
@@ -234,10 +239,16 @@
         (self.waiting.len(), self.sent.len())
     }
 
+    /// To be called at regular times; for how long this gateway has stood still, if it has.
+    pub fn check_stall(&mut self, now: MonotonicTime) -> Option<Duration> {
+        self.stalls.check(now)
+    }
+
     /// Puts a request into the queue; [`poll`](Self::poll) says what becomes of it.
     pub fn submit(&mut self, item: WorkItem, now: MonotonicTime) -> TicketId {
         if item.is_new {
-            self.budget(&item.service).note_request(now);
+            let sent = self.stalls.sent_since(now);
+            self.budget(&item.service).note_request(sent, now);
         }
         self.objectives.entry(item.service.clone()).or_default().note(&item);
         self.next_ticket += 1;
--- a/crates/dispatch/tests/repeats.rs
+++ b/crates/dispatch/tests/repeats.rs
@@ -133,6 +133,7 @@
         what: &'static str,
         bursts: Vec<(Range<u64>, f64)>,
         freezes: Vec<Freeze>,
+        failures: Range<u64>,
     }
     let freeze = |time| Freeze { time, share: 0.9 };
     let cases = [
@@ -140,17 +141,25 @@
             what: "they stand still in a burst, and few callers come after it",
             bursts: vec![(6_000..10_000, 4.0), (10_000..34_000, 0.1)],
             freezes: vec![freeze(6_000..12_000)],
+            failures: 4_000..34_000,
         },
         Case {
             what: "they stand still twice",
             bursts: vec![(4_000..8_000, 4.0), (8_000..34_000, 0.1)],
             freezes: vec![freeze(4_000..8_500), freeze(9_000..14_000)],
+            failures: 4_000..34_000,
+        },
+        Case {
+            what: "sends fail when the burst is over",
+            bursts: vec![(4_000..8_000, 4.0), (8_000..34_000, 0.2)],
+            freezes: vec![freeze(4_000..9_000)],
+            failures: 18_100..34_000,
         },
     ];
     let mut lines = Vec::new();
-    for Case { what, bursts, freezes } in cases {
+    for Case { what, bursts, freezes, failures } in cases {
         for (gateways, per_second) in [(8, 300.0), (8, 1_200.0), (100, 2_400.0)] {
-            let failures = vec![(4_000..34_000, 0.95)];
+            let failures = vec![(failures.clone(), 0.95)];
             let (bursts, freezes) = (bursts.clone(), freezes.clone());
             let trouble = Trouble { failures, bursts, freezes, ..Trouble::default() };
             lines.extend(broken(what, &scenario(gateways, per_second, trouble), 0..3));
--- a/crates/dispatch/tests/rules.rs
+++ b/crates/dispatch/tests/rules.rs
@@ -147,7 +147,7 @@
             let mut share = AllowanceShare::new(1);
             share.note_total(gateways, at(0));
             for ms in (10_000..20_000).step_by(100) {
-                budget.note_request(at(ms));
+                budget.note_request(at(ms), at(ms));
                 requests += 1;
                 repeats += (0..5).filter(|_| budget.take(&share, at(ms)).is_granted).count();
             }
--- a/crates/dispatch/tests/support/repeat_play.rs
+++ b/crates/dispatch/tests/support/repeat_play.rs
@@ -3,13 +3,14 @@
 
 use {
     super::{at, chances, count_within, gateway, item, pool, region, route, service, settings},
-    gullglade_dispatch::{RepeatArrival, Scheduler, SchedulerSettings},
+    gullglade_dispatch::{RepeatArrival, STALL_CHECK_INTERVAL, Scheduler, SchedulerSettings},
     gullglade_traffic::TrafficRoute,
     gullglade_units::{RandomSource, SeededRandom, VmName},
     std::{
         collections::{BTreeMap, BTreeSet},
         ops::Range,
         rc::Rc,
+        time::Duration,
     },
 };
 
@@ -184,6 +185,7 @@
         while self.now_ms < LEAD_MS + self.scenario.length_ms {
             self.change_fleet();
             self.tell_fleet();
+            self.check_stalls();
             self.take_steps();
             self.send_requests();
             self.now_ms += STEP_MS;
@@ -275,6 +277,19 @@
         }
     }
 
+    /// Gateways that stand still check only when they run again, and then after some requests.
+    fn check_stalls(&mut self) {
+        let now_ms = self.now_ms;
+        let interval = u64::try_from(STALL_CHECK_INTERVAL.as_millis()).expect("few milliseconds");
+        for played in &mut self.gateways {
+            let steps = (now_ms + played.phase_ms) / STEP_MS;
+            let is_due = steps.is_multiple_of(interval / STEP_MS);
+            if let Some(run) = played.run.as_mut().filter(|_| is_due && now_ms > played.wakes_ms) {
+                let _stall: Option<Duration> = run.check_stall(at(now_ms));
+            }
+        }
+    }
+
     fn send_requests(&mut self) {
         let Some(day) = self.day_ms() else { return };
         let trouble = &self.scenario.trouble;
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -14,6 +14,7 @@
         starting::StartGate,
         unread_headers::UnreadHeaders,
     },
+    gullglade_dispatch::{STALL_CHECK_INTERVAL, Scheduler},
     gullglade_event::{EventDraft, EventSink, Level, MetricSet},
     gullglade_fleet::{FleetFollower, TrafficInForce},
     gullglade_http::{HttpClient, ReplyBody},
@@ -130,9 +131,27 @@
             ProxyShared { parts, attempts, forwarder, access, quota, cut_at, forwards, start_gate };
         let proxy = Self { shared: Rc::new(shared) };
         proxy.watch_start();
+        proxy.watch_stalls();
         proxy
     }
 
+    /// Notices when this process has stood still.
+    fn watch_stalls(&self) {
+        let shared = Rc::downgrade(&self.shared);
+        let clock = Rc::clone(&self.context().clock);
+        self.context().spawner.spawn(Box::pin(async move {
+            loop {
+                clock.sleep(STALL_CHECK_INTERVAL).await;
+                let Some(shared) = shared.upgrade() else { return };
+                let ProxyParts { dispatcher, events, .. } = &shared.parts;
+                if let Some(stall) = dispatcher.ask(Scheduler::check_stall) {
+                    let event = EventDraft::new("gateway.stood_still").level(Level::Warn);
+                    events.emit(event.millis("stall_ms", stall));
+                }
+            }
+        }));
+    }
+
     /// Lets waiting requests in with the first configuration.
     fn watch_start(&self) {
         let shared = Rc::downgrade(&self.shared);
