Journey: each send is one future that its flight follows

The three ways of a send wrapped their future in different shapes, one of them formatted over four levels. No change of behaviour; tests of the proxy crate passed.

--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -425,10 +425,8 @@
                     copy_from: copy.map(|copy| copy.from),
                     is_once_only: !self.item.route.kind.may_repeat(),
                 };
-                let end =
-                    Box::pin(
-                        async move { flight.follow(proxy.attempts().send(attempt, ticket)).await },
-                    );
+                let send = async move { proxy.attempts().send(attempt, ticket).await };
+                let end = Box::pin(flight.follow(send));
                 SentRun { watch, end, leased: None }
             }
             FoundPlace::Away(region) => {
@@ -439,10 +437,10 @@
                 let may_repeat = self.may_be_replaced();
                 let watch = self.away_watch(&region);
                 let liveness = watch.liveness.clone();
-                let end = Box::pin(async move {
-                    let forwarder = proxy.forwarder();
-                    flight.follow(forwarder.send(&region, forward, may_repeat, liveness)).await
-                });
+                let send = async move {
+                    proxy.forwarder().send(&region, forward, may_repeat, liveness).await
+                };
+                let end = Box::pin(flight.follow(send));
                 SentRun { watch, end, leased: None }
             }
             FoundPlace::Reserved(reserved) => {
@@ -452,12 +450,11 @@
                 let service = self.item.service.clone();
                 let (told, begun) = oneshot::channel();
                 let leased = times.map(|times| LeasedStart { run: reserved.leased(times), begun });
-                let end = Box::pin(async move {
+                let send = async move {
                     let forwarder = proxy.forwarder();
-                    let committed =
-                        forwarder.commit(reserved, &service, left, liveness, times, told);
-                    flight.follow(committed).await
-                });
+                    forwarder.commit(reserved, &service, left, liveness, times, told).await
+                };
+                let end = Box::pin(flight.follow(send));
                 SentRun { watch, end, leased }
             }
         }
