Kept connections: the test of a request's own limit has a clock of its own

Explained before by runs: the machine stands still at times, and a process stopped for 1.2 or 4.3 s fails in the same words, since the pause of the test and the client's times went by the machine's clock.

The client gets the manual clock that other tests of this program use; the pause advances it. Cases and checks are as they were, and no real time passes in the test.

--- a/crates/http/tests/http/kept.rs
+++ b/crates/http/tests/http/kept.rs
@@ -1,7 +1,7 @@
 //! Kept connections: for how long they are used, and for which requests.
 
 use {
-    crate::common::{any_port, run},
+    crate::common::{any_port, manual_context, run},
     bytes::Bytes,
     gullglade_http::{ClientConfig, ClientError, HttpClient, KeptWithin, PooledClient},
     gullglade_units::ProcessContext,
@@ -94,9 +94,10 @@
 fn a_request_may_ask_for_a_connection_that_was_used_lately() {
     run(async {
         let (address, connections) = answering("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
-        let client = PooledClient::new(ClientConfig::new(), ProcessContext::system());
+        let (context, clock) = manual_context();
+        let client = PooledClient::new(ClientConfig::new(), context);
         for (pause, within, expected) in [(0, 1_000, 1), (0, 1_000, 1), (60, 30, 2)] {
-            monoio::time::sleep(Duration::from_millis(pause)).await;
+            clock.advance(Duration::from_millis(pause));
             let mut request = get();
             request.extensions_mut().insert(KeptWithin(Duration::from_millis(within)));
             client.send(address, request).await.unwrap().body.collect(10).await.unwrap();
