--- a/crates/dispatch/tests/repeats.rs
+++ b/crates/dispatch/tests/repeats.rs
@@ -171,26 +171,25 @@
 /// Any of these troubles at any time, several at once.
 #[test]
 fn repeats_stay_within_their_budget_under_troubles_at_random() {
-    let first = setting("GULLGLADE_SEED", 0);
-    let plays = setting("GULLGLADE_REPEAT_SEEDS", DEFAULT_PLAYS);
-    let mut lines = Vec::new();
-    for seed in first..first + plays {
-        let scenario = random_scenario(&SeededRandom::new(seed));
-        lines.extend(broken("at random", &scenario, [seed].into_iter()));
-    }
-    assert!(lines.is_empty(), "{} of {plays}:\n{}", lines.len(), lines.join("\n"));
+    play_at_random(random_scenario);
 }
 
 /// The same, with links that hold up sends and gateways that stand still.
 #[test]
 fn repeats_stay_within_their_budget_under_late_arrivals_at_random() {
+    play_at_random(|random| {
+        let mut scenario = random_scenario(random);
+        add_late_arrivals(&mut scenario.trouble, random);
+        scenario
+    });
+}
+
+fn play_at_random(scenario: impl Fn(&SeededRandom) -> RepeatScenario) {
     let first = setting("GULLGLADE_SEED", 0);
     let plays = setting("GULLGLADE_REPEAT_SEEDS", DEFAULT_PLAYS);
     let mut lines = Vec::new();
     for seed in first..first + plays {
-        let random = SeededRandom::new(seed);
-        let mut scenario = random_scenario(&random);
-        add_late_arrivals(&mut scenario.trouble, &random);
+        let scenario = scenario(&SeededRandom::new(seed));
         lines.extend(broken("at random", &scenario, [seed].into_iter()));
     }
     assert!(lines.is_empty(), "{} of {plays}:\n{}", lines.len(), lines.join("\n"));
