A request goes back to the run that was given up where the one that replaced it is lost

Cause: which of two silent runs goes on is not known when one of them has to end, 0.1 to 0.35 s after the new one was sent. What the gateway has by then is that its own bytes were written; no backend server has said anything. A handover that was settled so and then lost its new run had used up the route's attempts, as these were counted by runs, and the stream ended.

Ruled out: that the wrong one of the two was ended. The old backend server was silent to everybody (replaced_at_work=false), as a dead one is, and a rule that keeps it would keep dead ones (a_silent_run_does_not_go_on_beside_...).

Where they are used up and no run is under way, the request is sent back to the backend server whose run was given up last, once (dispatch::AttemptLedger, without I/O).

Why it works: no request ends any more while a backend server that was given up silent may still answer it; ledger and handover are tested for every order of losses.

Tests: a_request_goes_back_to_a_run_that_was_given_up_where_the_new_one_is_lost, 36 cases in two regions, fails without the return ("stream.broke_off ... sends=2 allowed=2"); crates/dispatch/tests/attempts.rs, all orders of up to seven fates. a_link_that_breaks_at_any_moment_of_a_handover_loses_no_run got a deed more for the further send; its check is as it was.

Replaced: the plays' rule Attempts counted runs.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,9 +9,11 @@
 //! - [`CacheEstimate`] knows which prompt parts a model engine probably still holds.
 //! - [`HealthRecord`] believes outcomes, and lets a suspect back by trial.
 //! - [`SilentRun`] says when another place is sought beside a run from which nothing comes.
+//! - [`AttemptLedger`] says which backend servers may get a request next.
 //! - [`HandoverDelays`] says how long such a run is kept beside the one that replaces it.
 //! - [`RepeatBudget`] and [`AllowanceShare`] divide what all gateways together may do.
 
+mod attempts;
 mod backoff;
 mod budget;
 mod cache;
@@ -37,6 +39,7 @@
 mod work;
 
 pub use {
+    attempts::{AttemptLedger, NextTarget, UsedBackend},
     backoff::{InvalidBackoff, StatedBackoff},
     budget::{RepeatArrival, RepeatBudget, RepeatDecision},
     cache::CacheEstimate,
--- a/crates/dispatch/src/regions.rs
+++ b/crates/dispatch/src/regions.rs
@@ -139,9 +139,13 @@
 
     /// Whether no work should go there for now.
     pub(crate) fn is_paused(&self, offer: &RegionFacts, now: MonotonicTime) -> bool {
-        let is_before = |until: &MonotonicTime| now < *until;
         let refused = self.refused.get(&offer.region).and_then(|of| of.get(&offer.service));
-        self.broken.get(&offer.region).is_some_and(is_before) || refused.is_some_and(is_before)
+        self.is_broken(&offer.region, now) || refused.is_some_and(|until| now < *until)
+    }
+
+    /// Whether the path there is taken for broken for now.
+    pub(crate) fn is_broken(&self, region: &RegionName, now: MonotonicTime) -> bool {
+        self.broken.get(region).is_some_and(|until| now < *until)
     }
 
     /// Milliseconds until the first byte of a request that is sent there now has come back.
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -431,6 +431,11 @@
         self.budget(service).settle(arrival, now);
     }
 
+    /// Whether the path to a region was found to be broken just now.
+    pub fn is_path_broken(&self, region: &RegionName, now: MonotonicTime) -> bool {
+        self.regions.is_broken(region, now)
+    }
+
     /// Notes that the path to a region is broken: it gets no work for `pause`.
     pub fn pause_region(&mut self, region: &RegionName, pause: Duration, now: MonotonicTime) {
         self.regions.note_broken(region.clone(), now + pause);
--- a/crates/dispatch/src/scheduler/look.rs
+++ b/crates/dispatch/src/scheduler/look.rs
@@ -60,13 +60,13 @@
     /// Whether all backend servers were found full for requests of this one's priority.
     pub(crate) fn full(&self, item: &WorkItem) -> Option<FullLook> {
         // What was tried elsewhere has fewer backend servers to go to, and is looked at by itself.
-        let is_usual = item.tried.is_empty();
+        let is_usual = item.may_go_anywhere();
         self.full[rank(item.priority())].filter(|_| is_usual)
     }
 
     /// Notes that all backend servers are full for requests of this one's priority.
     pub(crate) fn note_full(&mut self, item: &WorkItem, full: FullLook) {
-        if item.tried.is_empty() {
+        if item.may_go_anywhere() {
             self.full[rank(item.priority())] = Some(full);
         }
     }
--- a/crates/dispatch/src/scheduler/placing.rs
+++ b/crates/dispatch/src/scheduler/placing.rs
@@ -134,8 +134,8 @@
         if let Some(full) = look.full(item) {
             return later(full, look, item);
         }
-        let untried = |b: &&Backend| !item.tried.contains(&b.facts.name);
-        let pool: Vec<&Backend> = self.serving(&item.service).filter(untried).collect();
+        let eligible = |b: &&Backend| item.may_go_to(&b.facts.name);
+        let pool: Vec<&Backend> = self.serving(&item.service).filter(eligible).collect();
         if pool.is_empty() {
             return Local::Nobody;
         }
@@ -299,8 +299,8 @@
         here: Option<HereTimes>,
         now: MonotonicTime,
     ) -> Option<RegionName> {
-        if !item.may_leave || here.is_some_and(|here| here.wait_ms + here.strain_ms < AWAY_WAIT_MS)
-        {
+        let may_leave = item.may_leave && item.returns_to.is_none();
+        if !may_leave || here.is_some_and(|here| here.wait_ms + here.strain_ms < AWAY_WAIT_MS) {
             return None;
         }
         let priority = here.map_or(item.priority(), |here| here.priority);
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -69,6 +69,8 @@
     pub prompt: Option<PromptShape>,
     /// Backend servers that it was sent to and that are not to be tried again.
     pub tried: Vec<BackendName>,
+    /// The only backend server that may get it, where it goes back to one.
+    pub returns_to: Option<BackendName>,
     /// Whether it may be sent to another region: not if it came from one.
     pub may_leave: bool,
     /// Whether it came in just now from its caller. Only then is it counted among the requests of
@@ -84,6 +86,19 @@
         own.unwrap_or(self.route.priority)
     }
 
+    /// Whether the backend server may get it.
+    pub fn may_go_to(&self, name: &BackendName) -> bool {
+        match &self.returns_to {
+            Some(only) => only == name,
+            None => !self.tried.contains(name),
+        }
+    }
+
+    /// Whether any backend server of its service may get it.
+    pub fn may_go_anywhere(&self) -> bool {
+        self.tried.is_empty() && self.returns_to.is_none()
+    }
+
     /// Whether it may be served in `region`, by its route and by its workspace.
     pub fn allows(&self, region: &RegionName) -> bool {
         let workspace = self.workspace.as_ref();
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -163,6 +163,7 @@
         begins_by: now + route.timeout,
         prompt,
         tried: Vec::new(),
+        returns_to: None,
         may_leave: true,
         is_new: true,
     }
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -7,7 +7,9 @@
             AttemptEnd, AttemptPlace, FinalWord, KeptReason, RepeatReason, UnknownReason, WaitLimit,
         },
     },
-    gullglade_dispatch::{PromptCopy, RefusalFacts, RefusalReason, RepeatDecision, WorkItem},
+    gullglade_dispatch::{
+        PromptCopy, RefusalFacts, RefusalReason, RepeatDecision, UsedBackend, WorkItem,
+    },
     gullglade_event::{EventDraft, EventSink, Level, MetricSet, RequestOutcome},
     gullglade_units::{BackendName, Clock, ModelName, MonotonicTime, RegionName},
     http::StatusCode,
@@ -149,6 +151,12 @@
         self.events.emit(event.optional("here_ms", here_ms.map(f64::round)));
     }
 
+    /// It goes back to a backend server at which its run was given up.
+    pub(crate) fn goes_back(&self, used: &UsedBackend) {
+        let event = self.event("request.goes_back").field("backend", &used.name);
+        self.events.emit(event.field("region", &used.region));
+    }
+
     pub(crate) fn source(&mut self, backend: &BackendName) {
         self.backend = Some(backend.clone());
     }
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -95,6 +95,8 @@
     pub(crate) print: Option<RequestPrint>,
     /// Backend servers that it was sent to and that are not to be tried again.
     pub(crate) tried: Vec<BackendName>,
+    /// The only backend server that may get it, where it goes back to one.
+    pub(crate) returns_to: Option<BackendName>,
     /// Where given, the place is reserved until [`COMMIT`] names this number.
     pub(crate) reservation: Option<u64>,
 }
@@ -154,6 +156,7 @@
             resume_after,
             print: None,
             tried: item.tried.clone(),
+            returns_to: item.returns_to.clone(),
             reservation: None,
         }
     }
--- a/crates/proxy/src/forward_server.rs
+++ b/crates/proxy/src/forward_server.rs
@@ -77,6 +77,7 @@
                 waited: forward.waited,
                 left: forward.left,
                 tried: forward.tried,
+                returns_to: forward.returns_to,
             },
         );
         let Some(mut journey) = journey else {
--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -186,7 +186,7 @@
         run.note_silence(silence);
         self.log.replaced(run.liveness.is_at_work());
         self.note_place(run, &AttemptEnd::Unknown(UnknownReason::Overdue));
-        self.replace_with(secured);
+        self.replace_with(run, secured);
     }
 
     /// The new run is ended, and may have run.
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -20,7 +20,9 @@
         send_watch::SendWatch,
     },
     futures::channel::oneshot,
-    gullglade_dispatch::{HandoverTimes, Verdict, WorkItem, begin_deadline},
+    gullglade_dispatch::{
+        AttemptLedger, HandoverTimes, NextTarget, UsedBackend, Verdict, WorkItem, begin_deadline,
+    },
     gullglade_poison::{RequestHold, RequestPrint},
     gullglade_traffic::{TrafficRoute, TrafficWorkspace},
     gullglade_units::{
@@ -61,8 +63,10 @@
     pub(crate) bound: WaitLimit,
     /// What it takes out of its workspace's quota, at the gateway that its caller called.
     charge: Option<ChargeGuard>,
-    /// Attempts that may have run.
-    ran: u32,
+    /// Where it may have run.
+    ledger: AttemptLedger,
+    /// The backend server that it is being sent back to.
+    returning: Option<UsedBackend>,
     /// Attempts that certainly did not.
     refused: u32,
     /// A repeat that is to be taken out of the budget when there is a place for it.
@@ -134,6 +138,8 @@
     pub(crate) left: Duration,
     /// Backend servers that it was sent to and that are not to be tried again.
     pub(crate) tried: Vec<BackendName>,
+    /// The only backend server that may get it, where it goes back to one.
+    pub(crate) returns_to: Option<BackendName>,
 }
 
 impl Journey {
@@ -168,7 +174,8 @@
         call: CallerCall,
         forwarded: ForwardedWork,
     ) -> Option<Self> {
-        let ForwardedWork { print, service, workspace, waited, left, tried } = forwarded;
+        let ForwardedWork { print, service, workspace, waited, left, tried, returns_to } =
+            forwarded;
         let traffic = proxy.traffic()?;
         let route = traffic.config.routes().find(&call.host, call.path()).cloned()?;
         traffic.config.service(&service)?;
@@ -184,6 +191,7 @@
         let work = RoutedWork { route, workspace, service, waited, left, bound, is_own: false };
         let mut journey = Self::new(proxy, call, print, work);
         journey.item.tried = tried;
+        journey.item.returns_to = returns_to;
         journey.item.allows(proxy.region()).then_some(journey)
     }
 
@@ -206,9 +214,11 @@
             begins_by,
             prompt: call.prompt.clone(),
             tried: Vec::new(),
+            returns_to: None,
             may_leave: is_own,
             is_new: is_own,
         };
+        let ledger = AttemptLedger::new(item.route.max_attempts);
         let log = JourneyLog::new(proxy, &call, &item, bound);
         let last_event = call.resume_after;
         let call = Rc::new(call);
@@ -222,7 +232,8 @@
             log,
             bound,
             charge: None,
-            ran: 0,
+            ledger,
+            returning: None,
             refused: 0,
             pending: None,
             sends: SendBook::default(),
@@ -269,7 +280,7 @@
             match end {
                 AttemptEnd::Answer(answer) => {
                     if self.is_false_promise(&answer) {
-                        self.ran += 1;
+                        self.ledger.note_ended();
                         return Err(self.unknown(UnknownReason::Garbled));
                     }
                     self.owes_run = false;
@@ -291,7 +302,7 @@
     /// Waits before another try where this gateway gave up a run for one that was turned away: what
     /// the caller had is gone, so the request is tried until its time is over. `word` otherwise.
     async fn persist(&mut self, word: FinalWord) -> Result<(), FinalWord> {
-        let is_final = !matches!(word, FinalWord::Unknown(_));
+        let is_final = !matches!(word, FinalWord::Unknown(_)) || !self.may_run_again();
         if is_final || !self.owes_run {
             return Err(word);
         }
@@ -309,7 +320,7 @@
 
     /// Takes note of whether what was charged may have been used.
     fn note_charge(&mut self, end: &AttemptEnd) {
-        let has_run = self.ran > 0 || !matches!(end, AttemptEnd::NotRun(..));
+        let has_run = self.ledger.has_run() || !matches!(end, AttemptEnd::NotRun(..));
         if let Some(charge) = self.charge.as_mut().filter(|_| !has_run) {
             charge.note_not_run();
         }
@@ -358,6 +369,16 @@
     /// Waits for a place.
     async fn find_place(&mut self) -> Result<FoundPlace, FinalWord> {
         self.check_hold()?;
+        if let Some(region) = self.plan_return()? {
+            self.take_repeat()?;
+            self.log.away(&region, None, &self.item);
+            return Ok(FoundPlace::Away(region));
+        }
+        self.place().await
+    }
+
+    /// Waits for a place that the dispatcher gives.
+    async fn place(&mut self) -> Result<FoundPlace, FinalWord> {
         let item = self.item.clone();
         self.item.is_new = false;
         let (ticket, verdict) = self.proxy.dispatcher().place(item).await;
@@ -368,7 +389,7 @@
         }
         match verdict {
             Verdict::Refuse { reason, retry_after, facts } => {
-                if self.ran > 0 {
+                if self.ledger.has_run() {
                     return Err(self.unknown(UnknownReason::Overdue));
                 }
                 self.log.refused(reason, retry_after, facts, &self.item);
@@ -386,6 +407,26 @@
         }
     }
 
+    /// Where no other backend server may get it, has it go back to the one that was given up last;
+    /// its region where that is another one.
+    fn plan_return(&mut self) -> Result<Option<RegionName>, FinalWord> {
+        let Some(NextTarget::Return(used)) = self.ledger.next_target() else { return Ok(None) };
+        let used = used.clone();
+        let away = Some(&used.region).filter(|region| *region != self.proxy.region()).cloned();
+        let dispatcher = self.proxy.dispatcher();
+        let is_broken = |region| dispatcher.ask(|s, now| s.is_path_broken(region, now));
+        if away.as_ref().is_some_and(is_broken) {
+            return Err(self.unknown(UnknownReason::LostAway));
+        }
+        self.log.goes_back(&used);
+        self.ledger.note_return(&used);
+        self.item.returns_to = Some(used.name.clone());
+        self.returning = Some(used);
+        // The run that it had there is gone.
+        self.owes_run = true;
+        Ok(away)
+    }
+
     /// Sends it to a place.
     pub(crate) fn send(&mut self, found: FoundPlace) -> SentRun {
         self.send_within(found, None)
@@ -470,8 +511,9 @@
     }
 
     /// Has `secured` follow the run that is under way, which may have run.
-    pub(crate) fn replace_with(&mut self, secured: SecuredRun) {
-        self.ran += 1;
+    pub(crate) fn replace_with(&mut self, run: &RunWatch, secured: SecuredRun) {
+        let used = run.backend().map(|name| UsedBackend { region: self.region_of(run), name });
+        self.ledger.note_given_up(used);
         self.owes_run = true;
         self.secured = Some(secured);
     }
@@ -480,7 +522,7 @@
     pub(crate) fn count_beside(&mut self, end: &AttemptEnd) {
         match end {
             AttemptEnd::NotRun(..) => self.refused += 1,
-            AttemptEnd::Unknown(_) | AttemptEnd::Answer(_) => self.ran += 1,
+            AttemptEnd::Unknown(_) | AttemptEnd::Answer(_) => self.ledger.note_ended_beside(),
         }
     }
 
@@ -508,6 +550,13 @@
         }
     }
 
+    fn region_of(&self, run: &RunWatch) -> RegionName {
+        match &run.place {
+            AttemptPlace::Here(_) => self.proxy.region().clone(),
+            AttemptPlace::Away(region) => region.clone(),
+        }
+    }
+
     /// How late the head of an answer may be before another place is sought.
     fn patience(&self, expected_ms: f64) -> Duration {
         let kind = self.item.route.kind;
@@ -542,9 +591,12 @@
             return Err(FinalWord::HeldBack { print: self.print.get(), ends, left });
         }
         self.refused += 1;
-        let word = match self.ran {
-            0 => FinalWord::NotRun(reason, wait.unwrap_or(SHED_RETRY)),
-            _ => self.unknown(UnknownReason::Broken),
+        if let Some(used) = self.returning.take().filter(|_| reason.may_pass()) {
+            self.ledger.note_return_refused(used);
+        }
+        let word = match self.ledger.has_run() {
+            false => FinalWord::NotRun(reason, wait.unwrap_or(SHED_RETRY)),
+            true => self.unknown(UnknownReason::Broken),
         };
         match self.refused < MOST_REFUSALS {
             true if reason.has_arrived() => self.plan_repeat(RepeatReason::NotRun(reason), word),
@@ -555,7 +607,7 @@
 
     /// Whether to try again what may have run.
     pub(crate) fn after_unknown(&mut self, reason: UnknownReason) -> Result<(), FinalWord> {
-        self.ran += 1;
+        self.ledger.note_ended();
         let word = self.unknown(reason);
         match self.may_run_again() {
             true => self.plan_repeat(RepeatReason::Unknown(reason), word),
@@ -565,7 +617,7 @@
 
     /// Whether to try again what a backend server failed at. Its answer is the caller's otherwise.
     pub(crate) fn after_failure(&mut self) -> bool {
-        self.ran += 1;
+        self.ledger.note_ended();
         let word = self.unknown(UnknownReason::Incomplete);
         self.may_run_again() && self.plan_repeat(RepeatReason::Failed, word).is_ok()
     }
@@ -573,14 +625,13 @@
     /// Whether another run is allowed, the budget aside.
     pub(crate) fn may_run_again(&self) -> bool {
         let route = &self.item.route;
-        route.kind.may_repeat() && self.ran < route.max_attempts && !self.left().is_zero()
+        route.kind.may_repeat() && self.ledger.next_target().is_some() && !self.left().is_zero()
     }
 
     /// Whether another run may follow the one that is under way, the budget aside.
     pub(crate) fn may_be_replaced(&self) -> bool {
         let route = &self.item.route;
-        let counted = self.ran + 1;
-        route.kind.may_repeat() && counted < route.max_attempts && !self.left().is_zero()
+        route.kind.may_repeat() && self.ledger.may_be_replaced() && !self.left().is_zero()
     }
 
     /// Has the request sent once more, where the budget has a repeat left.
--- a/crates/proxy/src/outcome.rs
+++ b/crates/proxy/src/outcome.rs
@@ -52,6 +52,11 @@
         matches!(self, Self::Shed | Self::Misdirected)
     }
 
+    /// Whether the same place may take it at another moment.
+    pub(crate) fn may_pass(self) -> bool {
+        matches!(self, Self::Revoked | Self::Shed | Self::RefusedAway)
+    }
+
     fn label(self) -> &'static str {
         match self {
             Self::Unreachable => "unreachable",
--- a/crates/proxy/tests/replacement.rs
+++ b/crates/proxy/tests/replacement.rs
@@ -325,6 +325,7 @@
         begins_by: now + Duration::from_secs(5),
         prompt: None,
         tried: vec![],
+        returns_to: None,
         may_leave: true,
         is_new: true,
     }
--- a/crates/proxy/tests/support/servers.rs
+++ b/crates/proxy/tests/support/servers.rs
@@ -26,6 +26,8 @@
     Close,
     /// Says nothing.
     Hang,
+    /// Says nothing, and closes the connection after a while.
+    HangUp(Duration),
     /// Answers, after a while.
     Answer(Script),
     /// Takes so long to accept the connection, and answers then.
@@ -181,6 +183,11 @@
         };
         let script = match deed {
             Deed::Hang => std::future::pending().await,
+            Deed::HangUp(after) => {
+                clock.sleep(after).await;
+                guard.finish();
+                return Err(ClientError::Sent { address, reason: "closed".to_owned() });
+            }
             Deed::Close => {
                 guard.finish();
                 return Err(ClientError::Sent { address, reason: "closed".to_owned() });
