A stream that has begun waits for a repeat that comes in its time

Cause: a denied repeat ended the request at once, also where the caller had a part of the answer, or its run had been given up for the one that was lost. The budget of a gateway is a window of 10 s, and in the first window of a run it has no part of the common allowance, so it often has a repeat again within the time of the stream.

Change: the budget says when it will have a repeat if nothing changes before (RepeatBudget::next_grant). A stream that has begun, or a request whose run was given up, waits for that where it comes in time, and ends at once where it does not. All others are told at once, as before: their callers may ask anew. What the budget grants is as before.

Ruled out as the mend: an allowance in the first window, which the run before on the same VM may have used; and repeats kept back for streams, as the denied ones in these traces were used by streams as well.

--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -65,6 +65,11 @@
         self.ran + u32::from(!self.is_return) < self.most
     }
 
+    /// Whether a run of it was given up that may be returned to.
+    pub fn has_given_up(&self) -> bool {
+        !self.given_up.is_empty()
+    }
+
     /// The request is sent back to `backend`, which may not get it once more.
     pub fn note_return(&mut self, backend: &UsedBackend) {
         self.is_return = true;
--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -27,7 +27,7 @@
 /// Bounded are arrivals, and a repeat arrives at some moment between its grant and its
 /// [settlement](Self::settle). It counts in each window that begins before it is settled: whatever
 /// holds it up, it cannot arrive in a window without having counted there.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct RepeatBudget {
     window: Duration,
     ratio: f64,
@@ -148,6 +148,24 @@
         }
     }
 
+    /// When [`take`](Self::take) will grant a repeat, where none is taken and no request comes
+    /// before; `None` where that does not help.
+    pub fn next_grant(
+        &mut self,
+        share: &AllowanceShare,
+        now: MonotonicTime,
+    ) -> Option<MonotonicTime> {
+        let window = self.window;
+        self.expire(now);
+        let kept = self.begins.iter().map(|(at, _)| *at + window);
+        let unknown = self.unknown.iter().flat_map(|at| [*at, *at + window]);
+        let mut times: Vec<_> = kept.chain(unknown).chain(share.known_at(window)).collect();
+        times.push(now);
+        times.sort();
+        times.dedup();
+        times.into_iter().find(|at| *at >= now && self.clone().look(share, *at).is_granted)
+    }
+
     /// What is kept of a window that begins now.
     fn begin(&self) -> f64 {
         let earlier = self.request_count - self.requests.len() as u64;
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -414,6 +414,16 @@
         self.budget(service).look(&share, now)
     }
 
+    /// When the budget of `service` will have a repeat, where nothing changes before.
+    pub fn next_repeat(
+        &mut self,
+        service: &ServiceName,
+        now: MonotonicTime,
+    ) -> Option<MonotonicTime> {
+        let share = self.share;
+        self.budget(service).next_grant(&share, now)
+    }
+
     /// Takes one repeat out of the budget of `service`, where there is one left. It counts there
     /// until a window after [`settle_repeat`](Self::settle_repeat).
     pub fn take_repeat(&mut self, service: &ServiceName, now: MonotonicTime) -> RepeatDecision {
--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -53,6 +53,11 @@
         self.known_since.is_some_and(|since| now.since(since) >= time)
     }
 
+    /// When the fleet has been known for so long, where it is known.
+    pub fn known_at(&self, time: Duration) -> Option<MonotonicTime> {
+        self.known_since.map(|since| since + time)
+    }
+
     /// The own part of an allowance of `whole` per `window`.
     pub fn part(&self, whole: f64, window: Duration, now: MonotonicTime) -> f64 {
         if self.is_known_for(window, now) { whole / self.parts as f64 } else { 0.0 }
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -215,6 +215,11 @@
         self.events.emit(event.field("parts", parts));
     }
 
+    /// It has waited so long for a repeat that the budget did not have.
+    pub(crate) fn repeat_awaited(&self, waited: Duration) {
+        self.events.emit(self.event("request.repeat_awaited").millis("waited_ms", waited));
+    }
+
     pub(crate) fn repeats_failure(&self, status: StatusCode) {
         let event = self.event("request.repeated").field("status", status.as_u16());
         self.events.emit(event.optional("backend", self.backend.as_ref()));
--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -49,6 +49,9 @@
 /// The pause between two tries to replace a run that was given up.
 const PERSIST_PAUSE: Duration = Duration::from_millis(200);
 
+/// The pause before the budget is asked for a repeat again.
+const LEAST_REPEAT_WAIT: Duration = Duration::from_millis(20);
+
 /// When a caller may come back to what backend servers turned away.
 const SHED_RETRY: Duration = Duration::from_millis(400);
 
@@ -369,6 +372,7 @@
     /// Waits for a place.
     async fn find_place(&mut self) -> Result<FoundPlace, FinalWord> {
         self.check_hold()?;
+        self.await_repeat().await;
         if let Some(region) = self.plan_return()? {
             self.take_repeat()?;
             self.log.away(&region, None, &self.item);
@@ -636,13 +640,40 @@
 
     /// Has the request sent once more, where the budget has a repeat left.
     fn plan_repeat(&mut self, reason: RepeatReason, otherwise: FinalWord) -> Result<(), FinalWord> {
-        if !self.has_repeat_left(reason) {
+        if !self.has_repeat_left(reason) && !self.may_await_repeat() {
             return Err(otherwise);
         }
         self.pending = Some(PendingRepeat { reason, otherwise });
         Ok(())
     }
 
+    /// Whether a repeat that the budget does not have now is waited for: the caller has a part of
+    /// the answer, or a run was given up that may answer, and there will be one in time.
+    fn may_await_repeat(&self) -> bool {
+        let has_begun = self.last_event.is_some() || self.ledger.has_given_up();
+        has_begun && self.next_repeat().is_some_and(|at| at < self.item.begins_by)
+    }
+
+    /// When the budget has a repeat, as far as is known.
+    fn next_repeat(&self) -> Option<MonotonicTime> {
+        let service = &self.item.service;
+        self.proxy.dispatcher().ask(|scheduler, now| scheduler.next_repeat(service, now))
+    }
+
+    /// Waits until there is a repeat for the one that is pending. Others may take it first.
+    async fn await_repeat(&mut self) {
+        let began = self.now();
+        while self.pending.is_some() && !self.sends.has_repeat() && self.may_await_repeat() {
+            let now = self.now();
+            let Some(at) = self.next_repeat().filter(|at| *at > now) else { break };
+            self.proxy.context().clock.sleep(at.since(now).max(LEAST_REPEAT_WAIT)).await;
+        }
+        let waited = self.now().since(began);
+        if !waited.is_zero() {
+            self.log.repeat_awaited(waited);
+        }
+    }
+
     /// Whether the service's budget has a repeat left.
     pub(crate) fn has_repeat_left(&mut self, reason: RepeatReason) -> bool {
         if self.sends.has_repeat() {
--- a/crates/proxy/tests/budget.rs
+++ b/crates/proxy/tests/budget.rs
@@ -192,3 +192,52 @@
     };
     granted.filter_map(age).collect()
 }
+
+/// Guards against a stream that is broken off for want of a repeat that comes in its time.
+#[test]
+fn a_stream_that_has_begun_waits_for_a_repeat_that_comes_in_time() {
+    struct Case {
+        what: &'static str,
+        kind: RequestKind,
+        patience: Duration,
+        lost: Deed,
+        /// Whether it is answered whole; it ends at once otherwise.
+        is_whole: bool,
+    }
+    const STREAM: RequestKind = RequestKind::Stream { resumable: true };
+    const FIRST: &str = "id: 1\ndata: a\n\n";
+    const REST: &str = "id: 2\ndata: b\n\n";
+    let begun = || Deed::Answer(Script::events(&[FIRST]).broken());
+    let case = |what, kind, patience, lost, is_whole| {
+        let patience = Duration::from_secs(patience);
+        Case { what, kind, patience, lost, is_whole }
+    };
+    let cases = [
+        case("a stream with time left", STREAM, 8, begun(), true),
+        case("a stream with too little time", STREAM, 2, begun(), false),
+        case("a stream without an event", STREAM, 8, Deed::Close, false),
+        case("a plain request", IDEMPOTENT, 8, Deed::Close, false),
+    ];
+    for Case { what, kind, patience, lost, is_whole } in cases {
+        let bed = TestBed::new(&BedSettings {
+            backends: (4, 0),
+            timeout: Duration::from_secs(9),
+            // The part of one gateway of two is one repeat a window.
+            repeat_slack: 2.4,
+            ..BedSettings::of(kind)
+        });
+        bed.script(0, &[Deed::Close, Deed::Close]);
+        assert_eq!(bed.serve(bed.call()).status, 502, "{what}: two sends");
+        bed.world.run_for(WINDOW - Duration::from_secs(3));
+        let again = Script::events(&[REST]);
+        bed.script(0, &[lost, Deed::Answer(again)]);
+        let began = bed.world.now();
+        let call = CallerCall { patience: Some(patience), body: "another".into(), ..bed.call() };
+        let served = bed.serve(call);
+        let took = bed.world.now().since(began);
+        let lines = bed.events.lines();
+        let got_whole = served.status == 200 && !served.is_broken && served.body.ends_with(REST);
+        assert_eq!(got_whole, is_whole, "{what}: {served:?}, {lines:#?}");
+        assert!(is_whole || took < Duration::from_millis(100), "{what}: {took:?}, {lines:#?}");
+    }
+}
