--- a/crates/proxy/src/journey.rs
+++ b/crates/proxy/src/journey.rs
@@ -1,33 +1,32 @@
 //! One request's way through this gateway: placed, sent, and sent again where that does no harm.
 
+mod placing;
+mod repeats;
+mod sending;
+
+pub(crate) use sending::{LeasedStart, SecuredRun, SentRun};
+
 use {
+    self::repeats::PendingRepeat,
     crate::{
         CallerCall, Proxy,
         answer::AttemptAnswer,
-        arrival::{OpenRepeat, SendBook},
-        attempt::{Attempt, promises_not_run},
+        arrival::SendBook,
+        attempt::promises_not_run,
         call_print::CallPrint,
         events::JourneyLog,
-        forward::{ForwardCall, LeasedRun},
-        liveness::{RemoteLiveness, RunLiveness, RunWatch},
+        liveness::RunWatch,
         outcome::{
             AttemptEnd, AttemptPlace, FinalWord, NotRunReason, RepeatReason, UnknownReason,
             WaitLimit,
         },
         quota::ChargeGuard,
         replacement::WaitEnd,
-        search::{FoundPlace, PlacedRun},
-        send_watch::SendWatch,
-    },
-    futures::channel::oneshot,
-    gullglade_dispatch::{
-        AttemptLedger, HandoverTimes, NextTarget, UsedBackend, Verdict, WorkItem, begin_deadline,
     },
-    gullglade_poison::{RequestHold, RequestPrint},
+    gullglade_dispatch::{AttemptLedger, UsedBackend, WorkItem, begin_deadline},
+    gullglade_poison::RequestPrint,
     gullglade_traffic::{TrafficRoute, TrafficWorkspace},
-    gullglade_units::{
-        BackendName, BackendRun, LocalFuture, MonotonicTime, RegionName, ServiceName, WorkspaceName,
-    },
+    gullglade_units::{BackendName, MonotonicTime, RegionName, ServiceName, WorkspaceName},
     std::{rc::Rc, time::Duration},
 };
 
@@ -35,23 +34,9 @@
 /// request must not go round all backend servers.
 const MOST_REFUSALS: u32 = 4;
 
-/// How much later than expected the head of a repeatable answer may be before another place is
-/// sought: this many times the expectation, and the time below.
-const PATIENCE_FACTOR: f64 = 2.0;
-
-/// A plain answer's least patience.
-const PLAIN_PATIENCE: Duration = Duration::from_millis(150);
-
-/// A stream's least patience: its prompt may be among the longest, and a second read of it takes
-/// as long again.
-const STREAM_PATIENCE: Duration = Duration::from_millis(600);
-
 /// The pause between two tries to replace a run that was given up.
 const PERSIST_PAUSE: Duration = Duration::from_millis(200);
 
-/// The pause before the budget is asked for a repeat again.
-const LEAST_REPEAT_WAIT: Duration = Duration::from_millis(20);
-
 /// When a caller may come back to what backend servers turned away.
 const SHED_RETRY: Duration = Duration::from_millis(400);
 
@@ -83,38 +68,6 @@
     pub(crate) last_event: Option<u64>,
 }
 
-/// A request that was sent.
-pub(crate) struct SentRun {
-    pub(crate) watch: RunWatch,
-    /// How the attempt ends. Dropped, it cancels the work.
-    pub(crate) end: LocalFuture<'static, AttemptEnd>,
-    /// Of a run that began with a lease.
-    pub(crate) leased: Option<LeasedStart>,
-}
-
-/// The start of a run in another region, beside one that has not ended.
-pub(crate) struct LeasedStart {
-    /// What keeps it; it ends by itself otherwise.
-    pub(crate) run: LeasedRun,
-    /// Told when it is certain that the run has begun.
-    pub(crate) begun: oneshot::Receiver<()>,
-}
-
-/// The attempt that follows a run that was given up.
-pub(crate) enum SecuredRun {
-    /// Its place is reserved.
-    Place(FoundPlace),
-    /// It is under way.
-    Sent(SentRun),
-}
-
-/// A request that has arrived at a backend server and is to be sent once more.
-struct PendingRepeat {
-    reason: RepeatReason,
-    /// What its caller is told where the budget has no repeat left by the time there is a place.
-    otherwise: FinalWord,
-}
-
 /// A request with the way that it takes.
 struct RoutedWork {
     route: Rc<TrafficRoute>,
@@ -329,20 +282,6 @@
         }
     }
 
-    /// A place for the only attempt that a gateway makes for one of another region; how the attempt
-    /// ends where there is none.
-    pub(crate) async fn single_place(&mut self) -> Result<FoundPlace, AttemptEnd> {
-        self.find_place().await.map_err(|word| match word {
-            FinalWord::Refused(_, wait) => {
-                AttemptEnd::NotRun(NotRunReason::RefusedAway, Some(wait))
-            }
-            FinalWord::HeldBack { ends, left, .. } => {
-                AttemptEnd::NotRun(NotRunReason::HeldBack { ends }, Some(left))
-            }
-            _ => AttemptEnd::NotRun(NotRunReason::RefusedAway, None),
-        })
-    }
-
     /// An answer with a status that callers read as "not run", from a backend server that did not
     /// say so. To a request that may not be repeated it must not be passed on.
     fn is_false_promise(&self, answer: &AttemptAnswer) -> bool {
@@ -369,151 +308,6 @@
         Ok(Some(end))
     }
 
-    /// Waits for a place.
-    async fn find_place(&mut self) -> Result<FoundPlace, FinalWord> {
-        self.check_hold()?;
-        self.await_repeat().await;
-        if let Some(region) = self.plan_return()? {
-            self.take_repeat()?;
-            self.log.away(&region, None, &self.item);
-            return Ok(FoundPlace::Away(region));
-        }
-        self.place().await
-    }
-
-    /// Waits for a place that the dispatcher gives.
-    async fn place(&mut self) -> Result<FoundPlace, FinalWord> {
-        let item = self.item.clone();
-        self.item.is_new = false;
-        let (ticket, verdict) = self.proxy.dispatcher().place(item).await;
-        // The third end may have become known while it waited.
-        self.check_hold()?;
-        if verdict.is_sent() {
-            self.take_repeat()?;
-        }
-        match verdict {
-            Verdict::Refuse { reason, retry_after, facts } => {
-                if self.ledger.has_run() {
-                    return Err(self.unknown(UnknownReason::Overdue));
-                }
-                self.log.refused(reason, retry_after, facts, &self.item);
-                Err(FinalWord::Refused(reason, retry_after))
-            }
-            Verdict::Send { run, address, priority, expected_ms, copy } => {
-                let placed = PlacedRun { ticket, run, address, priority, expected_ms, copy };
-                Ok(FoundPlace::Here(placed))
-            }
-            Verdict::SendAway { region, here_ms } => {
-                drop(ticket);
-                self.log.away(&region, here_ms, &self.item);
-                Ok(FoundPlace::Away(region))
-            }
-        }
-    }
-
-    /// Where no other backend server may get it, has it go back to the one that was given up last;
-    /// its region where that is another one.
-    fn plan_return(&mut self) -> Result<Option<RegionName>, FinalWord> {
-        let Some(NextTarget::Return(used)) = self.ledger.next_target() else { return Ok(None) };
-        let used = used.clone();
-        let away = Some(&used.region).filter(|region| *region != self.proxy.region()).cloned();
-        let dispatcher = self.proxy.dispatcher();
-        let is_broken = |region| dispatcher.ask(|s, now| s.is_path_broken(region, now));
-        if away.as_ref().is_some_and(is_broken) {
-            return Err(self.unknown(UnknownReason::LostAway));
-        }
-        self.log.goes_back(&used);
-        self.ledger.note_return(&used);
-        self.item.returns_to = Some(used.name.clone());
-        self.returning = Some(used);
-        // The run that it had there is gone.
-        self.owes_run = true;
-        Ok(away)
-    }
-
-    /// Sends it to a place.
-    pub(crate) fn send(&mut self, found: FoundPlace) -> SentRun {
-        self.send_within(found, None)
-    }
-
-    /// Sends it to a place; with `times`, while the run that it is to replace has not ended.
-    pub(crate) fn send_within(
-        &mut self,
-        found: FoundPlace,
-        times: Option<HandoverTimes>,
-    ) -> SentRun {
-        if let Some(charge) = &mut self.charge {
-            charge.note_sent();
-        }
-        let left = self.item.ends.since(self.now());
-        let proxy = self.proxy.clone();
-        let flight = self.sends.begin();
-        match found {
-            FoundPlace::Here(placed) => {
-                let PlacedRun { ticket, run, address, priority, expected_ms, copy } = placed;
-                let ticket = ticket.watched(self.watch(&run));
-                self.log.placed(&run.backend, expected_ms, copy);
-                let watch = RunWatch {
-                    place: AttemptPlace::Here(run.backend.clone()),
-                    liveness: ticket.liveness(),
-                    patience: self.patience(expected_ms),
-                    work_patience: None,
-                };
-                let attempt = Attempt {
-                    call: Rc::clone(&self.call),
-                    backend: run.backend,
-                    address,
-                    left,
-                    priority,
-                    workspace: self.item.workspace.clone(),
-                    resume_after: self.last_event,
-                    copy_from: copy.map(|copy| copy.from),
-                    is_once_only: !self.item.route.kind.may_repeat(),
-                };
-                let send = async move { proxy.attempts().send(attempt, ticket).await };
-                let end = Box::pin(flight.follow(send));
-                SentRun { watch, end, leased: None }
-            }
-            FoundPlace::Away(region) => {
-                let forward = ForwardCall {
-                    print: self.print.made(),
-                    ..ForwardCall::new(&self.call, &self.item, self.last_event, self.now())
-                };
-                let may_repeat = self.may_be_replaced();
-                let watch = self.away_watch(&region);
-                let liveness = watch.liveness.clone();
-                let send = async move {
-                    proxy.forwarder().send(&region, forward, may_repeat, liveness).await
-                };
-                let end = Box::pin(flight.follow(send));
-                SentRun { watch, end, leased: None }
-            }
-            FoundPlace::Reserved(reserved) => {
-                self.log.away(&reserved.region, None, &self.item);
-                let watch = self.away_watch(&reserved.region);
-                let liveness = watch.liveness.clone();
-                let service = self.item.service.clone();
-                let (told, begun) = oneshot::channel();
-                let leased = times.map(|times| LeasedStart { run: reserved.leased(times), begun });
-                let send = async move {
-                    let forwarder = proxy.forwarder();
-                    forwarder.commit(reserved, &service, left, liveness, times, told).await
-                };
-                let end = Box::pin(flight.follow(send));
-                SentRun { watch, end, leased }
-            }
-        }
-    }
-
-    fn away_watch(&self, region: &RegionName) -> RunWatch {
-        RunWatch {
-            place: AttemptPlace::Away(region.clone()),
-            liveness: RunLiveness::Away(RemoteLiveness::new(&self.proxy.context().clock)),
-            patience: self.proxy.forwarder().accept_limit(region),
-            work_patience: None,
-        }
-    }
-
     /// Has `secured` follow the run that is under way, which may have run.
     pub(crate) fn replace_with(&mut self, run: &RunWatch, secured: SecuredRun) {
         let used = run.backend().map(|name| UsedBackend { region: self.region_of(run), name });
@@ -530,30 +324,6 @@
         }
     }
 
-    /// Whether it may be sent. One under which backend servers ended would end the next one, with
-    /// everything that runs there, whatever its id and wherever it came in.
-    pub(crate) fn check_hold(&self) -> Result<(), FinalWord> {
-        let crashes = self.proxy.crashes();
-        if crashes.is_empty() {
-            return Ok(());
-        }
-        let print = self.print.get();
-        match crashes.hold(&print) {
-            Some(RequestHold { ends, left }) => Err(FinalWord::HeldBack { print, ends, left }),
-            None => Ok(()),
-        }
-    }
-
-    fn watch(&self, run: &BackendRun) -> SendWatch {
-        SendWatch {
-            print: Rc::clone(&self.print),
-            run: run.clone(),
-            sent: self.now(),
-            crashes: Rc::clone(self.proxy.crashes()),
-            events: Rc::clone(self.proxy.events()),
-        }
-    }
-
     fn region_of(&self, run: &RunWatch) -> RegionName {
         match &run.place {
             AttemptPlace::Here(_) => self.proxy.region().clone(),
@@ -561,14 +331,6 @@
         }
     }
 
-    /// How late the head of an answer may be before another place is sought.
-    fn patience(&self, expected_ms: f64) -> Duration {
-        let kind = self.item.route.kind;
-        let least = if kind.is_stream() { STREAM_PATIENCE } else { PLAIN_PATIENCE };
-        let expected = Duration::from_secs_f64(expected_ms.max(0.0) / 1_000.0);
-        least + expected.mul_f64(PATIENCE_FACTOR)
-    }
-
     /// Takes note of where an attempt failed, so that the next one goes elsewhere.
     pub(crate) fn note_place(&mut self, run: &RunWatch, end: &AttemptEnd) {
         let may_return =
@@ -638,79 +400,6 @@
         route.kind.may_repeat() && self.ledger.may_be_replaced() && !self.left().is_zero()
     }
 
-    /// Has the request sent once more, where the budget has a repeat left.
-    fn plan_repeat(&mut self, reason: RepeatReason, otherwise: FinalWord) -> Result<(), FinalWord> {
-        if !self.has_repeat_left(reason) && !self.may_await_repeat() {
-            return Err(otherwise);
-        }
-        self.pending = Some(PendingRepeat { reason, otherwise });
-        Ok(())
-    }
-
-    /// Whether a repeat that the budget does not have now is waited for: the caller has a part of
-    /// the answer, or a run was given up that may answer, and there will be one in time.
-    fn may_await_repeat(&self) -> bool {
-        let has_begun = self.last_event.is_some() || self.ledger.has_given_up();
-        has_begun && self.next_repeat().is_some_and(|at| at < self.item.begins_by)
-    }
-
-    /// When the budget has a repeat, as far as is known.
-    fn next_repeat(&self) -> Option<MonotonicTime> {
-        let service = &self.item.service;
-        self.proxy.dispatcher().ask(|scheduler, now| scheduler.next_repeat(service, now))
-    }
-
-    /// Waits until there is a repeat for the one that is pending. Others may take it first.
-    async fn await_repeat(&mut self) {
-        let began = self.now();
-        while self.pending.is_some() && !self.sends.has_repeat() && self.may_await_repeat() {
-            let now = self.now();
-            let Some(at) = self.next_repeat().filter(|at| *at > now) else { break };
-            self.proxy.context().clock.sleep(at.since(now).max(LEAST_REPEAT_WAIT)).await;
-        }
-        let waited = self.now().since(began);
-        if !waited.is_zero() {
-            self.log.repeat_awaited(waited);
-        }
-    }
-
-    /// Whether the service's budget has a repeat left.
-    pub(crate) fn has_repeat_left(&mut self, reason: RepeatReason) -> bool {
-        if self.sends.has_repeat() {
-            return true;
-        }
-        let service = &self.item.service;
-        let dispatcher = self.proxy.dispatcher();
-        let decision = dispatcher.ask(|scheduler, now| scheduler.look_at_repeats(service, now));
-        if !decision.is_granted {
-            self.log.repeat(reason, decision);
-        }
-        decision.is_granted
-    }
-
-    /// Takes the repeat that is pending out of the service's budget, at the time at which it is
-    /// sent: it may have waited for its place for longer than a window has room for.
-    fn take_repeat(&mut self) -> Result<(), FinalWord> {
-        let Some(PendingRepeat { reason, otherwise }) = self.pending.take() else { return Ok(()) };
-        if self.take_from_budget(reason) { Ok(()) } else { Err(otherwise) }
-    }
-
-    /// Takes a repeat out of the service's budget; whether there was one.
-    pub(crate) fn take_from_budget(&mut self, reason: RepeatReason) -> bool {
-        // One that was granted and never arrived has not been used.
-        if self.sends.has_repeat() {
-            return true;
-        }
-        let service = &self.item.service;
-        let dispatcher = self.proxy.dispatcher();
-        let decision = dispatcher.ask(|scheduler, now| scheduler.take_repeat(service, now));
-        self.log.repeat(reason, decision);
-        if decision.is_granted {
-            self.sends.add_repeat(OpenRepeat::new(&self.proxy, &self.call.id, service));
-        }
-        decision.is_granted
-    }
-
     fn unknown(&self, reason: UnknownReason) -> FinalWord {
         if self.left().is_zero() { FinalWord::TimedOut } else { FinalWord::Unknown(reason) }
     }
