Own face: an answer that has begun waits for a retry that comes in its time

The budget already tells when the next retry is allowed (RetryBudget::pause), and nobody asked it.

Change: an answer that has begun and may go on waits for that where it comes before its deadline. Requests without a part of their answer are told at once, as before.

Test: an_answer_that_has_begun_waits_for_a_retry_that_comes_in_time, two cases; without the wait the first fails, the answer broken off with 5 s to live.

--- a/crates/admission/src/budget.rs
+++ b/crates/admission/src/budget.rs
@@ -63,7 +63,8 @@
     }
 
     /// Time until the next retry is allowed if no request comes.
-    pub fn pause(&self) -> Duration {
+    pub fn pause(&self, now: MonotonicTime) -> Duration {
+        self.add(now, 0.0);
         let missing = (1.0 - self.state.borrow().credit).max(0.0);
         Duration::from_secs_f64((missing / self.settings.floor_rate.max(1e-3)).min(60.0))
     }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -229,6 +229,23 @@
             && self.retry_budget(&plan.document).try_retry(now)
     }
 
+    /// Waits for a retry that the budget does not have, where it comes in time: the caller of `plan`
+    /// has a part of the answer. Others may take it first.
+    pub(crate) async fn await_retry(&self, plan: &CallPlan, history: &AttemptHistory) {
+        if history.attempts >= self.config.attempt_limit || !plan.is_repeatable() {
+            return;
+        }
+        let budget = self.retry_budget(&plan.document);
+        loop {
+            let pause = budget.pause(self.context.clock.now());
+            if pause.is_zero() || pause >= self.remaining(plan) {
+                return;
+            }
+            self.emit(plan, "answer.awaits_retry", |e| e.millis("pause_ms", pause));
+            self.context.clock.sleep(pause).await;
+        }
+    }
+
     fn is_safe_again(&self, plan: &CallPlan, history: &AttemptHistory) -> bool {
         let is_safe = plan.is_repeatable() || !history.may_have_run && !plan.is_claimed();
         is_safe && self.remaining(plan) > Duration::ZERO
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -193,6 +193,9 @@
         // A run whose events cannot be used may still be at work; dropping its stream ends it.
         self.events = no_events();
         self.work = WorkGuard::default();
+        if self.tokens > 0 {
+            self.gateway.await_retry(&self.plan, &self.history).await;
+        }
         self.gateway.lost_answer(&self.plan, &self.place, &mut self.history)?;
         self.plan.offset = self.tokens;
         self.gateway.emit(&self.plan, "answer.resumed", |e| e.field("offset", self.tokens));
--- a/crates/gateway/src/relay/tests.rs
+++ b/crates/gateway/src/relay/tests.rs
@@ -147,3 +147,32 @@
     assert!(gateway.client.sends.get() > 1, "{}", head.status);
     assert_eq!(gateway.client.runs.most.get(), 1, "{}", head.status);
 }
+
+/// Guards against an answer that breaks off for want of a retry that comes in its time.
+#[test]
+fn an_answer_that_has_begun_waits_for_a_retry_that_comes_in_time() {
+    struct Case {
+        deadline_ms: u64,
+        is_whole: bool,
+    }
+    for Case { deadline_ms, is_whole } in
+        [Case { deadline_ms: 5_000, is_whole: true }, Case { deadline_ms: 300, is_whole: false }]
+    {
+        let document = format!("{DOCUMENT}[limits]\ndeadline_ms = {deadline_ms}\n");
+        let gateway = TestGateway::with(&TestSetup {
+            document: &document,
+            fate: BackendFate::Unfinished,
+            has_second: true,
+            ..TestSetup::default()
+        });
+        gateway.empty_budget();
+        let began = gateway.context.clock.now();
+        let (head, answer) = gateway.ask("/v1/chat/completions", STREAMED);
+        let took = gateway.context.clock.now().since(began);
+        let what = format!("{deadline_ms} ms: {answer:?} after {took:?}");
+        assert_eq!(head.status, StatusCode::OK, "{what}");
+        assert_eq!(answer.is_some(), is_whole, "{what}");
+        assert_eq!(gateway.client.sends.get(), if is_whole { 2 } else { 1 }, "{what}");
+        assert!(is_whole || took < Duration::from_millis(50), "{what}");
+    }
+}
--- a/crates/gateway/src/testing.rs
+++ b/crates/gateway/src/testing.rs
@@ -243,6 +243,14 @@
         self.reply(caller_request(path, body)).await
     }
 
+    /// Takes all retries that the budget has now.
+    pub(crate) fn empty_budget(&self) {
+        let view = self.gateway.documents.current().unwrap();
+        let document = Rc::clone(view.documents().next().unwrap());
+        let budget = self.gateway.retry_budget(&document);
+        while budget.try_retry(self.context.clock.now()) {}
+    }
+
     /// Keeps the retry budget empty for some seconds, unless it is to be had.
     pub(crate) async fn spend_budget(&self, has_budget: bool) {
         let view = self.gateway.documents.current().unwrap();
