A stream from another region is not cut before its caller's deadline

What callers saw: streams that broke off up to 0.5 s before their callers' deadline, while their events came.

Cause: the gateway of the other region ends a run by itself at the end of the request's time, less the usual time on the way there. The usual time is a fading mean that holds the waits in busy gateways, so it was up to 0.5 s too long for the requests after them.

Change: of the time that is left no more is taken than the way took at least so far. The request's age, by which a run without a first event is given up, still counts the usual time: nothing of those is cut for the caller.

The tests of runs that end by themselves hold as they were.

--- a/crates/dispatch/src/regions.rs
+++ b/crates/dispatch/src/regions.rs
@@ -83,6 +83,8 @@
     refused: PerService<MonotonicTime>,
     /// The time there and back, milliseconds, as measured.
     delays: BTreeMap<RegionName, f64>,
+    /// The least of each of them.
+    least_delays: BTreeMap<RegionName, Duration>,
 }
 
 impl RegionBook {
@@ -130,6 +132,8 @@
         let took_ms = took.as_secs_f64() * 1_000.0;
         let delay = self.delays.entry(region.clone()).or_insert(took_ms);
         *delay += AWAY_WEIGHT * (took_ms - *delay);
+        let least = self.least_delays.entry(region.clone()).or_insert(took);
+        *least = took.min(*least);
     }
 
     /// The time there and back, milliseconds.
@@ -137,6 +141,11 @@
         self.delays.get(region).copied().unwrap_or(FIRST_AWAY_MS)
     }
 
+    /// The least time there and back that was seen; zero before the first one.
+    pub(crate) fn least_delay(&self, region: &RegionName) -> Duration {
+        self.least_delays.get(region).copied().unwrap_or_default()
+    }
+
     /// Whether no work should go there for now.
     pub(crate) fn is_paused(&self, offer: &RegionFacts, now: MonotonicTime) -> bool {
         let refused = self.refused.get(&offer.region).and_then(|of| of.get(&offer.service));
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -483,6 +483,12 @@
         self.regions.delay_ms(region)
     }
 
+    /// The least time that a request took to another region and its word of arrival back; zero
+    /// before the first one.
+    pub fn least_region_delay(&self, region: &RegionName) -> Duration {
+        self.regions.least_delay(region)
+    }
+
     /// Whether the backend server that a request was sent to has shown lately that it works.
     pub fn is_at_work(&mut self, ticket: TicketId, now: MonotonicTime) -> bool {
         let heard = self.sent.get(&ticket).and_then(|place| place.heard);
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -314,8 +314,11 @@
 
     /// Sends the request to a gateway of `region`.
     async fn open(&self, region: &RegionName, call: &mut ForwardCall) -> OpenedForward {
-        // The time on the way there, which the gateway there cannot know.
-        call.spend(self.round_trip(region) / 2);
+        // The time on the way there, which the gateway there cannot know. It cuts an answer at the
+        // end of what is left, so of that no more is taken than the way takes at least.
+        let least = self.dispatcher.ask(|scheduler, _| scheduler.least_region_delay(region));
+        call.waited += self.round_trip(region) / 2;
+        call.left = call.left.saturating_sub(least / 2);
         for gateway in self.some_gateways(region) {
             let began = self.context.clock.now();
             let to = gateway.profile.peer_address;
--- a/crates/proxy/tests/patience.rs
+++ b/crates/proxy/tests/patience.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use {
+    gullglade_proxy::CallerCall,
     gullglade_traffic::RequestKind,
     std::time::Duration,
     support::{BedSettings, Deed, Script, TestBed},
@@ -120,3 +121,39 @@
         assert_eq!(served.body, events.concat(), "{kind:?}");
     }
 }
+
+/// Guards against a stream from another region that is cut before its caller's deadline, as its
+/// gateway there counts more time on the way than the request took.
+#[test]
+fn a_stream_from_another_region_lasts_to_its_callers_deadline_over_a_link_that_was_slow() {
+    const DEADLINE: Duration = Duration::from_secs(3);
+    for slow_ms in [100, 200, 400] {
+        let settings = BedSettings { backends: (0, 1), ..BedSettings::of(ONCE_ONLY) };
+        let bed = TestBed::new(&settings);
+        let events: Vec<&'static str> =
+            (1..=5_000).map(|id| &*format!("id: {id}\ndata: a\n\n").leak()).collect();
+        let call = || CallerCall { patience: Some(DEADLINE), ..bed.call() };
+        bed.script(1, &vec![Deed::Answer(Script::events(&events[..1])); 12]);
+        for _ in 0..2 {
+            assert_eq!(bed.serve(call()).status, 200);
+        }
+        bed.link.set_delay(Duration::from_millis(slow_ms));
+        for _ in 0..10 {
+            bed.serve(call());
+        }
+        bed.link.set_delay(Duration::from_millis(55));
+        bed.world.run_for(Duration::from_secs(2));
+        bed.backends(1).forget_deeds();
+        bed.script(1, &[Deed::Answer(Script::events(&events))]);
+        let began = bed.clock().now();
+        let served = bed.serve(call());
+        let lasted = bed.clock().now().since(began);
+        assert_eq!((served.status, served.is_broken), (200, true), "{slow_ms} ms");
+        let early = DEADLINE.saturating_sub(lasted);
+        let what = format!("{slow_ms} ms: cut {early:?} too early, {:#?}", bed.events.lines());
+        assert!(early < Duration::from_millis(20), "{what}");
+        bed.world.run_for(Duration::from_secs(1));
+        let ended = bed.backends(1).cancelled_at.borrow().last().expect("cut").since(began);
+        assert!(ended < DEADLINE + Duration::from_millis(400), "{slow_ms} ms: ran {ended:?}");
+    }
+}
