--- a/crates/proxy/src/journey/repeats.rs
+++ b/crates/proxy/src/journey/repeats.rs
@@ -49,15 +49,15 @@
 
     /// Waits until there is a repeat for the one that is pending. Others may take it first.
     pub(super) async fn await_repeat(&mut self) {
-        let began = self.now();
+        let mut began = None;
         while self.pending.is_some() && !self.sends.has_repeat() && self.may_await_repeat() {
             let now = self.now();
             let Some(at) = self.next_repeat().filter(|at| *at > now) else { break };
+            began.get_or_insert(now);
             self.proxy.context().clock.sleep(at.since(now).max(LEAST_REPEAT_WAIT)).await;
         }
-        let waited = self.now().since(began);
-        if !waited.is_zero() {
-            self.log.repeat_awaited(waited);
+        if let Some(began) = began {
+            self.log.repeat_awaited(self.now().since(began));
         }
     }
 
--- a/crates/proxy/tests/budget.rs
+++ b/crates/proxy/tests/budget.rs
@@ -239,5 +239,7 @@
         let got_whole = served.status == 200 && !served.is_broken && served.body.ends_with(REST);
         assert_eq!(got_whole, is_whole, "{what}: {served:?}, {lines:#?}");
         assert!(is_whole || took < Duration::from_millis(100), "{what}: {took:?}, {lines:#?}");
+        let awaited = lines.iter().filter(|line| line.starts_with("request.repeat_awaited"));
+        assert_eq!(awaited.count(), usize::from(is_whole), "{what}: {lines:#?}");
     }
 }
