A stream that breaks off is resumed at once where there is a repeat

Cause: the wait compared a moment that it had taken before with one that the budget took after it. A repeat that is there now so always lay some microseconds ahead, was waited for, and lay ahead again.

Change: the budget answers with a time span from one look at the clock.

Test: a_stream_that_breaks_off_is_resumed_at_once_where_there_is_a_repeat, with a clock that moves on with each look, fails before (broken off at its deadline).

--- a/crates/proxy/src/journey/repeats.rs
+++ b/crates/proxy/src/journey/repeats.rs
@@ -6,7 +6,7 @@
         arrival::OpenRepeat,
         outcome::{FinalWord, RepeatReason},
     },
-    gullglade_units::MonotonicTime,
+    gullglade_dispatch::Scheduler,
     std::time::Duration,
 };
 
@@ -38,23 +38,26 @@
     /// the answer, or a run was given up that may answer, and there will be one in time.
     fn may_await_repeat(&self) -> bool {
         let has_begun = self.last_event.is_some() || self.ledger.has_given_up();
-        has_begun && self.next_repeat().is_some_and(|at| at < self.item.begins_by)
+        has_begun && self.repeat_wait().is_some_and(|wait| wait < self.left())
     }
 
-    /// When the budget has a repeat, as far as is known.
-    fn next_repeat(&self) -> Option<MonotonicTime> {
+    /// How long it is until the budget has a repeat, as far as is known. Zero: it has one now. The
+    /// clock is read once, as a moment that is taken before the answer always lies before it.
+    fn repeat_wait(&self) -> Option<Duration> {
         let service = &self.item.service;
-        self.proxy.dispatcher().ask(|scheduler, now| scheduler.next_repeat(service, now))
+        let next = |scheduler: &mut Scheduler, now| {
+            scheduler.next_repeat(service, now).map(|at| at.since(now))
+        };
+        self.proxy.dispatcher().ask(next)
     }
 
     /// Waits until there is a repeat for the one that is pending. Others may take it first.
     pub(super) async fn await_repeat(&mut self) {
         let mut began = None;
         while self.pending.is_some() && !self.sends.has_repeat() && self.may_await_repeat() {
-            let now = self.now();
-            let Some(at) = self.next_repeat().filter(|at| *at > now) else { break };
-            began.get_or_insert(now);
-            self.proxy.context().clock.sleep(at.since(now).max(LEAST_REPEAT_WAIT)).await;
+            let Some(wait) = self.repeat_wait().filter(|wait| !wait.is_zero()) else { break };
+            began.get_or_insert_with(|| self.now());
+            self.proxy.context().clock.sleep(wait.max(LEAST_REPEAT_WAIT)).await;
         }
         if let Some(began) = began {
             self.log.repeat_awaited(self.now().since(began));
--- a/crates/proxy/tests/budget.rs
+++ b/crates/proxy/tests/budget.rs
@@ -8,7 +8,7 @@
     gullglade_traffic::RequestKind,
     gullglade_units::MonotonicTime,
     std::{collections::BTreeSet, time::Duration},
-    support::{BedSettings, Deed, Script, TestBed, take},
+    support::{BedSettings, Deed, OwnParts, Script, TestBed, take},
 };
 
 /// What all gateways together may repeat, of the requests that callers sent and besides.
@@ -243,3 +243,22 @@
         assert_eq!(awaited.count(), usize::from(is_whole), "{what}: {lines:#?}");
     }
 }
+
+/// Guards against a stream that waits for a repeat which its service has, on a clock that moves
+/// while a gateway works.
+#[test]
+fn a_stream_that_breaks_off_is_resumed_at_once_where_there_is_a_repeat() {
+    let bed = TestBed::new(&BedSettings {
+        own: OwnParts { has_running_clock: true, ..OwnParts::default() },
+        ..BedSettings::of(RequestKind::Stream { resumable: true })
+    });
+    let [first, rest] = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"];
+    bed.script(0, &[Deed::Answer(Script::events(&[first]).broken())]);
+    bed.script(0, &[Deed::Answer(Script::events(&[rest]))]);
+    let began = bed.world.now();
+    let served = bed.serve(bed.call());
+    let took = bed.world.now().since(began);
+    let got = (served.status, served.is_broken, served.body);
+    assert_eq!(got, (200, false, format!("{first}{rest}")), "{:#?}", bed.events.lines());
+    assert!(took < Duration::from_millis(100), "resumed after {took:?}");
+}
--- a/crates/proxy/tests/plays/mod.rs
+++ b/crates/proxy/tests/plays/mod.rs
@@ -221,6 +221,7 @@
                 gateways: self.gateways,
                 max_attempts: self.max_attempts,
                 plain_prefix: Some("/plain/"),
+                ..OwnParts::default()
             },
             ..BedSettings::of(RequestKind::Stream { resumable: true })
         }
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -257,7 +257,7 @@
         others: u8,
     ) {
         let process = self.world.process();
-        let context = process.context().clone();
+        let context = settings.own.context(process.context());
         let (transport, handlers) = join(network, &process, host, place);
         let transport = Rc::new(transport);
         let vm = VmName::try_from(format!("vm-{host}")).expect("a name");
--- a/crates/proxy/tests/support/own_parts.rs
+++ b/crates/proxy/tests/support/own_parts.rs
@@ -4,8 +4,8 @@
     gullglade_http::HttpClient,
     gullglade_peer::fake::{FakeLink, FakePolicy},
     gullglade_proxy::Dispatcher,
-    gullglade_units::ProcessContext,
-    std::{ops::Range, rc::Rc},
+    gullglade_units::{Clock, LocalFuture, MonotonicTime, ProcessContext, WallMillis},
+    std::{cell::Cell, ops::Range, rc::Rc, time::Duration},
 };
 
 /// Makes what a gateway reaches its backend servers with; gateways are counted as they are added.
@@ -23,6 +23,8 @@
     pub(crate) max_attempts: u32,
     /// Where a second route begins, of idempotent requests.
     pub(crate) plain_prefix: Option<&'static str>,
+    /// Whether time passes while a gateway works, as on a real machine.
+    pub(crate) has_running_clock: bool,
 }
 
 impl Default for OwnParts {
@@ -34,11 +36,43 @@
             gateways: 0,
             max_attempts: 2,
             plain_prefix: None,
+            has_running_clock: false,
         }
     }
 }
 
+/// A clock that moves on a microsecond with each look.
+struct LookedClock {
+    inner: Rc<dyn Clock>,
+    looks: Cell<u64>,
+}
+
+impl Clock for LookedClock {
+    fn now(&self) -> MonotonicTime {
+        self.looks.set(self.looks.get() + 1);
+        self.inner.now() + Duration::from_micros(self.looks.get())
+    }
+
+    fn wall(&self) -> WallMillis {
+        self.inner.wall()
+    }
+
+    fn sleep(&self, duration: Duration) -> LocalFuture<'static, ()> {
+        self.inner.sleep(duration)
+    }
+}
+
 impl OwnParts {
+    /// What a gateway runs on.
+    pub(super) fn context(&self, context: &ProcessContext) -> ProcessContext {
+        let mut context = context.clone();
+        if self.has_running_clock {
+            let inner = Rc::clone(&context.clock);
+            context.clock = Rc::new(LookedClock { inner, looks: Cell::default() });
+        }
+        context
+    }
+
     pub(super) fn policy(&self, link: &Rc<FakeLink>) -> Rc<dyn FakePolicy> {
         self.policy.clone().unwrap_or_else(|| Rc::clone(link) as _)
     }
