--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -39,6 +39,7 @@
         fake::{FakeProcess, FakeWorld},
     },
     http::{HeaderMap, HeaderValue, Method},
+    overrides::vm_name,
     servers::PlainDialect,
     std::{
         cell::{Cell, RefCell},
@@ -198,7 +199,7 @@
     let transport = network.join(FakeNode {
         address: address(host),
         identity: PeerIdentity {
-            vm: VmName::try_from(format!("vm-{host}")).expect("a name"),
+            vm: vm_name(host),
             region: region(place),
             domain: FailureDomain::try_from("d").expect("a name"),
             incarnation: Incarnation(1),
@@ -263,7 +264,7 @@
         let context = settings.overrides.context(process.context());
         let (transport, handlers) = join(network, &process, host, place);
         let transport = Rc::new(transport);
-        let vm = VmName::try_from(format!("vm-{host}")).expect("a name");
+        let vm = vm_name(host);
         let profile = GatewayProfile {
             vm: vm.clone(),
             run: 1,
@@ -300,7 +301,7 @@
         fleet.start();
         fleet.set_phase(GatewayPhase::Ready);
         let dispatcher = new_dispatcher(&context, vm, place, (own, others), settings);
-        settings.overrides.announce_gateway_total(&dispatcher);
+        settings.overrides.announce_gateways(&dispatcher, host);
         let backends = ScriptedBackends::new(&context);
         let client = settings.overrides.client(host, &context);
         let notices: Rc<RecordedNotices> = Rc::default();
--- a/crates/proxy/tests/support/overrides.rs
+++ b/crates/proxy/tests/support/overrides.rs
@@ -4,7 +4,7 @@
     gullglade_http::HttpClient,
     gullglade_peer::fake::{FakeLink, FakePolicy},
     gullglade_proxy::Dispatcher,
-    gullglade_units::{Clock, LocalFuture, MonotonicTime, ProcessContext, WallMillis},
+    gullglade_units::{Clock, LocalFuture, MonotonicTime, ProcessContext, VmName, WallMillis},
     std::{cell::Cell, ops::Range, rc::Rc, time::Duration},
 };
 
@@ -25,6 +25,8 @@
     pub(crate) plain_prefix: Option<&'static str>,
     /// True if the clock advances while a gateway works, as on a real machine.
     pub(crate) has_advancing_clock: bool,
+    /// True if each gateway knows the other ones of its region. Needs a number of `gateways`.
+    pub(crate) lists_neighbours: bool,
 }
 
 impl Default for Overrides {
@@ -37,6 +39,7 @@
             max_attempts: 2,
             plain_prefix: None,
             has_advancing_clock: false,
+            lists_neighbours: false,
         }
     }
 }
@@ -62,6 +65,11 @@
     }
 }
 
+/// Returns the name of the VM that is `host`.
+pub(super) fn vm_name(host: u8) -> VmName {
+    VmName::try_from(format!("vm-{host}")).expect("a name")
+}
+
 impl Overrides {
     /// Returns the process context of a gateway.
     pub(super) fn context(&self, context: &ProcessContext) -> ProcessContext {
@@ -91,11 +99,19 @@
         self.clients.as_ref().map(|make| make(usize::from(host) - 2, context))
     }
 
-    /// Sets the number of gateways that share common limits.
-    pub(super) fn announce_gateway_total(&self, dispatcher: &Rc<Dispatcher>) {
-        if self.gateways > 0 {
-            dispatcher
-                .update_scheduler(|scheduler, now| scheduler.set_gateway_total(self.gateways, now));
+    /// Sets the gateways that share common limits: their total number, and those of the region of
+    /// `host`.
+    pub(super) fn announce_gateways(&self, dispatcher: &Rc<Dispatcher>, host: u8) {
+        if self.gateways == 0 {
+            return;
         }
+        dispatcher.update_scheduler(|scheduler, now| {
+            scheduler.set_gateway_total(self.gateways, now);
+            if self.lists_neighbours {
+                let hosts =
+                    self.additional_hosts(0).filter(|h| Self::is_west(*h) == Self::is_west(host));
+                scheduler.set_gateways(hosts.map(vm_name), now);
+            }
+        });
     }
 }
