Pause a gateway without a path, not its region

A gateway whose backend servers are all suspect now refuses a forwarded request at once with a reason of its own (no_path). The sender pauses this gateway alone, for longer while the refusals go on, and asks another one. Such refusals have a limit of their own, since each takes a round trip.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,6 +21,7 @@
 mod decay;
 mod decision;
 mod deployment;
+mod gateway_paths;
 mod handover;
 mod health;
 mod hint;
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -24,6 +24,7 @@
         CacheEstimate, Decision, FirstByteTimes, HealthRecord, LimitUpdate, PromptShape,
         RegionInfo, RepeatArrival, RepeatBudget, RepeatDecision, RequestUpdate, SchedulerSettings,
         SentRequest, StallDetector, StatementChange, TicketId, WorkCost, WorkItem, WorkOutcome,
+        gateway_paths::GatewayPaths,
         hint::{PendingHint, micros_ago, statement_update},
         load::PROGRESS_MAX_AGE,
         membership::GatewayMembership,
@@ -86,6 +87,7 @@
     /// Failure domains whose evacuation has ended, with the time of its end.
     returned: BTreeMap<FailureDomain, MonotonicTime>,
     gateways: GatewayMembership,
+    gateway_paths: GatewayPaths,
     /// The share of this gateway in the fleet-wide allowances.
     share: AllowanceShare,
     budgets: HashMap<ServiceName, RepeatBudget>,
@@ -110,6 +112,7 @@
         let request_base = rendezvous::score(settings.own.as_str(), "requests");
         Self {
             gateways: GatewayMembership::new(settings.own.clone()),
+            gateway_paths: GatewayPaths::default(),
             request_base,
             share: AllowanceShare::new(settings.regions),
             settings,
@@ -475,6 +478,32 @@
         self.regions.note_refused(region, service, now + pause);
     }
 
+    /// Records that `gateway` refused a forwarded request because it has no path to the backend
+    /// servers of `service`. This says nothing about the other gateways of its region.
+    pub fn note_gateway_without_path(
+        &mut self,
+        gateway: &VmName,
+        service: &ServiceName,
+        now: MonotonicTime,
+    ) {
+        self.gateway_paths.note_lost(gateway, service, now);
+    }
+
+    /// Records that `gateway` sent a forwarded request to a backend server of `service`.
+    pub fn note_gateway_with_path(&mut self, gateway: &VmName, service: &ServiceName) {
+        self.gateway_paths.note_reached(gateway, service);
+    }
+
+    /// Returns whether requests of `service` may be forwarded to `gateway`.
+    pub fn may_forward_to(
+        &self,
+        gateway: &VmName,
+        service: &ServiceName,
+        now: MonotonicTime,
+    ) -> bool {
+        self.gateway_paths.is_open(gateway, service, now)
+    }
+
     /// Records the first-byte times that a region returned with a forwarded request.
     pub fn note_region_offer(
         &mut self,
--- a/crates/dispatch/src/scheduler/decide.rs
+++ b/crates/dispatch/src/scheduler/decide.rs
@@ -81,7 +81,9 @@
             LocalChoice::AllSuspect { recheck_at } => {
                 let wait = recheck_at.since(now);
                 let left = item.first_byte_deadline.since(now);
-                if wait * 3 < left && wait < item.route.objective / 2 {
+                // The gateway that forwarded a request here may know one that has a path.
+                let may_wait = item.may_forward;
+                if may_wait && wait * 3 < left && wait < item.route.objective / 2 {
                     self.wake_by(recheck_at);
                     return None;
                 }
--- a/crates/dispatch/tests/regions.rs
+++ b/crates/dispatch/tests/regions.rs
@@ -7,7 +7,7 @@
         BackendInfo, Decision, FirstByteTimes, RegionInfo, Scheduler, WorkOutcome,
     },
     std::time::Duration,
-    support::{at, backend_info, item, prompt, region, route, scheduler, service},
+    support::{at, backend_info, gateway, item, prompt, region, route, scheduler, service},
 };
 
 fn reported(millis: &[u32]) -> RegionInfo {
@@ -93,6 +93,68 @@
     }
 }
 
+#[test]
+fn refusal_for_lack_of_a_path_pauses_only_that_gateway() {
+    // Guards against a region that gets no requests because one of its gateways is partitioned.
+    struct Case {
+        name: &'static str,
+        /// Times of refusals by the gateway, milliseconds.
+        refusals: &'static [u64],
+        /// When it served a request, milliseconds.
+        served: Option<u64>,
+        checked: u64,
+        is_open: bool,
+    }
+    let cases = [
+        Case { name: "none", refusals: &[], served: None, checked: 0, is_open: true },
+        Case { name: "just refused", refusals: &[0], served: None, checked: 200, is_open: false },
+        Case { name: "later", refusals: &[0], served: None, checked: 260, is_open: true },
+        Case {
+            name: "refused again",
+            refusals: &[0, 260],
+            served: None,
+            checked: 600,
+            is_open: false,
+        },
+        Case {
+            name: "several requests at once",
+            refusals: &[0, 1, 2, 3],
+            served: None,
+            checked: 260,
+            is_open: true,
+        },
+        Case {
+            name: "refused for long",
+            refusals: &[0, 300, 900, 2_000, 4_100, 6_200],
+            served: None,
+            checked: 8_300,
+            is_open: true,
+        },
+        Case {
+            name: "served",
+            refusals: &[0, 260],
+            served: Some(270),
+            checked: 280,
+            is_open: true,
+        },
+    ];
+    let (partitioned, neighbour) = (gateway(7), gateway(8));
+    for case in cases {
+        let mut scheduler = busy_scheduler(reported(&[10]));
+        for refusal in case.refusals {
+            scheduler.note_gateway_without_path(&partitioned, &service("pool"), at(*refusal));
+        }
+        if case.served.is_some() {
+            scheduler.note_gateway_with_path(&partitioned, &service("pool"));
+        }
+        let may_forward = |vm, name| scheduler.may_forward_to(vm, &service(name), at(case.checked));
+        assert_eq!(may_forward(&partitioned, "pool"), case.is_open, "{}", case.name);
+        assert!(may_forward(&partitioned, "desk"), "{}: another service", case.name);
+        assert!(may_forward(&neighbour, "pool"), "{}: another gateway", case.name);
+        assert!(is_forwarded(&mut scheduler, 1, case.checked), "{}: the region", case.name);
+    }
+}
+
 #[test]
 fn unusable_backend_servers_are_not_offered() {
     // Guards against a region that offers a service whose only backend server is suspect, and
--- a/crates/proxy/src/execution.rs
+++ b/crates/proxy/src/execution.rs
@@ -34,6 +34,10 @@
 /// must not visit all backend servers.
 const MAX_NOT_RUN_ATTEMPTS: u32 = 4;
 
+/// Most gateways without a path to a backend server that are asked for one request. Each refuses
+/// after a round trip.
+const MAX_GATEWAYS_WITHOUT_PATH: u32 = 8;
+
 /// Pause between two tries to replace an abandoned run.
 const REPLACEMENT_RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -58,6 +62,8 @@
     return_target: Option<UsedBackend>,
     /// Number of attempts that certainly did not run.
     not_run_attempts: u32,
+    /// Number of gateways that refused the request because they have no path to a backend server.
+    gateways_without_path: u32,
     /// Retry to be taken from the budget when there is a place for it.
     pending_retry: Option<PendingRetry>,
     sends: SendTracker,
@@ -220,6 +226,7 @@
             ledger,
             return_target: None,
             not_run_attempts: 0,
+            gateways_without_path: 0,
             pending_retry: None,
             sends: SendTracker::default(),
             secured: None,
@@ -402,7 +409,10 @@
             let left = wait.unwrap_or_default();
             return Err(RequestError::HeldBack { print: self.fingerprint.get(), ends, left });
         }
-        self.not_run_attempts += 1;
+        match reason {
+            NotRunReason::NoPath => self.gateways_without_path += 1,
+            _ => self.not_run_attempts += 1,
+        }
         if let Some(used) = self.return_target.take().filter(|_| reason.is_transient()) {
             self.ledger.note_return_refused(used);
         }
@@ -410,7 +420,9 @@
             false => RequestError::NotRun(reason, wait.unwrap_or(SHED_RETRY_AFTER)),
             true => self.unknown(UnknownReason::Broken),
         };
-        match self.not_run_attempts < MAX_NOT_RUN_ATTEMPTS {
+        let may_go_on = self.not_run_attempts < MAX_NOT_RUN_ATTEMPTS
+            && self.gateways_without_path < MAX_GATEWAYS_WITHOUT_PATH;
+        match may_go_on {
             true if reason.reached_backend() => self.plan_retry(RetryReason::NotRun(reason), error),
             true => Ok(()),
             false => Err(error),
--- a/crates/proxy/src/execution/placement.rs
+++ b/crates/proxy/src/execution/placement.rs
@@ -6,7 +6,7 @@
         outcome::{AttemptOutcome, NotRunReason, RequestError, UnknownReason},
         search::{FoundPlace, LocalPlace},
     },
-    gullglade_dispatch::{Decision, NextTarget},
+    gullglade_dispatch::{Decision, NextTarget, RefusalReason},
     gullglade_poison::RequestHold,
     gullglade_units::RegionName,
 };
@@ -19,6 +19,9 @@
     /// Returns the outcome of the attempt if there is no place.
     pub(crate) async fn find_single_place(&mut self) -> Result<FoundPlace, AttemptOutcome> {
         self.find_place().await.map_err(|error| match error {
+            RequestError::Refused(RefusalReason::AllSuspect, wait) => {
+                AttemptOutcome::NotRun(NotRunReason::NoPath, Some(wait))
+            }
             RequestError::Refused(_, wait) => {
                 AttemptOutcome::NotRun(NotRunReason::RefusedAway, Some(wait))
             }
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -13,7 +13,7 @@
         future::{Either, select},
     },
     gullglade_dispatch::{FirstByteTimes, HandoverTimes, PromptShape, WorkItem},
-    gullglade_fleet::{FleetFollower, GatewayRow},
+    gullglade_fleet::{FleetFollower, GatewayProfile, GatewayRow},
     gullglade_http::BodyError,
     gullglade_peer::{PeerError, PeerFault, PeerStream, PeerTransport},
     gullglade_poison::ContentFingerprint,
@@ -207,7 +207,7 @@
         liveness: RunLiveness,
     ) -> AttemptOutcome {
         match self.open(region, &mut request).await {
-            OpenedForward::Stream(_, stream) => {
+            OpenedForward::Stream(gateway, stream) => {
                 let mut frames = FrameStream { stream, liveness };
                 let Some(first) = self
                     .await_accepted(region, &request.service, request.left, &mut frames, may_repeat)
@@ -215,7 +215,8 @@
                 else {
                     return AttemptOutcome::Unknown(UnknownReason::LostAway);
                 };
-                self.read_head(region, &request.service, request.left, frames, first).await
+                let target = ForwardTarget { region, gateway: &gateway, service: &request.service };
+                self.read_head(target, request.left, frames, first).await
             }
             OpenedForward::Lost => self.mark_lost(region),
             OpenedForward::NotSent => AttemptOutcome::NotRun(NotRunReason::RefusedAway, None),
@@ -250,8 +251,8 @@
                 token,
                 stream: frames.stream,
             }),
-            Some(Ok(ForwardFrame::NotRun(NotRunReason::RefusedAway, _))) => {
-                self.note_refused(region, service);
+            Some(Ok(ForwardFrame::NotRun(reason, _))) => {
+                self.note_refusal(ForwardTarget { region, gateway: &gateway, service }, reason);
                 None
             }
             _ => None,
@@ -280,8 +281,8 @@
         let body = Bytes::from(body);
         let command = async {
             for _ in 0..commands {
-                match send_command(&*self.transport, gateway, method, &body, limit.min(left)).await
-                {
+                let to = gateway.peer_address;
+                match send_command(&*self.transport, to, method, &body, limit.min(left)).await {
                     CommandOutcome::Acknowledged => {}
                     end => return end,
                 }
@@ -303,7 +304,10 @@
             }
         };
         match first {
-            Some(first) => self.read_head(&region, service, left, frames, first).await,
+            Some(first) => {
+                let target = ForwardTarget { region: &region, gateway: &gateway, service };
+                self.read_head(target, left, frames, first).await
+            }
             None => AttemptOutcome::Unknown(UnknownReason::Overdue),
         }
     }
@@ -327,7 +331,12 @@
             self.dispatcher.with_scheduler(|scheduler, _| scheduler.min_region_rtt(region));
         request.waited += self.round_trip(region) / 2;
         request.left = request.left.saturating_sub(min_delay / 2);
-        for gateway in self.pick_gateways(region) {
+        let gateways = self.pick_gateways(region, &request.service);
+        if gateways.is_empty() {
+            self.note_refused(region, &request.service);
+            return OpenedForward::NotSent;
+        }
+        for gateway in gateways {
             let began = self.context.clock.now();
             let to = gateway.profile.peer_address;
             let opening = self.transport.open(to, FORWARD, Bytes::from(encode(request)));
@@ -335,7 +344,9 @@
             let opened = timeout(&*self.context.clock, limit, opening).await;
             request.deduct_time(self.context.clock.now().since(began));
             match opened {
-                Some(Ok(stream)) => return OpenedForward::Stream(to, stream),
+                Some(Ok(stream)) => {
+                    return OpenedForward::Stream(Box::new(gateway.profile), stream);
+                }
                 // If no session is established within this time, nothing has been sent.
                 Some(Err(error)) if error.nothing_sent() => {}
                 Some(Err(_)) => return OpenedForward::Lost,
@@ -388,7 +399,8 @@
             let gateways = view.gateways(self.context.clock.now());
             gateways.map(|g| g.profile.region).filter(|region| region != own).collect()
         });
-        for gateway in regions.iter().flat_map(|region| self.preferred_gateways(region)) {
+        let any = |_: &GatewayRow| true;
+        for gateway in regions.iter().flat_map(|region| self.preferred_gateways(region, any)) {
             let transport = Rc::clone(&self.transport);
             self.context.spawner.spawn(Box::pin(async move {
                 let to = gateway.profile.peer_address;
@@ -400,19 +412,30 @@
     }
 
     /// Returns the gateways of the region that this one prefers: a stable selection by rendezvous
-    /// hashing while they are ready, different for each gateway so that the load is spread.
-    fn preferred_gateways(&self, region: &RegionName) -> Vec<GatewayRow> {
+    /// hashing among those that `is_usable` allows, while they are ready. It is different for each
+    /// gateway so that the load is spread.
+    fn preferred_gateways(
+        &self,
+        region: &RegionName,
+        is_usable: impl Fn(&GatewayRow) -> bool,
+    ) -> Vec<GatewayRow> {
         let now = self.context.clock.now();
         let mut rows = self.fleet.read(|view| view.serving_gateways(region, now));
         let own = &self.fleet.profile().vm;
+        rows.retain(is_usable);
         rows.sort_by_cached_key(|row| Reverse(score(own.as_str(), row.profile.vm.as_str())));
         rows.truncate(PREFERRED_GATEWAYS);
         rows
     }
 
-    /// Returns a few of the preferred gateways in random order.
-    fn pick_gateways(&self, region: &RegionName) -> Vec<GatewayRow> {
-        let mut rows = self.preferred_gateways(region);
+    /// Returns a few of the preferred gateways with a path to `service`, in random order.
+    fn pick_gateways(&self, region: &RegionName, service: &ServiceName) -> Vec<GatewayRow> {
+        let has_path = |row: &GatewayRow| {
+            self.dispatcher.with_scheduler(|scheduler, now| {
+                scheduler.may_forward_to(&row.profile.vm, service, now)
+            })
+        };
+        let mut rows = self.preferred_gateways(region, has_path);
         let mut picked = Vec::new();
         while picked.len() < MAX_GATEWAYS_TRIED && !rows.is_empty() {
             let at = self.context.random.below(rows.len() as u64) as usize;
@@ -453,12 +476,12 @@
     /// Waits for the head of the response, or for the outcome of the attempt without one.
     async fn read_head(
         &self,
-        region: &RegionName,
-        service: &ServiceName,
+        target: ForwardTarget<'_>,
         left: Duration,
         mut frames: FrameStream,
         first: FirstFrame,
     ) -> AttemptOutcome {
+        let region = target.region;
         let content = next_content(&mut frames, first);
         let Some(content) = timeout(&*self.context.clock, left, content).await else {
             return AttemptOutcome::Unknown(UnknownReason::Overdue);
@@ -468,6 +491,10 @@
                 let Ok(status) = StatusCode::from_u16(status) else {
                     return self.mark_lost(region);
                 };
+                let ForwardTarget { gateway, service, .. } = target;
+                self.dispatcher.with_scheduler(|scheduler, _| {
+                    scheduler.note_gateway_with_path(&gateway.vm, service);
+                });
                 AttemptOutcome::Response(Box::new(AttemptResponse {
                     target: AttemptTarget::Remote(region.clone()),
                     liveness: frames.liveness.clone(),
@@ -477,9 +504,7 @@
                 }))
             }
             Some(Ok(ForwardFrame::NotRun(reason, wait))) => {
-                if reason == NotRunReason::RefusedAway {
-                    self.note_refused(region, service);
-                }
+                self.note_refusal(target, reason);
                 AttemptOutcome::NotRun(reason, wait)
             }
             Some(Ok(ForwardFrame::Unknown(reason))) => AttemptOutcome::Unknown(reason),
@@ -487,6 +512,18 @@
         }
     }
 
+    /// Records why a gateway refused a request: a gateway without a path speaks for itself only.
+    fn note_refusal(&self, target: ForwardTarget<'_>, reason: NotRunReason) {
+        let ForwardTarget { region, gateway, service } = target;
+        match reason {
+            NotRunReason::NoPath => self.dispatcher.with_scheduler(|scheduler, now| {
+                scheduler.note_gateway_without_path(&gateway.vm, service, now);
+            }),
+            NotRunReason::RefusedAway => self.note_refused(region, service),
+            _ => {}
+        }
+    }
+
     /// Records that the region refused work of a service.
     fn note_refused(&self, region: &RegionName, service: &ServiceName) {
         self.dispatcher.with_scheduler(|scheduler, now| {
@@ -495,10 +532,18 @@
     }
 }
 
+/// The gateway that a request of a service is forwarded to.
+#[derive(Clone, Copy)]
+struct ForwardTarget<'a> {
+    region: &'a RegionName,
+    gateway: &'a GatewayProfile,
+    service: &'a ServiceName,
+}
+
 /// Result of forwarding a request.
 enum OpenedForward {
     /// The request was sent to this gateway, whose reply comes on the stream.
-    Stream(SocketAddr, PeerStream),
+    Stream(Box<GatewayProfile>, PeerStream),
     /// The request may have been sent.
     Lost,
     /// The request was certainly not sent.
@@ -510,7 +555,7 @@
     pub(crate) region: RegionName,
     /// Round trip of the call that reserved the place.
     pub(crate) round_trip: Duration,
-    gateway: SocketAddr,
+    gateway: Box<GatewayProfile>,
     token: u64,
     stream: PeerStream,
 }
@@ -518,8 +563,8 @@
 impl ReservedForward {
     /// Returns the handle that keeps the run after its lease.
     pub(crate) fn leased(&self, times: HandoverTimes) -> LeasedRun {
-        let Self { gateway, token, .. } = *self;
-        LeasedRun { gateway, token, limit: times.commit_timeout }
+        let gateway = self.gateway.peer_address;
+        LeasedRun { gateway, token: self.token, limit: times.commit_timeout }
     }
 }
 
--- a/crates/proxy/src/outcome.rs
+++ b/crates/proxy/src/outcome.rs
@@ -24,6 +24,9 @@
     Misdirected,
     /// The other region refused the request, or had no gateway.
     RefusedAway,
+    /// The gateway that the request was forwarded to has no path to a backend server. Others of its
+    /// region may have one.
+    NoPath,
     /// The request is held back, since backend servers ended while they ran it.
     HeldBack {
         /// Number of backend servers that ended.
@@ -54,7 +57,7 @@
 
     /// Returns `true` if the same backend server or region may accept the request later.
     pub(crate) fn is_transient(self) -> bool {
-        matches!(self, Self::Revoked | Self::Shed | Self::RefusedAway)
+        matches!(self, Self::Revoked | Self::Shed | Self::RefusedAway | Self::NoPath)
     }
 
     fn label(self) -> &'static str {
@@ -64,6 +67,7 @@
             Self::Shed => "shed",
             Self::Misdirected => "misdirected",
             Self::RefusedAway => "refused_away",
+            Self::NoPath => "no_path",
             Self::HeldBack { .. } => "held_back",
         }
     }
