Relay requests over neighbours while a gateway reaches no backend server

A request for which no backend server of the region is in reach may now be forwarded to another gateway of the own region, chosen among those that did not report to have no path. It is one more candidate beside the other regions, by its expected time to first byte; a forwarded request is not forwarded again, as before. A backend server to which only this gateway could not connect is no longer excluded everywhere. Requests that stall on a backend server are not relayed: it is stalled for all gateways.

--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -22,9 +22,10 @@
         /// The part of the prompt to be copied from another engine instead of a prefill.
         copy: Option<PromptCopy>,
     },
-    /// Forward the request to a gateway of another region.
+    /// Forward the request to another gateway.
     Forward {
-        /// The selected region.
+        /// The selected region: another one, or the own one if this gateway has no path to its
+        /// backend servers.
         region: RegionName,
         /// Expected time to first byte in this region, milliseconds, or `None` if no backend server
         /// here may take the request.
--- a/crates/dispatch/src/gateway_paths.rs
+++ b/crates/dispatch/src/gateway_paths.rs
@@ -56,18 +56,22 @@
 
 impl GatewayPaths {
     /// Records that `gateway` refused a request because it has no path to backend servers of
-    /// `service`.
+    /// `service`. Returns whether this was not known before.
     pub(crate) fn note_lost(
         &mut self,
         gateway: &VmName,
         service: &ServiceName,
         now: MonotonicTime,
-    ) {
+    ) -> bool {
         self.expire(now);
         match self.pauses.entry(gateway.clone()).or_default().entry(service.clone()) {
-            Entry::Occupied(mut known) => known.get_mut().extend(now),
+            Entry::Occupied(mut known) => {
+                known.get_mut().extend(now);
+                false
+            }
             Entry::Vacant(vacant) => {
                 vacant.insert(PathPause::new(now));
+                true
             }
         }
     }
--- a/crates/dispatch/src/membership.rs
+++ b/crates/dispatch/src/membership.rs
@@ -49,6 +49,11 @@
         self.listed = listed;
     }
 
+    /// Returns the other listed gateways.
+    pub(crate) fn others(&self) -> impl Iterator<Item = &VmName> {
+        self.listed.iter().filter(|name| **name != self.own)
+    }
+
     /// Returns the number of listed gateways.
     pub(crate) fn len(&self) -> usize {
         self.listed.len()
--- a/crates/dispatch/src/regions.rs
+++ b/crates/dispatch/src/regions.rs
@@ -150,10 +150,15 @@
         self.min_rtts.get(region).copied().unwrap_or_default()
     }
 
-    /// Returns whether forwarding of the offered service to the region is paused.
-    pub(crate) fn is_paused(&self, offer: &RegionInfo, now: MonotonicTime) -> bool {
-        let refused = self.refused.get(&offer.region).and_then(|of| of.get(&offer.service));
-        self.is_broken(&offer.region, now) || refused.is_some_and(|until| now < *until)
+    /// Returns whether forwarding of the service to the region is paused.
+    pub(crate) fn is_paused(
+        &self,
+        region: &RegionName,
+        service: &ServiceName,
+        now: MonotonicTime,
+    ) -> bool {
+        let refused = self.refused.get(region).and_then(|of| of.get(service));
+        self.is_broken(region, now) || refused.is_some_and(|until| now < *until)
     }
 
     /// Returns whether the path to the region is considered broken.
@@ -165,13 +170,18 @@
     /// milliseconds.
     pub(crate) fn first_byte_ms(
         &self,
-        offer: &RegionInfo,
+        region: &RegionName,
+        service: &ServiceName,
         priority: u8,
         now: MonotonicTime,
     ) -> f64 {
-        let latest = self.recent_offers.get(&offer.region).and_then(|of| of.get(&offer.service));
+        let latest = self.recent_offers.get(region).and_then(|of| of.get(service));
         let recent =
             latest.filter(|(_, at)| now.since(*at) < OFFER_MAX_AGE).map(|(latest, _)| *latest);
-        recent.unwrap_or(offer.first_byte).of(priority) + self.rtt_ms(&offer.region)
+        let reported = || {
+            let offer = self.offers(service).find(|offer| offer.region == *region);
+            offer.map(|offer| offer.first_byte).unwrap_or_default()
+        };
+        recent.unwrap_or_else(reported).of(priority) + self.rtt_ms(region)
     }
 }
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -51,6 +51,9 @@
 /// the head of the same answer.
 const SHARED_REPORT_MAX_AGE: Duration = Duration::from_millis(100);
 
+/// The assumed round-trip time to another gateway of this region until it is measured.
+const OWN_REGION_RTT: Duration = Duration::from_millis(2);
+
 struct Backend {
     info: BackendInfo,
     load: BackendLoad,
@@ -110,6 +113,8 @@
     /// Creates a scheduler that knows no backend servers.
     pub fn new(settings: SchedulerSettings) -> Self {
         let request_base = rendezvous::score(settings.own.as_str(), "requests");
+        let mut regions = RegionTable::default();
+        regions.note_rtt(&settings.region, OWN_REGION_RTT);
         Self {
             gateways: GatewayMembership::new(settings.own.clone()),
             gateway_paths: GatewayPaths::default(),
@@ -118,7 +123,7 @@
             settings,
             services: BTreeMap::new(),
             backends: BTreeMap::new(),
-            regions: RegionTable::default(),
+            regions,
             objectives: HashMap::new(),
             evacuated: Rc::default(),
             returned: BTreeMap::new(),
@@ -479,14 +484,15 @@
     }
 
     /// Records that `gateway` refused a forwarded request because it has no path to the backend
-    /// servers of `service`. This says nothing about the other gateways of its region.
+    /// servers of `service`. This says nothing about the other gateways of its region. Returns
+    /// whether it was not known before.
     pub fn note_gateway_without_path(
         &mut self,
         gateway: &VmName,
         service: &ServiceName,
         now: MonotonicTime,
-    ) {
-        self.gateway_paths.note_lost(gateway, service, now);
+    ) -> bool {
+        self.gateway_paths.note_lost(gateway, service, now)
     }
 
     /// Records that `gateway` sent a forwarded request to a backend server of `service`.
--- a/crates/dispatch/src/scheduler/decide.rs
+++ b/crates/dispatch/src/scheduler/decide.rs
@@ -81,8 +81,9 @@
             LocalChoice::AllSuspect { recheck_at } => {
                 let wait = recheck_at.since(now);
                 let left = item.first_byte_deadline.since(now);
-                // The gateway that forwarded a request here may know one that has a path.
-                let may_wait = item.may_forward;
+                // The gateway that forwarded a request here may find another place for it, unless
+                // only one backend server may get it.
+                let may_wait = item.may_forward || item.returns_to.is_some();
                 if may_wait && wait * 3 < left && wait < item.route.objective / 2 {
                     self.wake_by(recheck_at);
                     return None;
@@ -119,7 +120,7 @@
             cold: serving().filter(|b| self.is_cold(b, now)).count(),
             backed_off: serving().filter(|b| b.statements.backoff.until(now).is_some()).count(),
             regions: offers().count(),
-            paused: offers().filter(|r| self.regions.is_paused(r, now)).count(),
+            paused: offers().filter(|r| self.regions.is_paused(&r.region, &r.service, now)).count(),
             waiting: self.waiting.len(),
         }
     }
--- a/crates/dispatch/src/scheduler/place.rs
+++ b/crates/dispatch/src/scheduler/place.rs
@@ -302,15 +302,16 @@
         backend.pacer.next_send(bound.share(position), bound)
     }
 
-    /// Returns the region that would serve the request sooner than this one, if there is one.
+    /// Returns the region whose gateways would serve the request sooner than this gateway, if there
+    /// is one. It is the own region if this gateway has no path to a backend server but others of
+    /// the region may have one.
     pub(super) fn better_region(
         &self,
         item: &WorkItem,
         estimate: Option<LocalEstimate>,
         now: MonotonicTime,
     ) -> Option<RegionName> {
-        let may_forward = item.may_forward && item.returns_to.is_none();
-        if !may_forward
+        if !item.may_forward
             || estimate.is_some_and(|estimate| {
                 estimate.wait_ms + estimate.load_penalty_ms < FORWARD_MIN_WAIT_MS
             })
@@ -318,21 +319,39 @@
             return None;
         }
         let priority = estimate.map_or(item.priority(), |estimate| estimate.priority);
-        let remote_ms = |r: &RegionInfo| self.regions.first_byte_ms(r, priority, now);
-        let best = self
-            .allowed_offers(item)
-            .filter(|r| !self.regions.is_paused(r, now))
-            .min_by(|a, b| remote_ms(a).total_cmp(&remote_ms(b)))?;
+        let first_byte_ms =
+            |r: &RegionName| self.regions.first_byte_ms(r, &item.service, priority, now);
+        let elsewhere = self.allowed_offers(item).map(|offer| &offer.region);
+        let elsewhere = elsewhere.filter(|_| item.returns_to.is_none());
+        let may_relay = estimate.is_none() && self.may_relay(item, now);
+        let (remote_ms, best) = elsewhere
+            .chain(may_relay.then_some(&self.settings.region))
+            .filter(|region| !self.regions.is_paused(region, &item.service, now))
+            .map(|region| (first_byte_ms(region), region))
+            .min_by(|(a, _), (b, _)| a.total_cmp(b))?;
         match estimate {
             Some(estimate)
-                if remote_ms(best) + estimate.remote_service_ms + FORWARD_MARGIN_MS
+                if remote_ms + estimate.remote_service_ms + FORWARD_MARGIN_MS
                     >= estimate.expected_ms + estimate.load_penalty_ms =>
             {
                 None
             }
-            _ => Some(best.region.clone()),
+            _ => Some(best.clone()),
         }
     }
+
+    /// Returns whether another gateway of this region may have a path to a backend server that may
+    /// run the request, while this one has none. A backend server that is stalled is stalled for
+    /// all of them.
+    fn may_relay(&self, item: &WorkItem, now: MonotonicTime) -> bool {
+        let is_out_of_reach = |backend: &Backend| {
+            item.may_run_at(&backend.info.name)
+                && (!item.may_go_to(&backend.info.name) || backend.health.is_suspect(now))
+        };
+        item.allows(&self.settings.region)
+            && self.serving(&item.service).any(is_out_of_reach)
+            && self.gateways.others().any(|vm| self.may_forward_to(vm, &item.service, now))
+    }
 }
 
 /// A temporary hold on sends to a backend server.
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -69,9 +69,12 @@
     pub prompt: Option<PromptShape>,
     /// Backend servers that must not get the request again.
     pub tried: Vec<BackendName>,
+    /// Backend servers to which this gateway could not connect for the request. Other gateways may
+    /// have a path to them.
+    pub unreachable: Vec<BackendName>,
     /// The only eligible backend server, if the request returns to one that had it before.
     pub returns_to: Option<BackendName>,
-    /// Whether the request may be forwarded to another region. False if it came from one.
+    /// Whether the request may be forwarded to another gateway. False if it came from one.
     pub may_forward: bool,
     /// Whether the request has just arrived from its caller. Only new requests count for the repeat
     /// budget. Counting a request again with each placement, or at the gateway that it is forwarded
@@ -87,8 +90,13 @@
         own.unwrap_or(self.route.priority)
     }
 
-    /// Returns whether the backend server may get the request.
+    /// Returns whether this gateway may send the request to the backend server.
     pub fn may_go_to(&self, name: &BackendName) -> bool {
+        self.may_run_at(name) && !self.unreachable.contains(name)
+    }
+
+    /// Returns whether the backend server may get the request from any gateway.
+    pub fn may_run_at(&self, name: &BackendName) -> bool {
         match &self.returns_to {
             Some(only) => only == name,
             None => !self.tried.contains(name),
@@ -97,7 +105,7 @@
 
     /// Returns whether every backend server of the service may get the request.
     pub fn may_go_anywhere(&self) -> bool {
-        self.tried.is_empty() && self.returns_to.is_none()
+        self.tried.is_empty() && self.unreachable.is_empty() && self.returns_to.is_none()
     }
 
     /// Returns whether both the route and the workspace allow `region`.
--- a/crates/dispatch/tests/regions.rs
+++ b/crates/dispatch/tests/regions.rs
@@ -4,10 +4,12 @@
 
 use {
     gullglade_dispatch::{
-        BackendInfo, Decision, FirstByteTimes, RegionInfo, Scheduler, WorkOutcome,
+        BackendInfo, Decision, FirstByteTimes, RegionInfo, Scheduler, WorkItem, WorkOutcome,
     },
     std::time::Duration,
-    support::{at, backend_info, gateway, item, prompt, region, route, scheduler, service},
+    support::{
+        at, backend, backend_info, gateway, item, prompt, region, route, scheduler, service,
+    },
 };
 
 fn reported(millis: &[u32]) -> RegionInfo {
@@ -155,6 +157,87 @@
     }
 }
 
+#[test]
+fn requests_are_relayed_by_neighbours_while_no_backend_is_reached() {
+    // Guards against a gateway that refuses its callers, or sends them to a distant region, while
+    // other gateways of its region reach the backend servers.
+    struct Case {
+        name: &'static str,
+        gateways: usize,
+        /// Engines to which connections failed, of two.
+        unreachable: &'static [usize],
+        /// Whether the neighbour refused a request for lack of a path.
+        is_neighbour_partitioned: bool,
+        change: fn(&mut WorkItem),
+        forwarded_to: Option<&'static str>,
+    }
+    let partitioned = Case {
+        name: "all unreachable",
+        gateways: 2,
+        unreachable: &[0, 1],
+        is_neighbour_partitioned: false,
+        change: |_| {},
+        forwarded_to: Some("puget"),
+    };
+    let cases = [
+        Case { name: "one reachable", unreachable: &[0], forwarded_to: None, ..partitioned },
+        Case { name: "no neighbour", gateways: 1, forwarded_to: Some("columbia"), ..partitioned },
+        Case {
+            name: "neighbour partitioned too",
+            is_neighbour_partitioned: true,
+            forwarded_to: Some("columbia"),
+            ..partitioned
+        },
+        Case {
+            name: "forwarded before",
+            change: |item| item.may_forward = false,
+            forwarded_to: None,
+            ..partitioned
+        },
+        Case {
+            name: "unreachable for this request",
+            unreachable: &[0],
+            change: |item| item.unreachable = vec![backend(0), backend(1)],
+            ..partitioned
+        },
+        Case {
+            name: "tried everywhere",
+            change: |item| item.tried = vec![backend(0), backend(1)],
+            forwarded_to: Some("columbia"),
+            ..partitioned
+        },
+        Case {
+            name: "returns to a backend server",
+            change: |item| item.returns_to = Some(backend(1)),
+            ..partitioned
+        },
+        partitioned,
+    ];
+    for case in cases {
+        let mut scheduler = scheduler(0, case.gateways, 2, 0.0);
+        scheduler.set_regions(vec![reported(&[10])]);
+        for _ in case.unreachable {
+            let ticket = scheduler.submit(item(&route(0, 800, 10_000), None, at(0)), at(0));
+            scheduler.poll(at(0));
+            scheduler.end(ticket, WorkOutcome::Unreachable, at(1));
+        }
+        if case.is_neighbour_partitioned {
+            scheduler.note_gateway_without_path(&gateway(1), &service("pool"), at(1));
+        }
+        let mut work = item(&route(0, 800, 10_000), None, at(2));
+        (case.change)(&mut work);
+        let ticket = scheduler.submit(work, at(2));
+        let decisions = scheduler.poll(at(2));
+        let region = decisions.into_iter().find(|(t, _)| *t == ticket).and_then(|(_, decision)| {
+            match decision {
+                Decision::Forward { region, .. } => Some(region.to_string()),
+                _ => None,
+            }
+        });
+        assert_eq!(region.as_deref(), case.forwarded_to, "{}", case.name);
+    }
+}
+
 #[test]
 fn unusable_backend_servers_are_not_offered() {
     // Guards against a region that offers a service whose only backend server is suspect, and
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -167,6 +167,7 @@
         first_byte_deadline: now + route.timeout,
         prompt,
         tried: Vec::new(),
+        unreachable: Vec::new(),
         returns_to: None,
         may_forward: true,
         is_new: true,
--- a/crates/proxy/src/execution.rs
+++ b/crates/proxy/src/execution.rs
@@ -141,7 +141,7 @@
         Ok(Self { charge, ..Self::new(proxy, request, None, routed) })
     }
 
-    /// Starts a request that a gateway of another region forwarded here. Returns `None` if no route
+    /// Starts a request that another gateway forwarded here. Returns `None` if no route
     /// matches, or if this region may not serve it.
     pub(crate) fn forwarded(
         proxy: &Proxy,
@@ -204,6 +204,7 @@
             first_byte_deadline,
             prompt: request.prompt.clone(),
             tried: Vec::new(),
+            unreachable: Vec::new(),
             returns_to: None,
             may_forward: is_from_caller,
             is_new: is_from_caller,
@@ -390,8 +391,19 @@
             (_, AttemptTarget::Local(backend)) => self.log.record_failed_at(backend, outcome),
             (_, AttemptTarget::Remote(region)) => self.log.record_failed_remotely(region, outcome),
         }
-        if !matches!(outcome, AttemptOutcome::Response(_)) && !may_return {
-            self.item.tried.extend(run.backend());
+        match (outcome, &run.target) {
+            (AttemptOutcome::Response(_), _) => {}
+            // Other gateways of this region may still reach the backend server.
+            (
+                AttemptOutcome::NotRun(NotRunReason::Unreachable, _),
+                AttemptTarget::Local(backend),
+            ) => self.item.unreachable.push(backend.clone()),
+            (
+                AttemptOutcome::NotRun(NotRunReason::Unreachable, _),
+                AttemptTarget::Remote(region),
+            ) if region == self.proxy.region() => {}
+            _ if may_return => {}
+            _ => self.item.tried.extend(run.backend()),
         }
     }
 
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -1,4 +1,5 @@
-//! Forwarding of requests to gateways of other regions, client side.
+//! Forwarding of requests to other gateways, client side: to those of other regions, and to those
+//! of the own region while this gateway has no path to its backend servers.
 
 use {
     crate::{
@@ -13,6 +14,7 @@
         future::{Either, select},
     },
     gullglade_dispatch::{FirstByteTimes, HandoverTimes, PromptShape, WorkItem},
+    gullglade_event::{EventDraft, EventSink, Level},
     gullglade_fleet::{FleetFollower, GatewayProfile, GatewayRow},
     gullglade_http::BodyError,
     gullglade_peer::{PeerError, PeerFault, PeerStream, PeerTransport},
@@ -195,6 +197,7 @@
     pub(crate) fleet: Rc<FleetFollower>,
     pub(crate) context: ProcessContext,
     pub(crate) dispatcher: Rc<Dispatcher>,
+    pub(crate) events: Rc<dyn EventSink>,
 }
 
 impl Forwarder {
@@ -422,7 +425,7 @@
         let now = self.context.clock.now();
         let mut rows = self.fleet.read(|view| view.serving_gateways(region, now));
         let own = &self.fleet.profile().vm;
-        rows.retain(is_usable);
+        rows.retain(|row| row.profile.vm != *own && is_usable(row));
         rows.sort_by_cached_key(|row| Reverse(score(own.as_str(), row.profile.vm.as_str())));
         rows.truncate(PREFERRED_GATEWAYS);
         rows
@@ -516,9 +519,16 @@
     fn note_refusal(&self, target: ForwardTarget<'_>, reason: NotRunReason) {
         let ForwardTarget { region, gateway, service } = target;
         match reason {
-            NotRunReason::NoPath => self.dispatcher.with_scheduler(|scheduler, now| {
-                scheduler.note_gateway_without_path(&gateway.vm, service, now);
-            }),
+            NotRunReason::NoPath => {
+                let is_news = self.dispatcher.with_scheduler(|scheduler, now| {
+                    scheduler.note_gateway_without_path(&gateway.vm, service, now)
+                });
+                if is_news {
+                    let event = EventDraft::new("gateway.without_path").level(Level::Warn);
+                    let event = event.field("gateway", &gateway.vm).field("region", region);
+                    self.events.emit(event.field("service", service));
+                }
+            }
             NotRunReason::RefusedAway => self.note_refused(region, service),
             _ => {}
         }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,5 +1,5 @@
 //! Reverse proxy that routes callers' requests, places them on backend servers, forwards them to
-//! other regions and relays the responses.
+//! other gateways and relays the responses.
 //!
 //! A [`Proxy`] takes a request of any method, path and body ([`CallerRequest`]), finds its route in
 //! the traffic configuration in force, has it placed by a [`Dispatcher`], and relays the response.
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -105,6 +105,7 @@
             fleet: Rc::clone(&parts.fleet),
             context: parts.context.clone(),
             dispatcher: Rc::clone(&parts.dispatcher),
+            events: Rc::clone(&parts.events),
         };
         let access = AccessChecker::new(Rc::clone(&parts.fleet), parts.revocation);
         let quota = QuotaEnforcer::new(QuotaParts {
--- a/crates/proxy/tests/replacement.rs
+++ b/crates/proxy/tests/replacement.rs
@@ -350,6 +350,7 @@
         first_byte_deadline: now + Duration::from_secs(5),
         prompt: None,
         tried: vec![],
+        unreachable: vec![],
         returns_to: None,
         may_forward: true,
         is_new: true,
