Refuse a late request at once while all backend servers are suspect

A request now waits for a suspect backend server only as long as it can still meet its objective. A request that returns to one backend server has no other place and waits as before.

--- a/crates/dispatch/src/scheduler/decide.rs
+++ b/crates/dispatch/src/scheduler/decide.rs
@@ -31,6 +31,20 @@
 /// Time reserved for returning a refusal before the deadline of the caller.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(20);
 
+/// Returns whether a request may wait until `recheck_at` while all backend servers that may get it
+/// are suspect.
+fn may_await_suspect(item: &WorkItem, recheck_at: MonotonicTime, now: MonotonicTime) -> bool {
+    let left = item.first_byte_deadline.since(now);
+    let is_in_time = recheck_at.since(now) * 3 < left;
+    // Only one backend server may get it.
+    if item.returns_to.is_some() {
+        return is_in_time;
+    }
+    // The gateway that forwarded a request here may find another place for it. A request that is
+    // late already is refused, since nothing shows that it will be served before its deadline.
+    item.may_forward && is_in_time && recheck_at <= item.arrived + item.route.objective
+}
+
 impl Scheduler {
     /// Decides on a request. Returns `None` if it stays in the queue.
     pub(super) fn decide(
@@ -79,15 +93,11 @@
                 None
             }
             LocalChoice::AllSuspect { recheck_at } => {
-                let wait = recheck_at.since(now);
-                let left = item.first_byte_deadline.since(now);
-                // The gateway that forwarded a request here may find another place for it, unless
-                // only one backend server may get it.
-                let may_wait = item.may_forward || item.returns_to.is_some();
-                if may_wait && wait * 3 < left && wait < item.route.objective / 2 {
+                if may_await_suspect(item, recheck_at, now) {
                     self.wake_by(recheck_at);
                     return None;
                 }
+                let wait = recheck_at.since(now);
                 Some(self.refuse(RefusalReason::AllSuspect, waiting, wait, now))
             }
             LocalChoice::NoBackend => {
