Probe lost paths with connections instead of callers' requests

While a gateway is partitioned, each backend server was tried again after 0.4 to 3 s with a caller's request, which waited for the connection timeout of 400 ms; and each of the region's backend servers had to fail a request of its own before the gateway knew. When the path was back, each stayed suspect for up to 3 s.

A backend server to which no connection could be established is now probed with connections, at first after 200 ms, then up to a second apart; a connection that succeeds is kept for the next request. If connections to two backend servers of a service fail and none of the service sends anything in between, the path is considered lost: all are avoided, two are probed every 250 ms, and the first contact ends it for all. path.lost and path.restored are logged.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -28,6 +28,7 @@
 mod limit;
 mod load;
 mod membership;
+mod path_monitor;
 mod prefill;
 mod priority;
 mod rate;
@@ -52,6 +53,7 @@
     hint::{BackendHint, LimitUpdate, RequestUpdate},
     limit::{InvalidLimit, StatedLimit},
     load::{BackendLoad, BackendReport, SentRequest, WorkCost},
+    path_monitor::PathChange,
     regions::{FirstByteTimes, RegionInfo},
     scheduler::{STALL_CHECK_INTERVAL, Scheduler},
     share::AllowanceShare,
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -28,6 +28,7 @@
         hint::{PendingHint, micros_ago, statement_update},
         load::PROGRESS_MAX_AGE,
         membership::GatewayMembership,
+        path_monitor::{PathChange, PathMonitor},
         priority::LatencyObjectives,
         rate::SendPacer,
         regions::RegionTable,
@@ -42,6 +43,7 @@
     scan::ServiceScan,
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
+        net::SocketAddr,
         rc::Rc,
         time::Duration,
     },
@@ -54,6 +56,10 @@
 /// The assumed round-trip time to another gateway of this region until it is measured.
 const OWN_REGION_RTT: Duration = Duration::from_millis(2);
 
+/// Number of connections that are attempted at once to the backend servers of a service to which
+/// the path is considered lost.
+const PATH_PROBES: usize = 2;
+
 struct Backend {
     info: BackendInfo,
     load: BackendLoad,
@@ -91,6 +97,9 @@
     returned: BTreeMap<FailureDomain, MonotonicTime>,
     gateways: GatewayMembership,
     gateway_paths: GatewayPaths,
+    /// The paths of this gateway to the backend servers of each service.
+    paths: HashMap<ServiceName, PathMonitor>,
+    path_changes: Vec<PathChange>,
     /// The share of this gateway in the fleet-wide allowances.
     share: AllowanceShare,
     budgets: HashMap<ServiceName, RepeatBudget>,
@@ -118,6 +127,8 @@
         Self {
             gateways: GatewayMembership::new(settings.own.clone()),
             gateway_paths: GatewayPaths::default(),
+            paths: HashMap::new(),
+            path_changes: Vec::new(),
             request_base,
             share: AllowanceShare::new(settings.regions),
             settings,
@@ -222,7 +233,7 @@
 
     /// Returns the capacity of one service, or `None` if no backend server accepts work for it.
     pub fn offer(&self, service: &ServiceName, now: MonotonicTime) -> Option<RegionInfo> {
-        let is_trusted = |b: &Backend| !b.health.is_suspect(now) && !b.load.is_stalled(now);
+        let is_trusted = |b: &Backend| !self.is_suspect(b, now) && !b.load.is_stalled(now);
         let is_held = |b: &Backend| {
             b.statements.limit.limit().is_some() || b.statements.backoff.is_backed_off(now)
         };
@@ -328,6 +339,9 @@
             placement.last_byte = Some(now);
         }
         let Some(backend) = self.sent_backend(ticket) else { return };
+        let service = backend.info.service.clone();
+        self.note_contact(&service, now);
+        let Some(backend) = self.sent_backend(ticket) else { return };
         // The rest applies to the first chunk only.
         let Some(sent) = backend.load.note_own_first_byte(ticket, now) else { return };
         backend.statements.backoff.note_accepted(now);
@@ -408,7 +422,10 @@
         let Some(backend) = backend_of_run(&mut self.backends, &run) else { return };
         let unbegun = backend.load.end(ticket);
         backend.health.note(outcome, now);
+        let service = backend.info.service.clone();
         match outcome {
+            WorkOutcome::Unreachable => self.note_unreachable(&service, &run.backend),
+            WorkOutcome::Answered | WorkOutcome::Failed => self.note_contact(&service, now),
             WorkOutcome::Misdirected => {
                 // Another run answers at this address, so the intended one has ended, even if it is
                 // still announced.
@@ -419,6 +436,7 @@
                 let slots = backend.info.slots;
                 let full = BackendReport { running: slots, waiting: 1, slots };
                 backend.load.note_report(full, now);
+                self.note_contact(&service, now);
             }
             _ => {}
         }
@@ -427,6 +445,64 @@
         }
     }
 
+    fn note_unreachable(&mut self, service: &ServiceName, backend: &BackendName) {
+        if self.paths.entry(service.clone()).or_default().note_failed(backend) {
+            self.path_changes.push(PathChange { service: service.clone(), is_lost: true });
+        }
+    }
+
+    /// Records that a backend server of `service` sent something or accepted a connection.
+    fn note_contact(&mut self, service: &ServiceName, now: MonotonicTime) {
+        let Some(path) = self.paths.get_mut(service) else { return };
+        if !path.note_contact() {
+            return;
+        }
+        self.path_changes.push(PathChange { service: service.clone(), is_lost: false });
+        let of_service = self.backends.values_mut().filter(|b| b.info.service == *service);
+        of_service.for_each(|backend| backend.health.expedite_probe(now));
+    }
+
+    /// Returns the backend servers to which a connection attempt is due, with their addresses.
+    pub fn connection_probes(&mut self, now: MonotonicTime) -> Vec<(BackendRun, SocketAddr)> {
+        let mut probes = Vec::new();
+        for (service, path) in self.paths.iter_mut().filter(|(_, path)| path.is_lost()) {
+            let serving = self.backends.values().filter(|b| b.info.service == *service);
+            let names = serving.map(|b| &b.info.name);
+            probes.extend(path.next_probes(names, PATH_PROBES));
+        }
+        let paths = &self.paths;
+        let is_lost = |b: &Backend| paths.get(&b.info.service).is_some_and(PathMonitor::is_lost);
+        for (name, backend) in self.backends.iter_mut().filter(|(_, b)| !is_lost(b)) {
+            if backend.health.take_probe(now) {
+                probes.push(name.clone());
+            }
+        }
+        let target = |name: &BackendName| {
+            let info = &self.backends.get(name)?.info;
+            Some((info.run(), info.address))
+        };
+        probes.iter().filter_map(target).collect()
+    }
+
+    /// Records that a connection to `run` was established.
+    pub fn note_connected(&mut self, run: &BackendRun, now: MonotonicTime) {
+        let Some(backend) = backend_of_run(&mut self.backends, run) else { return };
+        backend.health.note_connected(now);
+        let service = backend.info.service.clone();
+        self.note_contact(&service, now);
+    }
+
+    /// Returns the changes of this gateway's paths since the last call.
+    pub fn take_path_changes(&mut self) -> Vec<PathChange> {
+        std::mem::take(&mut self.path_changes)
+    }
+
+    /// Returns whether requests should avoid a backend server.
+    fn is_suspect(&self, backend: &Backend, now: MonotonicTime) -> bool {
+        let path = self.paths.get(&backend.info.service);
+        backend.health.is_suspect(now) || path.is_some_and(PathMonitor::is_lost)
+    }
+
     /// Returns whether the budget of `service` would grant a repeat, without taking it.
     pub fn peek_repeat(&mut self, service: &ServiceName, now: MonotonicTime) -> RepeatDecision {
         let share = self.share;
--- a/crates/dispatch/src/scheduler/decide.rs
+++ b/crates/dispatch/src/scheduler/decide.rs
@@ -126,7 +126,7 @@
         RefusalDetails {
             known: of_service().count(),
             serving: serving().count(),
-            suspect: serving().filter(|b| b.health.is_suspect(now)).count(),
+            suspect: serving().filter(|b| self.is_suspect(b, now)).count(),
             cold: serving().filter(|b| self.is_cold(b, now)).count(),
             backed_off: serving().filter(|b| b.statements.backoff.until(now).is_some()).count(),
             regions: offers().count(),
--- a/crates/dispatch/src/scheduler/place.rs
+++ b/crates/dispatch/src/scheduler/place.rs
@@ -145,7 +145,7 @@
         let announced =
             eligible_backends.into_iter().filter(|b| !b.info.is_silent || !is_any_announced);
         let (suspect, healthy): (Vec<&Backend>, Vec<&Backend>) =
-            announced.partition(|b| b.health.is_suspect(now) || b.load.is_stalled(now));
+            announced.partition(|b| self.is_suspect(b, now) || b.load.is_stalled(now));
         let (backed_off, open): (Vec<&Backend>, Vec<&Backend>) =
             healthy.into_iter().partition(|b| b.statements.backoff.until(now).is_some());
         // A suspect is retried soon, whereas a back-off may last for minutes.
@@ -346,7 +346,7 @@
     fn may_relay(&self, item: &WorkItem, now: MonotonicTime) -> bool {
         let is_out_of_reach = |backend: &Backend| {
             item.may_run_at(&backend.info.name)
-                && (!item.may_go_to(&backend.info.name) || backend.health.is_suspect(now))
+                && (!item.may_go_to(&backend.info.name) || self.is_suspect(backend, now))
         };
         item.allows(&self.settings.region)
             && self.serving(&item.service).any(is_out_of_reach)
--- a/crates/dispatch/tests/rules.rs
+++ b/crates/dispatch/tests/rules.rs
@@ -131,6 +131,12 @@
         assert_eq!(is_used, !case.is_suspect, "{:?}: {later:?}", case.outcome);
         let (ticket, _) = place(&mut scheduler, at(1_000));
         scheduler.end(ticket, WorkOutcome::Answered, at(1_001));
+        let probes: Vec<_> = scheduler.connection_probes(at(4_000));
+        let probed: Vec<_> = probes.iter().map(|(run, _)| run.backend.as_str()).collect();
+        let is_unreachable = case.outcome == WorkOutcome::Unreachable;
+        let expected = is_unreachable.then_some(bad.as_str());
+        assert_eq!(probed, expected.as_slice(), "{:?}", case.outcome);
+        probes.iter().for_each(|(run, _)| scheduler.note_connected(run, at(4_001)));
         let used: BTreeSet<_> = (0..40)
             .filter_map(|i| sent_to(&place(&mut scheduler, at(5_000 + i)).1).map(str::to_owned))
             .collect();
@@ -138,6 +144,78 @@
     }
 }
 
+#[test]
+fn unreachable_backends_are_probed_by_connections_only() {
+    // Guards against requests that wait for a connection timeout to find out whether a path is back,
+    // and against a herd of them when it was lost to many backend servers.
+    struct Case {
+        name: &'static str,
+        /// Outcomes of the first requests, each at another engine.
+        outcomes: &'static [WorkOutcome],
+        /// Whether the engines that were not tried get requests.
+        are_others_used: bool,
+    }
+    const UNREACHABLE: WorkOutcome = WorkOutcome::Unreachable;
+    const ANSWERED: WorkOutcome = WorkOutcome::Answered;
+    let cases = [
+        Case { name: "one", outcomes: &[UNREACHABLE], are_others_used: true },
+        Case {
+            name: "two in a row",
+            outcomes: &[UNREACHABLE, UNREACHABLE],
+            are_others_used: false,
+        },
+        Case {
+            name: "answer between",
+            outcomes: &[UNREACHABLE, ANSWERED, UNREACHABLE],
+            are_others_used: true,
+        },
+        Case {
+            name: "answer after",
+            outcomes: &[UNREACHABLE, UNREACHABLE, ANSWERED],
+            are_others_used: true,
+        },
+    ];
+    for case in cases {
+        let mut scheduler = scheduler(0, 1, 6, 0.0);
+        // All are placed before the first one ends.
+        let mut sent = Vec::new();
+        for index in 0..case.outcomes.len() {
+            let mut work = item(&route(1, 800, 10_000), None, at(0));
+            work.returns_to = Some(backend(index));
+            sent.push(scheduler.submit(work, at(0)));
+        }
+        scheduler.poll(at(0));
+        let mut unreachable = BTreeSet::new();
+        for ((index, ticket), outcome) in sent.into_iter().enumerate().zip(case.outcomes) {
+            if *outcome == UNREACHABLE {
+                unreachable.insert(backend(index).to_string());
+            }
+            scheduler.end(ticket, *outcome, at(1));
+        }
+        for ms in [10, 1_000, 10_000] {
+            let (ticket, decision) = place(&mut scheduler, at(ms));
+            scheduler.withdraw(ticket);
+            let to = sent_to(&decision);
+            assert_eq!(to.is_some(), case.are_others_used, "{}: at {ms}", case.name);
+            assert!(to.is_none_or(|to| !unreachable.contains(to)), "{}: at {ms}", case.name);
+        }
+        let mut probed = BTreeSet::new();
+        for round in 0..8 {
+            let now = at(11_000 + 1_000 * round);
+            probed.extend(scheduler.connection_probes(now).into_iter().map(|(run, _)| run));
+        }
+        let names: BTreeSet<String> = probed.iter().map(|run| run.backend.to_string()).collect();
+        match case.are_others_used {
+            true => assert_eq!(names, unreachable, "{}", case.name),
+            false => assert_eq!(names.len(), 6, "{}: all are probed in turn", case.name),
+        }
+        let (connected, _) = scheduler.connection_probes(at(30_000)).remove(0);
+        scheduler.note_connected(&connected, at(30_000));
+        let (_, decision) = place(&mut scheduler, at(30_001));
+        assert!(sent_to(&decision).is_some(), "{}: path is back", case.name);
+    }
+}
+
 #[test]
 fn repeat_budget_holds_for_all_gateways_together() {
     const WINDOW: Duration = Duration::from_secs(10);
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -36,6 +36,12 @@
         request: Request<Bytes>,
     ) -> LocalFuture<'a, Result<ClientReply, ClientError>>;
 
+    /// Connects to `address` and keeps the connection for the next request. A client that keeps
+    /// none has nothing to do.
+    fn connect<'a>(&'a self, _address: SocketAddr) -> LocalFuture<'a, Result<(), ClientError>> {
+        Box::pin(std::future::ready(Ok(())))
+    }
+
     /// Closes the connections to `address` that no request uses, and those in use once their
     /// request has ended, until the next request goes there. For a client that keeps none, nothing.
     fn retire(&self, _address: SocketAddr) {}
--- a/crates/http/src/client/pool.rs
+++ b/crates/http/src/client/pool.rs
@@ -245,6 +245,21 @@
         Box::pin(self.send_to(address, request))
     }
 
+    fn connect<'a>(&'a self, address: SocketAddr) -> LocalFuture<'a, Result<(), ClientError>> {
+        Box::pin(async move {
+            let ConnectionPool { config, context, .. } = &*self.pool;
+            let mut connection = ClientConnection::open(address, config, context).await?;
+            // Only a connection that its task drives can be kept.
+            connection
+                .sender
+                .ready()
+                .await
+                .map_err(|e| ClientError::Connect { address, reason: error_chain(&e) })?;
+            self.pool.keep(address, connection, None);
+            Ok(())
+        })
+    }
+
     fn retire(&self, address: SocketAddr) {
         self.pool.retired.borrow_mut().insert(address);
         self.pool.idle.borrow_mut().remove(&address);
--- a/crates/http/tests/http/client.rs
+++ b/crates/http/tests/http/client.rs
@@ -454,6 +454,22 @@
     });
 }
 
+#[test]
+fn connection_made_in_advance_serves_the_next_request() {
+    // Guards against probes that pay for a connection and throw it away.
+    run(async {
+        let address = scripted(vec![vec![Step::Reply(OK_REPLY), Step::Read]]);
+        let client = client();
+        client.connect(address).await.unwrap();
+        assert_eq!(client.idle_connections(address), 1);
+        // The server accepts a single connection.
+        client.send(address, get()).await.unwrap().body.collect(10).await.unwrap();
+        let gone = any_port();
+        let error = client.connect(gone).await.expect_err("nothing listens there");
+        assert!(error.nothing_sent(), "{error}");
+    });
+}
+
 // Symptom: a gateway's descriptors run out, though it has little to do.
 // Sequence: many connections to a backend server are used once; the traffic moves elsewhere.
 // Cause: idle connections that are closed only when the next request looks for one.
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -14,7 +14,7 @@
         quota::{QuotaEnforcer, QuotaParts},
         unread_headers::UnreadHeaderReporter,
     },
-    gullglade_dispatch::{STALL_CHECK_INTERVAL, Scheduler},
+    gullglade_dispatch::{PathChange, STALL_CHECK_INTERVAL, Scheduler},
     gullglade_event::{EventDraft, EventSink, Level, MetricSet},
     gullglade_fleet::{ActiveTraffic, FleetFollower},
     gullglade_http::{HttpClient, ReplyBody},
@@ -73,6 +73,34 @@
     configuration_gate: ConfigurationGate,
 }
 
+impl ProxyShared {
+    /// Tries to connect to backend servers to which connections failed.
+    fn probe_connections(&self) {
+        let ProxyParts { dispatcher, events, client, context, .. } = &self.parts;
+        let (changes, probes) = dispatcher.with_scheduler(|scheduler, now| {
+            (scheduler.take_path_changes(), scheduler.connection_probes(now))
+        });
+        for PathChange { service, is_lost } in changes {
+            let (kind, level) = match is_lost {
+                true => ("path.lost", Level::Warn),
+                false => ("path.restored", Level::Info),
+            };
+            events.emit(EventDraft::new(kind).level(level).field("service", service));
+        }
+        for (run, address) in probes {
+            let (dispatcher, client) = (Rc::clone(dispatcher), Rc::clone(client));
+            context.spawner.spawn(Box::pin(async move {
+                // A failure changes nothing, and `path.lost` was logged before.
+                if client.connect(address).await.is_ok() {
+                    dispatcher.update_scheduler(|scheduler, now| {
+                        scheduler.note_connected(&run, now);
+                    });
+                }
+            }));
+        }
+    }
+}
+
 /// Poll interval of [`Proxy::wait_for_forwards`]. It leaves the session's task time to write the
 /// last frame of a response.
 const FORWARDS_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -144,7 +172,8 @@
         proxy
     }
 
-    /// Starts the task that detects stalls of this process.
+    /// Starts the task that detects stalls of this process and probes backend servers to which
+    /// connections failed.
     fn watch_stalls(&self) {
         let shared = Rc::downgrade(&self.shared);
         let clock = Rc::clone(&self.context().clock);
@@ -157,6 +186,7 @@
                     let event = EventDraft::new("gateway.stood_still").level(Level::Warn);
                     events.emit(event.millis("stall_ms", stall));
                 }
+                shared.probe_connections();
             }
         }));
     }
--- a/crates/proxy/tests/partitioned_gateways.rs
+++ b/crates/proxy/tests/partitioned_gateways.rs
@@ -99,7 +99,7 @@
         is_open
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<(), ClientError> {
+    async fn open_connection(&self, address: SocketAddr) -> Result<(), ClientError> {
         if !self.is_partitioned() {
             self.context.clock.sleep(Duration::from_millis(1)).await;
             return Ok(());
@@ -122,7 +122,7 @@
         request: Request<Bytes>,
     ) -> Result<ClientReply, ClientError> {
         if !self.take_idle(address) {
-            self.connect(address).await?;
+            self.open_connection(address).await?;
         }
         if request.extensions().get::<SendPermit>().is_some_and(|permit| !permit.begin()) {
             return Err(ClientError::Revoked { address });
@@ -175,6 +175,14 @@
     ) -> LocalFuture<'a, Result<ClientReply, ClientError>> {
         Box::pin(self.exchange(address, request))
     }
+
+    fn connect<'a>(&'a self, address: SocketAddr) -> LocalFuture<'a, Result<(), ClientError>> {
+        Box::pin(async move {
+            self.open_connection(address).await?;
+            *self.idle.borrow_mut().entry(address).or_default() += 1;
+            Ok(())
+        })
+    }
 }
 
 /// A caller's first attempt.
@@ -367,6 +375,22 @@
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
 
+#[test]
+fn requests_of_a_partitioned_gateway_do_not_wait_for_connections() {
+    // Guards against callers' requests that serve as probes of a lost path: each waits for a
+    // connection timeout.
+    for case in CASES.iter().filter(|case| case.partitioned.len() < case.gateways) {
+        let report = case.run(RequestKind::Idempotent);
+        let is_counted = |attempt: &&FirstAttempt| {
+            attempt.age >= ADAPTATION_TIME && report.network.partitioned.contains(&attempt.gateway)
+        };
+        let counted: Vec<&FirstAttempt> = report.attempts.iter().filter(is_counted).collect();
+        let is_late = |attempt: &&&FirstAttempt| attempt.duration >= CONNECT_TIMEOUT;
+        let late = counted.iter().filter(is_late).count();
+        assert!(late * 50 <= counted.len(), "{}: {late} of {}", case.what, counted.len());
+    }
+}
+
 #[test]
 fn non_repeatable_requests_run_once_during_a_partition() {
     // Guards against a second run of a request that was relayed or whose connection hung.
