A lost gateway no longer takes its region with it

Callers of a region without backend servers of its own were refused for 1.5 s whenever a request met one gateway of another region that was killed or out of reach: the sender took the path to the whole region for broken. A request whose own time ran out blamed the region as well.

The rule for backend servers now holds for gateways too: one that is lost is avoided for 1.5 s; the region is considered lost when two of its gateways fail (or the only one does) and none has sent anything in between. A try that was shorter than the usual wait for a confirmation blames nobody.

--- a/crates/dispatch/src/path_monitor.rs
+++ b/crates/dispatch/src/path_monitor.rs
@@ -1,19 +1,17 @@
-//! Whether this gateway has a path to the backend servers of a service.
+//! Whether this gateway has a path to a group of targets: the backend servers of a service, or the
+//! gateways of a region.
 //!
 //! The load pattern: a gateway is partitioned from all backend servers while they serve the other
 //! gateways of its region. Each of dozens of backend servers would otherwise fail a request of its
 //! own until the gateway knows, and each of these requests waits for a connection timeout.
 //!
-//! If connections to two backend servers fail and no other one of the service has sent anything in
-//! between, the path is considered lost rather than each of the backend servers. An answer of any of
-//! them, or an established connection, shows that the path is back.
+//! If two targets fail and no other one of the group has sent anything in between, the path is
+//! considered lost rather than each of the targets. An answer of any of them, or an established
+//! connection, shows that the path is back. One target that fails says nothing about the others.
 
-use {
-    gullglade_units::{BackendName, ServiceName},
-    std::collections::BTreeSet,
-};
+use {gullglade_units::ServiceName, std::collections::BTreeSet};
 
-/// Number of backend servers to which connections fail until the path is considered lost.
+/// Number of targets that fail until the path is considered lost, if there are as many.
 const MIN_FAILED: usize = 2;
 
 /// A change of the path of this gateway to the backend servers of a service.
@@ -25,26 +23,33 @@
     pub is_lost: bool,
 }
 
-/// The path of this gateway to the backend servers of one service.
-#[derive(Debug, Default)]
-pub(crate) struct PathMonitor {
-    /// Backend servers to which a connection failed since any of the service sent something.
-    failed: BTreeSet<BackendName>,
+/// The path of this gateway to a group of targets.
+#[derive(Debug)]
+pub(crate) struct PathMonitor<T> {
+    /// Targets that failed since any of the group sent something.
+    failed: BTreeSet<T>,
     is_lost: bool,
-    /// The backend server that was probed last.
-    last_probed: Option<BackendName>,
+    /// The target that was probed last.
+    last_probed: Option<T>,
 }
 
-impl PathMonitor {
-    /// Records that no connection to `backend` could be established. Returns whether the path is
-    /// considered lost from now on.
-    pub(crate) fn note_failed(&mut self, backend: &BackendName) -> bool {
-        self.failed.insert(backend.clone());
-        self.failed.len() >= MIN_FAILED && !std::mem::replace(&mut self.is_lost, true)
+impl<T> Default for PathMonitor<T> {
+    fn default() -> Self {
+        Self { failed: BTreeSet::new(), is_lost: false, last_probed: None }
+    }
+}
+
+impl<T: Clone + Ord> PathMonitor<T> {
+    /// Records that `target`, one of a group of `count`, could not be reached. Returns whether the
+    /// path is considered lost from now on.
+    pub(crate) fn note_failed(&mut self, target: &T, count: usize) -> bool {
+        self.failed.insert(target.clone());
+        let is_lost = self.failed.len() >= MIN_FAILED.min(count);
+        is_lost && !std::mem::replace(&mut self.is_lost, true)
     }
 
-    /// Records that a backend server sent something or accepted a connection. Returns whether the
-    /// path was considered lost until now.
+    /// Records that a target sent something or accepted a connection. Returns whether the path was
+    /// considered lost until now.
     pub(crate) fn note_contact(&mut self) -> bool {
         self.failed.clear();
         std::mem::take(&mut self.is_lost)
@@ -55,16 +60,19 @@
         self.is_lost
     }
 
-    /// Selects up to `limit` of the `serving` backend servers, in turn, for connection attempts.
+    /// Selects up to `limit` of `targets`, in turn, for connection attempts.
     pub(crate) fn next_probes<'a>(
         &mut self,
-        serving: impl Iterator<Item = &'a BackendName> + Clone,
+        targets: impl Iterator<Item = &'a T> + Clone,
         limit: usize,
-    ) -> Vec<BackendName> {
+    ) -> Vec<T>
+    where
+        T: 'a,
+    {
         let last = self.last_probed.clone();
-        let is_next = |name: &&BackendName| last.as_ref().is_none_or(|last| **name > *last);
-        let rest = serving.clone().filter(|name| !is_next(name));
-        let probes: Vec<_> = serving.filter(is_next).chain(rest).take(limit).cloned().collect();
+        let is_next = |target: &&T| last.as_ref().is_none_or(|last| **target > *last);
+        let rest = targets.clone().filter(|target| !is_next(target));
+        let probes: Vec<T> = targets.filter(is_next).chain(rest).take(limit).cloned().collect();
         self.last_probed = probes.last().cloned();
         probes
     }
--- a/crates/dispatch/src/regions.rs
+++ b/crates/dispatch/src/regions.rs
@@ -7,8 +7,11 @@
 //! that is full of urgent work has no capacity for less urgent work.
 
 use {
-    crate::load::{PRIORITY_CLASSES, priority_class},
-    gullglade_units::{MonotonicTime, RegionName, ServiceName},
+    crate::{
+        load::{PRIORITY_CLASSES, priority_class},
+        path_monitor::PathMonitor,
+    },
+    gullglade_units::{MonotonicTime, RegionName, ServiceName, VmName},
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -80,6 +83,9 @@
     recent_offers: PerService<(FirstByteTimes, MonotonicTime)>,
     /// Regions to which the path is broken, with the end of the pause.
     broken: BTreeMap<RegionName, MonotonicTime>,
+    paths: BTreeMap<RegionName, PathMonitor<VmName>>,
+    /// Gateways that could not be reached, with the end of the pause.
+    lost_gateways: BTreeMap<VmName, MonotonicTime>,
     /// Regions and services that refused requests, with the end of the pause.
     refused: PerService<MonotonicTime>,
     /// Smoothed round-trip times, milliseconds.
@@ -116,9 +122,37 @@
             .insert(service.clone(), (first_byte, now));
     }
 
-    /// Pauses forwarding to a region until `until`, because the path to it is broken.
-    pub(crate) fn note_broken(&mut self, region: RegionName, until: MonotonicTime) {
-        self.broken.insert(region, until);
+    /// Pauses forwarding to `gateway` for `pause`, because it could not be reached, and to its
+    /// region, which has `count` gateways, if the path to that is considered lost.
+    pub(crate) fn note_gateway_lost(
+        &mut self,
+        region: &RegionName,
+        gateway: &VmName,
+        count: usize,
+        pause: Duration,
+        now: MonotonicTime,
+    ) {
+        let until = now + pause;
+        self.lost_gateways.retain(|_, until| now < *until);
+        self.lost_gateways.insert(gateway.clone(), until);
+        let path = self.paths.entry(region.clone()).or_default();
+        path.note_failed(gateway, count);
+        if path.is_lost() {
+            self.broken.insert(region.clone(), until);
+        }
+    }
+
+    /// Records that a gateway of `region` sent something.
+    pub(crate) fn note_gateway_contact(&mut self, region: &RegionName, gateway: &VmName) {
+        self.lost_gateways.remove(gateway);
+        if self.paths.get_mut(region).is_some_and(PathMonitor::note_contact) {
+            self.broken.remove(region);
+        }
+    }
+
+    /// Returns whether a gateway could not be reached a short time ago.
+    pub(crate) fn is_gateway_lost(&self, gateway: &VmName, now: MonotonicTime) -> bool {
+        self.lost_gateways.get(gateway).is_some_and(|until| now < *until)
     }
 
     /// Pauses forwarding of a service to a region until `until`, because it refused a request.
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -98,7 +98,7 @@
     gateways: GatewayMembership,
     gateway_paths: GatewayPaths,
     /// The paths of this gateway to the backend servers of each service.
-    paths: HashMap<ServiceName, PathMonitor>,
+    paths: HashMap<ServiceName, PathMonitor<BackendName>>,
     path_changes: Vec<PathChange>,
     /// The share of this gateway in the fleet-wide allowances.
     share: AllowanceShare,
@@ -446,7 +446,8 @@
     }
 
     fn note_unreachable(&mut self, service: &ServiceName, backend: &BackendName) {
-        if self.paths.entry(service.clone()).or_default().note_failed(backend) {
+        let count = self.serving(service).count();
+        if self.paths.entry(service.clone()).or_default().note_failed(backend, count) {
             self.path_changes.push(PathChange { service: service.clone(), is_lost: true });
         }
     }
@@ -542,9 +543,23 @@
         self.regions.is_broken(region, now)
     }
 
-    /// Records that the path to a region is broken. No requests are forwarded to it for `pause`.
-    pub fn pause_region(&mut self, region: &RegionName, pause: Duration, now: MonotonicTime) {
-        self.regions.note_broken(region.clone(), now + pause);
+    /// Records that one of the `count` gateways of `region` could not be reached. No requests are
+    /// forwarded to it for `pause`, nor to the region if this is the second one, or the only one,
+    /// and none has sent anything in between.
+    pub fn note_gateway_lost(
+        &mut self,
+        region: &RegionName,
+        gateway: &VmName,
+        count: usize,
+        pause: Duration,
+        now: MonotonicTime,
+    ) {
+        self.regions.note_gateway_lost(region, gateway, count, pause, now);
+    }
+
+    /// Records that a gateway of `region` sent something.
+    pub fn note_gateway_contact(&mut self, region: &RegionName, gateway: &VmName) {
+        self.regions.note_gateway_contact(region, gateway);
     }
 
     /// Records that a region refused a request of a service. No further requests of the service are
@@ -584,6 +599,7 @@
         now: MonotonicTime,
     ) -> bool {
         self.gateway_paths.is_open(gateway, service, now)
+            && !self.regions.is_gateway_lost(gateway, now)
     }
 
     /// Records the first-byte times that a region returned with a forwarded request.
--- a/crates/dispatch/tests/regions.rs
+++ b/crates/dispatch/tests/regions.rs
@@ -157,6 +157,82 @@
     }
 }
 
+#[test]
+fn region_is_paused_only_when_two_of_its_gateways_are_lost() {
+    // Guards against a region that gets no requests because one of its gateways was killed.
+    const PAUSE: Duration = Duration::from_millis(1_500);
+    enum Event {
+        Lost(usize),
+        Contact(usize),
+    }
+    use Event::{Contact, Lost};
+    struct Case {
+        name: &'static str,
+        gateways: usize,
+        events: &'static [Event],
+        is_region_open: bool,
+        /// Gateways that get no requests.
+        lost: &'static [usize],
+    }
+    let cases = [
+        Case {
+            name: "the only one",
+            gateways: 1,
+            events: &[Lost(7)],
+            is_region_open: false,
+            lost: &[7],
+        },
+        Case { name: "one", gateways: 3, events: &[Lost(7)], is_region_open: true, lost: &[7] },
+        Case {
+            name: "one again",
+            gateways: 3,
+            events: &[Lost(7), Lost(7)],
+            is_region_open: true,
+            lost: &[7],
+        },
+        Case {
+            name: "two",
+            gateways: 3,
+            events: &[Lost(7), Lost(8)],
+            is_region_open: false,
+            lost: &[7, 8],
+        },
+        Case {
+            name: "contact between",
+            gateways: 3,
+            events: &[Lost(7), Contact(9), Lost(8)],
+            is_region_open: true,
+            lost: &[7, 8],
+        },
+        Case {
+            name: "contact after",
+            gateways: 3,
+            events: &[Lost(7), Lost(8), Contact(8)],
+            is_region_open: true,
+            lost: &[7],
+        },
+    ];
+    for case in cases {
+        let mut scheduler = busy_scheduler(reported(&[10]));
+        let columbia = region("columbia");
+        for event in case.events {
+            match event {
+                Lost(index) => {
+                    let vm = gateway(*index);
+                    scheduler.note_gateway_lost(&columbia, &vm, case.gateways, PAUSE, at(1));
+                }
+                Contact(index) => scheduler.note_gateway_contact(&columbia, &gateway(*index)),
+            }
+        }
+        assert_eq!(is_forwarded(&mut scheduler, 1, 2), case.is_region_open, "{}", case.name);
+        for index in [7, 8, 9] {
+            let is_open = scheduler.may_forward_to(&gateway(index), &service("pool"), at(2));
+            assert_eq!(is_open, !case.lost.contains(&index), "{}: {index}", case.name);
+        }
+        assert!(!scheduler.is_path_broken(&columbia, at(1_502)), "{}: after the pause", case.name);
+    }
+}
+
 #[test]
 fn requests_are_relayed_by_neighbours_while_no_backend_is_reached() {
     // Guards against a gateway that refuses its callers, or sends them to a distant region, while
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -53,7 +53,8 @@
 /// Minimum time to wait for that confirmation: a lost packet is retransmitted after 0.2 s.
 const MIN_ACCEPT_TIMEOUT: Duration = Duration::from_millis(450);
 
-/// Time for which a region gets no work after the path to it broke.
+/// Time for which a gateway gets no work after it could not be reached, and a region after the path
+/// to it broke.
 const BROKEN_PATH_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Time for which a region gets no work of a service that it refused.
@@ -212,16 +213,15 @@
         match self.open(region, &mut request).await {
             OpenedForward::Stream(gateway, stream) => {
                 let mut frames = FrameStream { stream, liveness };
-                let Some(first) = self
-                    .await_accepted(region, &request.service, request.left, &mut frames, may_repeat)
-                    .await
-                else {
+                let target = ForwardTarget { region, gateway: &gateway, service: &request.service };
+                let accepted =
+                    self.await_accepted(target, request.left, &mut frames, may_repeat).await;
+                let Some(first) = accepted else {
                     return AttemptOutcome::Unknown(UnknownReason::LostAway);
                 };
-                let target = ForwardTarget { region, gateway: &gateway, service: &request.service };
                 self.read_head(target, request.left, frames, first).await
             }
-            OpenedForward::Lost => self.mark_lost(region),
+            OpenedForward::Lost => AttemptOutcome::Unknown(UnknownReason::LostAway),
             OpenedForward::NotSent => AttemptOutcome::NotRun(NotRunReason::RefusedAway, None),
         }
     }
@@ -243,7 +243,8 @@
         let service = &request.service;
         let clock = &*self.context.clock;
         let sent_at = clock.now();
-        let first = self.await_accepted(region, service, request.left, &mut frames, true).await?;
+        let target = ForwardTarget { region, gateway: &gateway, service };
+        let first = self.await_accepted(target, request.left, &mut frames, true).await?;
         let round_trip = clock.now().since(sent_at);
         let content = next_content(&mut frames, first);
         match timeout(clock, request.left.min(RESERVE_TIMEOUT), content).await? {
@@ -255,7 +256,7 @@
                 stream: frames.stream,
             }),
             Some(Ok(ForwardFrame::NotRun(reason, _))) => {
-                self.note_refusal(ForwardTarget { region, gateway: &gateway, service }, reason);
+                self.note_refusal(target, reason);
                 None
             }
             _ => None,
@@ -301,7 +302,7 @@
                 let _: Result<(), ()> = begun.send(());
                 timeout(&*self.context.clock, left, next).await
             }
-            Either::Right((CommandOutcome::Lost, _)) => return self.mark_lost(&region),
+            Either::Right((CommandOutcome::Lost, _)) => return self.mark_lost(&region, &gateway),
             Either::Right((CommandOutcome::Rejected, _)) => {
                 return AttemptOutcome::NotRun(NotRunReason::Revoked, None);
             }
@@ -343,7 +344,8 @@
             let began = self.context.clock.now();
             let to = gateway.profile.peer_address;
             let opening = self.transport.open(to, FORWARD, Bytes::from(encode(request)));
-            let limit = request.left.min(self.accept_timeout(region));
+            let accept_timeout = self.accept_timeout(region);
+            let limit = request.left.min(accept_timeout);
             let opened = timeout(&*self.context.clock, limit, opening).await;
             request.deduct_time(self.context.clock.now().since(began));
             match opened {
@@ -352,11 +354,16 @@
                 }
                 // If no session is established within this time, nothing has been sent.
                 Some(Err(error)) if error.nothing_sent() => {}
-                Some(Err(_)) => return OpenedForward::Lost,
+                Some(Err(_)) => {
+                    self.note_lost(region, &gateway.profile);
+                    return OpenedForward::Lost;
+                }
+                // The request has no time left, which says nothing about the gateway.
+                None if limit < accept_timeout => return OpenedForward::NotSent,
                 None => {}
             }
+            self.note_lost(region, &gateway.profile);
         }
-        self.pause(region, BROKEN_PATH_PAUSE);
         OpenedForward::NotSent
     }
 
@@ -384,12 +391,16 @@
         });
     }
 
-    fn pause(&self, region: &RegionName, pause: Duration) {
-        self.dispatcher.with_scheduler(|scheduler, now| scheduler.pause_region(region, pause, now));
+    /// Records that a gateway of `region` could not be reached.
+    fn note_lost(&self, region: &RegionName, gateway: &GatewayProfile) {
+        let count = self.preferred_gateways(region, |_| true).len();
+        self.dispatcher.with_scheduler(|scheduler, now| {
+            scheduler.note_gateway_lost(region, &gateway.vm, count, BROKEN_PATH_PAUSE, now);
+        });
     }
 
-    fn mark_lost(&self, region: &RegionName) -> AttemptOutcome {
-        self.pause(region, BROKEN_PATH_PAUSE);
+    fn mark_lost(&self, region: &RegionName, gateway: &GatewayProfile) -> AttemptOutcome {
+        self.note_lost(region, gateway);
         AttemptOutcome::Unknown(UnknownReason::LostAway)
     }
 
@@ -452,25 +463,33 @@
     /// repeated.
     async fn await_accepted(
         &self,
-        region: &RegionName,
-        service: &ServiceName,
+        target: ForwardTarget<'_>,
         left: Duration,
         frames: &mut FrameStream,
         may_repeat: bool,
     ) -> Option<FirstFrame> {
+        let ForwardTarget { region, gateway, service } = target;
         let clock = &*self.context.clock;
         let began = clock.now();
-        let limit = left.min(self.accept_timeout(region));
+        let accept_timeout = self.accept_timeout(region);
+        let limit = left.min(accept_timeout);
         let mut first = timeout(clock, limit, frames.next()).await;
         if first.is_none() {
-            // Spares other requests from waiting for the same path.
-            self.pause(region, BROKEN_PATH_PAUSE);
+            // Spares other requests from waiting for the same gateway.
+            if limit == accept_timeout {
+                self.note_lost(region, gateway);
+            }
             let rest = if may_repeat { limit } else { left };
             first = timeout(clock, rest, frames.next()).await;
         }
         if let Some(first) = &first {
             let took = clock.now().since(began);
-            self.dispatcher.with_scheduler(|scheduler, _| scheduler.note_region_rtt(region, took));
+            self.dispatcher.with_scheduler(|scheduler, _| {
+                scheduler.note_region_rtt(region, took);
+                if matches!(first, Some(Ok(_))) {
+                    scheduler.note_gateway_contact(region, &gateway.vm);
+                }
+            });
             self.note_offer(region, service, first.as_ref());
         }
         first
@@ -492,7 +511,7 @@
         match content {
             Some(Ok(ForwardFrame::Head { status, headers, backend: _ })) => {
                 let Ok(status) = StatusCode::from_u16(status) else {
-                    return self.mark_lost(region);
+                    return self.mark_lost(region, target.gateway);
                 };
                 let ForwardTarget { gateway, service, .. } = target;
                 self.dispatcher.with_scheduler(|scheduler, _| {
@@ -511,7 +530,7 @@
                 AttemptOutcome::NotRun(reason, wait)
             }
             Some(Ok(ForwardFrame::Unknown(reason))) => AttemptOutcome::Unknown(reason),
-            _ => self.mark_lost(region),
+            _ => self.mark_lost(region, target.gateway),
         }
     }
 
