Wait for backend servers that are only silent

A request waits as before while any backend server that may get it is only silent; the early refusal holds where each of them has failed.

--- a/crates/dispatch/src/scheduler/decide.rs
+++ b/crates/dispatch/src/scheduler/decide.rs
@@ -33,7 +33,12 @@
 
 /// Returns whether a request may wait until `recheck_at` while all backend servers that may get it
 /// are suspect.
-fn may_await_suspect(item: &WorkItem, recheck_at: MonotonicTime, now: MonotonicTime) -> bool {
+fn may_await_suspect(
+    item: &WorkItem,
+    recheck_at: MonotonicTime,
+    is_any_silent: bool,
+    now: MonotonicTime,
+) -> bool {
     let left = item.first_byte_deadline.since(now);
     let is_in_time = recheck_at.since(now) * 3 < left;
     // Only one backend server may get it.
@@ -41,8 +46,9 @@
         return is_in_time;
     }
     // The gateway that forwarded a request here may find another place for it. A request that is
-    // late already is refused, since nothing shows that it will be served before its deadline.
-    item.may_forward && is_in_time && recheck_at <= item.arrived + item.route.objective
+    // late already is refused, unless a backend server may go on before its deadline.
+    let is_promising = is_any_silent || recheck_at <= item.arrived + item.route.objective;
+    item.may_forward && is_in_time && is_promising
 }
 
 impl Scheduler {
@@ -92,8 +98,8 @@
                 self.wake_by(recheck_at.min(item.first_byte_deadline));
                 None
             }
-            LocalChoice::AllSuspect { recheck_at } => {
-                if may_await_suspect(item, recheck_at, now) {
+            LocalChoice::AllSuspect { recheck_at, is_any_silent } => {
+                if may_await_suspect(item, recheck_at, is_any_silent, now) {
                     self.wake_by(recheck_at);
                     return None;
                 }
--- a/crates/dispatch/src/scheduler/place.rs
+++ b/crates/dispatch/src/scheduler/place.rs
@@ -99,6 +99,8 @@
     },
     AllSuspect {
         recheck_at: MonotonicTime,
+        /// Whether one of them is only silent. It may go on at any moment.
+        is_any_silent: bool,
     },
     NoBackend,
 }
@@ -155,7 +157,9 @@
             healthy.into_iter().partition(|b| b.statements.backoff.until(now).is_some());
         // A suspect is retried soon, whereas a back-off may last for minutes.
         if open.is_empty() && !suspect.is_empty() {
-            return LocalChoice::AllSuspect { recheck_at: now + SUSPECT_RECHECK };
+            let is_any_silent = suspect.iter().any(|backend| !self.is_suspect(backend, now));
+            let recheck_at = now + SUSPECT_RECHECK;
+            return LocalChoice::AllSuspect { recheck_at, is_any_silent };
         }
         self.choose_backend(item, scan, &open, &backed_off, now)
     }
--- a/crates/dispatch/tests/rules.rs
+++ b/crates/dispatch/tests/rules.rs
@@ -216,6 +216,35 @@
     }
 }
 
+#[test]
+fn requests_wait_out_a_second_of_silence_of_all_backends() {
+    // Guards against refusals while sound backend servers are silent for a moment and go on.
+    const SILENCE_MS: std::ops::Range<u64> = 1_000..2_300;
+    let mut scheduler = scheduler(0, 1, 2, 0.0);
+    let mut sent = Vec::new();
+    let mut refused = 0;
+    for ms in (0..4_000).step_by(20) {
+        let now = at(ms);
+        if !SILENCE_MS.contains(&ms) {
+            for ticket in std::mem::take(&mut sent) {
+                scheduler.note_progress(ticket, now);
+                scheduler.end(ticket, WorkOutcome::Answered, now);
+            }
+        }
+        let number = ms / 20;
+        let shape = prompt(number % 5, 200, 300, number);
+        scheduler.submit(item(&route(0, 300, 5_000), Some(shape), now), now);
+        for (ticket, decision) in scheduler.poll(now) {
+            match decision {
+                Decision::Send { .. } => sent.push(ticket),
+                _ => refused += 1,
+            }
+        }
+    }
+    assert_eq!(refused, 0);
+    assert_eq!(scheduler.counts().0, 0, "all are placed after the silence");
+}
+
 #[test]
 fn repeat_budget_holds_for_all_gateways_together() {
     const WINDOW: Duration = Duration::from_secs(10);
