Relay a request after two connection failures

Where open connections to backend servers live on and new ones are refused, each backend server answers some requests and is unreachable for others, so none of them is suspect for long: a request could fail to connect at four backend servers in a row and was then refused, though another gateway of the region reaches all of them.

A request that could not connect to two backend servers is relayed by another gateway of the region, if one may have a path and the region did not just refuse the service.

requests_are_relayed_by_neighbours_while_no_backend_is_reached: two cases more, one of which failed before.

--- a/crates/dispatch/src/scheduler/decide.rs
+++ b/crates/dispatch/src/scheduler/decide.rs
@@ -28,6 +28,14 @@
 /// `retry_after` is spread over this additional time, so that callers do not return all at once.
 const RETRY_SPREAD_MS: u64 = 500;
 
+/// Connection failures of one request at this gateway, after which others of its region are tried.
+/// Where open connections live on and new ones fail, a backend server answers some requests and is
+/// unreachable for others.
+const MAX_CONNECTION_FAILURES: usize = 2;
+
+/// Interval at which such a request is checked again if all other gateways are paused.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time reserved for returning a refusal before the deadline of the caller.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(20);
 
@@ -64,6 +72,9 @@
             return Some(self.refuse(RefusalReason::TooLate, waiting, Duration::ZERO, now));
         }
         let local = match item.allows(&self.settings.region) {
+            true if self.has_failed_to_connect(item, now) => {
+                LocalChoice::AllSuspect { recheck_at: now + RECHECK_INTERVAL, is_any_silent: false }
+            }
             true => self.place_locally(item, scan, now),
             false => LocalChoice::NoBackend,
         };
@@ -112,6 +123,13 @@
         }
     }
 
+    /// Returns whether a request met so many connection failures here that another gateway of this
+    /// region should send it.
+    fn has_failed_to_connect(&self, item: &WorkItem, now: MonotonicTime) -> bool {
+        let is_limit_reached = item.unreachable.len() >= MAX_CONNECTION_FAILURES;
+        is_limit_reached && item.may_forward && self.may_relay(item, now)
+    }
+
     fn refuse(
         &self,
         reason: RefusalReason,
--- a/crates/dispatch/src/scheduler/place.rs
+++ b/crates/dispatch/src/scheduler/place.rs
@@ -383,12 +383,14 @@
     /// Returns whether another gateway of this region may have a path to a backend server that may
     /// run the request, while this one has none. A backend server that is stalled is stalled for
     /// all of them.
-    fn may_relay(&self, item: &WorkItem, now: MonotonicTime) -> bool {
+    pub(super) fn may_relay(&self, item: &WorkItem, now: MonotonicTime) -> bool {
         let is_out_of_reach = |backend: &Backend| {
             item.may_run_at(&backend.info.name)
                 && (!item.may_go_to(&backend.info.name) || self.is_suspect(backend, now))
         };
-        item.allows(&self.settings.region)
+        let region = &self.settings.region;
+        item.allows(region)
+            && !self.regions.is_paused(region, &item.service, now)
             && self.serving(&item.service).any(is_out_of_reach)
             && self.gateways.others().any(|vm| self.may_forward_to(vm, &item.service, now))
     }
--- a/crates/dispatch/tests/regions.rs
+++ b/crates/dispatch/tests/regions.rs
@@ -240,7 +240,8 @@
     struct Case {
         name: &'static str,
         gateways: usize,
-        /// Engines to which connections failed, of two.
+        engines: usize,
+        /// Engines to which connections failed.
         unreachable: &'static [usize],
         /// Whether the neighbour refused a request for lack of a path.
         is_neighbour_partitioned: bool,
@@ -250,6 +251,7 @@
     let partitioned = Case {
         name: "all unreachable",
         gateways: 2,
+        engines: 2,
         unreachable: &[0, 1],
         is_neighbour_partitioned: false,
         change: |_| {},
@@ -276,6 +278,21 @@
             change: |item| item.unreachable = vec![backend(0), backend(1)],
             ..partitioned
         },
+        Case {
+            name: "two unreachable for this request",
+            engines: 4,
+            unreachable: &[],
+            change: |item| item.unreachable = vec![backend(0), backend(1)],
+            ..partitioned
+        },
+        Case {
+            name: "one unreachable for this request",
+            engines: 4,
+            unreachable: &[],
+            change: |item| item.unreachable = vec![backend(0)],
+            forwarded_to: None,
+            ..partitioned
+        },
         Case {
             name: "tried everywhere",
             change: |item| item.tried = vec![backend(0), backend(1)],
@@ -290,7 +307,7 @@
         partitioned,
     ];
     for case in cases {
-        let mut scheduler = scheduler(0, case.gateways, 2, 0.0);
+        let mut scheduler = scheduler(0, case.gateways, case.engines, 0.0);
         scheduler.set_regions(vec![reported(&[10])]);
         for _ in case.unreachable {
             let ticket = scheduler.submit(item(&route(0, 800, 10_000), None, at(0)), at(0));
