Wording and modules after a read of the whole change

The bound on rejections is called rejection limit throughout, as other limits are. The scheduler's functions about paths and the messages of a forwarded request have modules of their own.

--- a/crates/dispatch/src/hint.rs
+++ b/crates/dispatch/src/hint.rs
@@ -2,8 +2,7 @@
 
 use {
     crate::{
-        BackendReport, PromptPart, StatedLimit, StatedRejections, StatementChange,
-        limit::LimitRecord,
+        BackendReport, PromptPart, RejectionLimit, StatedLimit, StatementChange, limit::LimitRecord,
     },
     gullglade_units::{BackendRun, MonotonicTime},
     serde::{Deserialize, Serialize},
@@ -54,8 +53,8 @@
     },
     /// The backend server is leaving.
     Leaving,
-    /// The number of rejections within a second that the backend server bears.
-    Rejections(Option<StatedRejections>),
+    /// The rejection limit that the backend server states, if any.
+    RejectionLimit(Option<RejectionLimit>),
 }
 
 /// The rate limit of a backend server as known to a gateway.
@@ -99,7 +98,7 @@
             RequestUpdate::Sent { .. }
             | RequestUpdate::Dropped
             | RequestUpdate::Leaving
-            | RequestUpdate::Rejections(_) => {}
+            | RequestUpdate::RejectionLimit(_) => {}
         }
         let sent_ago_us = micros(now.since(sent));
         BackendHint { run, request, priority, sent_ago_us, news }
@@ -111,7 +110,7 @@
 pub(crate) fn statement_update(change: &StatementChange) -> Option<RequestUpdate> {
     match change {
         StatementChange::Limit(_) => None,
-        StatementChange::Rejections(rejections) => Some(RequestUpdate::Rejections(*rejections)),
+        StatementChange::RejectionLimit(limit) => Some(RequestUpdate::RejectionLimit(*limit)),
         StatementChange::Backoff(backoff) => {
             Some(RequestUpdate::Backoff { left_us: micros(backoff.duration()) })
         }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -56,7 +56,7 @@
     load::{BackendLoad, BackendReport, SentRequest, WorkCost},
     path_monitor::PathChange,
     regions::{FirstByteTimes, RegionInfo},
-    rejection::{InvalidRejections, StatedRejections},
+    rejection::{InvalidRejectionLimit, RejectionLimit},
     scheduler::{STALL_CHECK_INTERVAL, Scheduler},
     share::AllowanceShare,
     silence::{SilenceAction, SilentRun},
--- a/crates/dispatch/src/rejection.rs
+++ b/crates/dispatch/src/rejection.rs
@@ -1,13 +1,14 @@
-//! Bounds on rejections by a backend server that ends when it rejects too many requests.
+//! The rejection limit of a backend server, which ends when it rejects more requests than that.
 //!
 //! The load pattern: a full backend server rejects within a millisecond, so every gateway that
 //! believes it to have room sends it another request, and in a burst all gateways do so at once. A
 //! backend server may end over this, with all its running requests, and the others get its load.
 //!
 //! The gateways do not coordinate. Each fills its share of the slots, and the shares together never
-//! exceed them. Beyond its share a gateway sends only its part of the bearable rejections, and only where a recent load report leaves room for one
-//! request of each other gateway, since these may send at the same moment. A gateway that was
-//! rejected nevertheless pauses until its part of the bearable rejections is available again.
+//! exceed them. Beyond its share a gateway sends only its part of the rejection limit, and only
+//! where a recent load report leaves room for one request of each other gateway, since these may
+//! send at the same moment. A gateway that was rejected nevertheless pauses until its part of the
+//! limit is available again.
 
 use {
     crate::membership::GatewayPosition,
@@ -17,53 +18,54 @@
     std::{fmt, time::Duration},
 };
 
-/// The number of rejections within a second, to all gateways together, that a backend server bears.
+/// The number of rejections within a second, to all gateways together, beyond which a backend
+/// server ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct StatedRejections(u32);
+pub struct RejectionLimit(u32);
 
-/// A number that is not a valid number of rejections.
+/// A number that is not a valid rejection limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct InvalidRejections(f64);
+pub struct InvalidRejectionLimit(f64);
 
-impl StatedRejections {
+impl RejectionLimit {
     /// Returns the number of rejections per second.
     pub fn per_second(self) -> u32 {
         self.0
     }
 }
 
-impl TryFrom<f64> for StatedRejections {
-    type Error = InvalidRejections;
+impl TryFrom<f64> for RejectionLimit {
+    type Error = InvalidRejectionLimit;
 
-    fn try_from(number: f64) -> Result<Self, InvalidRejections> {
+    fn try_from(number: f64) -> Result<Self, InvalidRejectionLimit> {
         match number.is_finite() && number >= 0.0 {
             // A cast saturates.
             true => Ok(Self(number as u32)),
-            false => Err(InvalidRejections(number)),
+            false => Err(InvalidRejectionLimit(number)),
         }
     }
 }
 
-impl fmt::Display for StatedRejections {
+impl fmt::Display for RejectionLimit {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.fmt(f)
     }
 }
 
-impl FieldValue for StatedRejections {}
+impl FieldValue for RejectionLimit {}
 
-impl fmt::Display for InvalidRejections {
+impl fmt::Display for InvalidRejectionLimit {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} is not a valid number of rejections; it has to be zero or more", self.0)
+        write!(f, "{} is not a valid rejection limit; it has to be zero or more", self.0)
     }
 }
 
-impl std::error::Error for InvalidRejections {}
+impl std::error::Error for InvalidRejectionLimit {}
 
-/// The period to which the number of bearable rejections applies.
+/// The period to which a rejection limit applies.
 const REJECTION_SPAN: Duration = Duration::from_secs(1);
 
-/// The part of the bearable rejections that is used. The rest covers requests in transit.
+/// The part of a rejection limit that is used. The rest covers requests in transit.
 const USED_PART: f64 = 0.7;
 
 /// The longest pause after a rejection.
@@ -83,7 +85,7 @@
     pub(crate) total: Option<usize>,
 }
 
-/// Sends of one gateway to a backend server that bears few rejections.
+/// Sends of one gateway to a backend server with a rejection limit.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct RejectionGuard {
     rejected: Option<MonotonicTime>,
@@ -104,13 +106,13 @@
     /// Returns whether this gateway may send a request to a backend server with this `room`.
     pub(crate) fn allows(
         &self,
-        bound: StatedRejections,
+        limit: RejectionLimit,
         room: KnownRoom,
         position: GatewayPosition,
         now: MonotonicTime,
     ) -> bool {
         let count = position.count.max(1);
-        let pause = rejection_pause(bound, count);
+        let pause = rejection_pause(limit, count);
         if self.rejected.is_some_and(|at| now.since(at) < pause) {
             return false;
         }
@@ -121,7 +123,7 @@
         }
         // If the other gateways fill their shares now, as many of their requests are rejected as
         // were sent beyond other shares.
-        let excess = position.share_of((f64::from(bound.per_second()) * USED_PART) as usize);
+        let excess = position.share_of((f64::from(limit.per_second()) * USED_PART) as usize);
         if own - share >= excess {
             return false;
         }
@@ -131,9 +133,9 @@
 }
 
 /// Returns the pause after a rejection with which `count` gateways together cause no more
-/// rejections than the backend server bears.
-fn rejection_pause(bound: StatedRejections, count: usize) -> Duration {
-    let per_second = f64::from(bound.per_second()) * USED_PART / count as f64;
+/// rejections than the limit.
+fn rejection_pause(limit: RejectionLimit, count: usize) -> Duration {
+    let per_second = f64::from(limit.per_second()) * USED_PART / count as f64;
     match per_second > 0.0 {
         true => MAX_PAUSE.min(REJECTION_SPAN.div_f64(per_second)),
         false => MAX_PAUSE,
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -14,6 +14,7 @@
 //! time after which capacity is expected.
 
 mod decide;
+mod paths;
 mod place;
 mod prompt_copy;
 mod scan;
@@ -44,7 +45,6 @@
     scan::ServiceScan,
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
-        net::SocketAddr,
         rc::Rc,
         time::Duration,
     },
@@ -57,10 +57,6 @@
 /// The assumed round-trip time to another gateway of this region until it is measured.
 const OWN_REGION_RTT: Duration = Duration::from_millis(2);
 
-/// Number of connections that are attempted at once to the backend servers of a service to which
-/// the path is considered lost.
-const PATH_PROBES: usize = 2;
-
 struct Backend {
     info: BackendInfo,
     load: BackendLoad,
@@ -68,7 +64,7 @@
     health: HealthRecord,
     pacer: SendPacer,
     statements: StatementRecord,
-    rejections: RejectionGuard,
+    rejection_guard: RejectionGuard,
 }
 
 /// The interval at which [`Scheduler::check_stall`] has to be called.
@@ -194,7 +190,7 @@
                     cache: CacheEstimate::default(),
                     health: HealthRecord::default(),
                     pacer: SendPacer::default(),
-                    rejections: RejectionGuard::default(),
+                    rejection_guard: RejectionGuard::default(),
                 },
             };
             self.backends.insert(backend.info.name.clone(), backend);
@@ -439,7 +435,7 @@
                 let slots = backend.info.slots;
                 let full = BackendReport { running: slots, waiting: 1, slots };
                 backend.load.note_report(full, now);
-                backend.rejections.note_rejected(now);
+                backend.rejection_guard.note_rejected(now);
                 self.note_contact(&service, now);
             }
             _ => {}
@@ -449,65 +445,6 @@
         }
     }
 
-    fn note_unreachable(&mut self, service: &ServiceName, backend: &BackendName) {
-        let count = self.serving(service).count();
-        if self.paths.entry(service.clone()).or_default().note_failed(backend, count) {
-            self.path_changes.push(PathChange { service: service.clone(), is_lost: true });
-        }
-    }
-
-    /// Records that a backend server of `service` sent something or accepted a connection.
-    fn note_contact(&mut self, service: &ServiceName, now: MonotonicTime) {
-        let Some(path) = self.paths.get_mut(service) else { return };
-        if !path.note_contact() {
-            return;
-        }
-        self.path_changes.push(PathChange { service: service.clone(), is_lost: false });
-        let of_service = self.backends.values_mut().filter(|b| b.info.service == *service);
-        of_service.for_each(|backend| backend.health.expedite_probe(now));
-    }
-
-    /// Returns the backend servers to which a connection attempt is due, with their addresses.
-    pub fn connection_probes(&mut self, now: MonotonicTime) -> Vec<(BackendRun, SocketAddr)> {
-        let mut probes = Vec::new();
-        for (service, path) in self.paths.iter_mut().filter(|(_, path)| path.is_lost()) {
-            let serving = self.backends.values().filter(|b| b.info.service == *service);
-            let names = serving.map(|b| &b.info.name);
-            probes.extend(path.next_probes(names, PATH_PROBES));
-        }
-        let paths = &self.paths;
-        let is_lost = |b: &Backend| paths.get(&b.info.service).is_some_and(PathMonitor::is_lost);
-        for (name, backend) in self.backends.iter_mut().filter(|(_, b)| !is_lost(b)) {
-            if backend.health.take_probe(now) {
-                probes.push(name.clone());
-            }
-        }
-        let target = |name: &BackendName| {
-            let info = &self.backends.get(name)?.info;
-            Some((info.run(), info.address))
-        };
-        probes.iter().filter_map(target).collect()
-    }
-
-    /// Records that a connection to `run` was established.
-    pub fn note_connected(&mut self, run: &BackendRun, now: MonotonicTime) {
-        let Some(backend) = backend_of_run(&mut self.backends, run) else { return };
-        backend.health.note_connected(now);
-        let service = backend.info.service.clone();
-        self.note_contact(&service, now);
-    }
-
-    /// Returns the changes of this gateway's paths since the last call.
-    pub fn take_path_changes(&mut self) -> Vec<PathChange> {
-        std::mem::take(&mut self.path_changes)
-    }
-
-    /// Returns whether requests should avoid a backend server.
-    fn is_suspect(&self, backend: &Backend, now: MonotonicTime) -> bool {
-        let path = self.paths.get(&backend.info.service);
-        backend.health.is_suspect(now) || path.is_some_and(PathMonitor::is_lost)
-    }
-
     /// Returns whether the budget of `service` would grant a repeat, without taking it.
     pub fn peek_repeat(&mut self, service: &ServiceName, now: MonotonicTime) -> RepeatDecision {
         let share = self.share;
@@ -547,25 +484,6 @@
         self.regions.is_broken(region, now)
     }
 
-    /// Records that one of the `count` gateways of `region` could not be reached. No requests are
-    /// forwarded to it for `pause`, nor to the region if this is the second one, or the only one,
-    /// and none has sent anything in between.
-    pub fn note_gateway_lost(
-        &mut self,
-        region: &RegionName,
-        gateway: &VmName,
-        count: usize,
-        pause: Duration,
-        now: MonotonicTime,
-    ) {
-        self.regions.note_gateway_lost(region, gateway, count, pause, now);
-    }
-
-    /// Records that a gateway of `region` sent something.
-    pub fn note_gateway_contact(&mut self, region: &RegionName, gateway: &VmName) {
-        self.regions.note_gateway_contact(region, gateway);
-    }
-
     /// Records that a region refused a request of a service. No further requests of the service are
     /// forwarded to it for `pause`.
     pub fn pause_service(
@@ -578,34 +496,6 @@
         self.regions.note_refused(region, service, now + pause);
     }
 
-    /// Records that `gateway` refused a forwarded request because it has no path to the backend
-    /// servers of `service`. This says nothing about the other gateways of its region. Returns
-    /// whether it was not known before.
-    pub fn note_gateway_without_path(
-        &mut self,
-        gateway: &VmName,
-        service: &ServiceName,
-        now: MonotonicTime,
-    ) -> bool {
-        self.gateway_paths.note_lost(gateway, service, now)
-    }
-
-    /// Records that `gateway` sent a forwarded request to a backend server of `service`.
-    pub fn note_gateway_with_path(&mut self, gateway: &VmName, service: &ServiceName) {
-        self.gateway_paths.note_reached(gateway, service);
-    }
-
-    /// Returns whether requests of `service` may be forwarded to `gateway`.
-    pub fn may_forward_to(
-        &self,
-        gateway: &VmName,
-        service: &ServiceName,
-        now: MonotonicTime,
-    ) -> bool {
-        self.gateway_paths.is_open(gateway, service, now)
-            && !self.regions.is_gateway_lost(gateway, now)
-    }
-
     /// Records the first-byte times that a region returned with a forwarded request.
     pub fn note_region_offer(
         &mut self,
@@ -691,7 +581,7 @@
                 backend.statements.backoff.note_peer(until, now);
             }
             RequestUpdate::Leaving => backend.statements.is_leaving = true,
-            RequestUpdate::Rejections(rejections) => backend.statements.rejections = rejections,
+            RequestUpdate::RejectionLimit(limit) => backend.statements.rejection_limit = limit,
         }
     }
 
@@ -720,7 +610,7 @@
         backend.health.note_send(now);
         backend.pacer.note(now);
         backend.statements.backoff.note_send(now);
-        backend.rejections.note_send(now);
+        backend.rejection_guard.note_send(now);
         if let (Some(prompt), Some(engine)) = (&waiting.item.prompt, engine) {
             backend.cache.note(&prompt.parts, engine.memory_tokens, now);
         }
--- a/crates/dispatch/src/scheduler/decide.rs
+++ b/crates/dispatch/src/scheduler/decide.rs
@@ -34,7 +34,7 @@
 const MAX_CONNECTION_FAILURES: usize = 2;
 
 /// Interval at which such a request is checked again if all other gateways are paused.
-const RECHECK_INTERVAL: Duration = Duration::from_millis(50);
+const RELAY_RECHECK: Duration = Duration::from_millis(50);
 
 /// Time reserved for returning a refusal before the deadline of the caller.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(20);
@@ -44,7 +44,7 @@
 fn may_await_suspect(
     item: &WorkItem,
     recheck_at: MonotonicTime,
-    is_any_silent: bool,
+    is_any_stalled: bool,
     now: MonotonicTime,
 ) -> bool {
     let left = item.first_byte_deadline.since(now);
@@ -55,7 +55,7 @@
     }
     // The gateway that forwarded a request here may find another place for it. A request that is
     // late already is refused, unless a backend server may go on before its deadline.
-    let is_promising = is_any_silent || recheck_at <= item.arrived + item.route.objective;
+    let is_promising = is_any_stalled || recheck_at <= item.arrived + item.route.objective;
     item.may_forward && is_in_time && is_promising
 }
 
@@ -73,7 +73,7 @@
         }
         let local = match item.allows(&self.settings.region) {
             true if self.has_failed_to_connect(item, now) => {
-                LocalChoice::AllSuspect { recheck_at: now + RECHECK_INTERVAL, is_any_silent: false }
+                LocalChoice::AllSuspect { recheck_at: now + RELAY_RECHECK, is_any_stalled: false }
             }
             true => self.place_locally(item, scan, now),
             false => LocalChoice::NoBackend,
@@ -109,8 +109,8 @@
                 self.wake_by(recheck_at.min(item.first_byte_deadline));
                 None
             }
-            LocalChoice::AllSuspect { recheck_at, is_any_silent } => {
-                if may_await_suspect(item, recheck_at, is_any_silent, now) {
+            LocalChoice::AllSuspect { recheck_at, is_any_stalled } => {
+                if may_await_suspect(item, recheck_at, is_any_stalled, now) {
                     self.wake_by(recheck_at);
                     return None;
                 }
--- a/crates/dispatch/src/scheduler/place.rs
+++ b/crates/dispatch/src/scheduler/place.rs
@@ -8,8 +8,7 @@
         work_cost,
     },
     crate::{
-        PromptCopy, PromptShape, RegionInfo, SchedulerSettings, StatedRejections, WorkCost,
-        WorkItem,
+        PromptCopy, PromptShape, RegionInfo, RejectionLimit, SchedulerSettings, WorkCost, WorkItem,
         membership::{GatewayPosition, TRANSFER_DELAY},
         priority::{EffectivePriority, LatencyObjectives},
         rate::RateBound,
@@ -100,7 +99,7 @@
     AllSuspect {
         recheck_at: MonotonicTime,
         /// Whether one of them is only silent. It may go on at any moment.
-        is_any_silent: bool,
+        is_any_stalled: bool,
     },
     NoBackend,
 }
@@ -157,9 +156,9 @@
             healthy.into_iter().partition(|b| b.statements.backoff.until(now).is_some());
         // A suspect is retried soon, whereas a back-off may last for minutes.
         if open.is_empty() && !suspect.is_empty() {
-            let is_any_silent = suspect.iter().any(|backend| !self.is_suspect(backend, now));
+            let is_any_stalled = suspect.iter().any(|backend| !self.is_suspect(backend, now));
             let recheck_at = now + SUSPECT_RECHECK;
-            return LocalChoice::AllSuspect { recheck_at, is_any_silent };
+            return LocalChoice::AllSuspect { recheck_at, is_any_stalled };
         }
         self.choose_backend(item, scan, &open, &backed_off, now)
     }
@@ -230,8 +229,8 @@
         if backend.load.own_requests() >= connections.max(1) {
             return false;
         }
-        if let Some(bound) = self.rejection_bound(&item.service) {
-            let is_secured = self.is_room_secured(backend, bound, now);
+        if let Some(limit) = self.rejection_limit(&item.service) {
+            let is_secured = self.is_room_secured(backend, limit, now);
             // At a plain backend server a request waits only for a slot, and has one.
             if !is_secured || service.engine.is_none() {
                 return is_secured;
@@ -247,10 +246,10 @@
         backend.load.ahead_ms(priority, now) < backlog_limit_ms
     }
 
-    /// Returns the number of rejections that the backend servers of a service bear, if any of them
-    /// stated one. Not each of them may have answered this gateway yet.
-    fn rejection_bound(&self, service: &ServiceName) -> Option<StatedRejections> {
-        self.serving(service).filter_map(|backend| backend.statements.rejections).min()
+    /// Returns the rejection limit of the backend servers of a service, if any of them stated one.
+    /// Not each of them may have answered this gateway yet.
+    fn rejection_limit(&self, service: &ServiceName) -> Option<RejectionLimit> {
+        self.serving(service).filter_map(|backend| backend.statements.rejection_limit).min()
     }
 
     /// Returns whether a request will find room at a backend server, as far as this gateway can
@@ -258,7 +257,7 @@
     fn is_room_secured(
         &self,
         backend: &Backend,
-        bound: StatedRejections,
+        limit: RejectionLimit,
         now: MonotonicTime,
     ) -> bool {
         let report = backend.load.recent_report(ROOM_REPORT_MAX_AGE, now);
@@ -268,7 +267,7 @@
             total: report.map(|_| backend.load.total_requests(now) as usize),
         };
         let position = self.gateways.position(&backend.info.name, now);
-        backend.rejections.allows(bound, room, position, now)
+        backend.rejection_guard.allows(limit, room, position, now)
     }
 
     pub(super) fn is_cold(&self, backend: &Backend, now: MonotonicTime) -> bool {
--- a/crates/dispatch/src/statement.rs
+++ b/crates/dispatch/src/statement.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        BackendReport, StatedBackoff, StatedLimit, StatedRejections, backoff::BackoffRecord,
+        BackendReport, RejectionLimit, StatedBackoff, StatedLimit, backoff::BackoffRecord,
         limit::LimitRecord,
     },
     gullglade_units::{BackendRun, MonotonicTime},
@@ -25,8 +25,8 @@
     pub limit: Option<StatedLimit>,
     /// The time for which it wants no requests from this gateway.
     pub backoff: Option<StatedBackoff>,
-    /// The rejections within a second that it bears.
-    pub rejections: Option<StatedRejections>,
+    /// The rejections within a second, beyond which it ends.
+    pub rejection_limit: Option<RejectionLimit>,
     /// Whether it is leaving: it finishes its requests and accepts no new ones.
     pub is_leaving: bool,
 }
@@ -38,8 +38,8 @@
     Limit(Option<StatedLimit>),
     /// A back-off was requested or extended.
     Backoff(StatedBackoff),
-    /// The number of rejections that it bears was changed, or is no longer bounded if `None`.
-    Rejections(Option<StatedRejections>),
+    /// The rejection limit was changed, or lifted if `None`.
+    RejectionLimit(Option<RejectionLimit>),
     /// The run is leaving.
     Leaving,
 }
@@ -48,7 +48,7 @@
     /// Returns whether requests that have not reached the backend server yet have to be withdrawn.
     pub fn ends_sends(self) -> bool {
         match self {
-            Self::Limit(_) | Self::Rejections(_) => false,
+            Self::Limit(_) | Self::RejectionLimit(_) => false,
             Self::Backoff(_) | Self::Leaving => true,
         }
     }
@@ -59,7 +59,7 @@
 pub(crate) struct StatementRecord {
     pub(crate) limit: LimitRecord,
     pub(crate) backoff: BackoffRecord,
-    pub(crate) rejections: Option<StatedRejections>,
+    pub(crate) rejection_limit: Option<RejectionLimit>,
     /// Never reset, because a run that is leaving does not come back.
     pub(crate) is_leaving: bool,
 }
@@ -73,14 +73,16 @@
         received: MonotonicTime,
     ) -> Vec<StatementChange> {
         let mut changes = Vec::new();
-        let BackendStatements { is_signed, load: _, limit, backoff, rejections, is_leaving } =
+        let BackendStatements { is_signed, load: _, limit, backoff, rejection_limit, is_leaving } =
             *statements;
         if (is_signed || limit.is_some()) && self.limit.note(limit, received) {
             changes.push(StatementChange::Limit(limit));
         }
-        let has_rejections = is_signed || rejections.is_some();
-        if has_rejections && std::mem::replace(&mut self.rejections, rejections) != rejections {
-            changes.push(StatementChange::Rejections(rejections));
+        let has_rejection_limit = is_signed || rejection_limit.is_some();
+        if has_rejection_limit
+            && std::mem::replace(&mut self.rejection_limit, rejection_limit) != rejection_limit
+        {
+            changes.push(StatementChange::RejectionLimit(rejection_limit));
         }
         if let Some(backoff) = backoff.filter(|backoff| self.backoff.note(*backoff, received)) {
             changes.push(StatementChange::Backoff(backoff));
--- a/crates/dispatch/tests/departure.rs
+++ b/crates/dispatch/tests/departure.rs
@@ -15,7 +15,7 @@
     load: None,
     limit: None,
     backoff: None,
-    rejections: None,
+    rejection_limit: None,
     is_leaving: true,
 };
 
--- a/crates/dispatch/tests/rejections.rs
+++ b/crates/dispatch/tests/rejections.rs
@@ -89,8 +89,8 @@
 }
 
 #[test]
-fn bound_on_rejections_leaves_capacity_in_use() {
-    // Guards against gateways that keep the bound by sending nothing.
+fn rejection_limit_leaves_capacity_in_use() {
+    // Guards against gateways that keep the limit by sending nothing.
     for Case { name, scenario } in cases() {
         let steady = RejectionScenario { queue: (scenario.queue.0, scenario.queue.0), ..scenario };
         let RejectionOutcome { served_before, served_within, .. } = simulate(&steady, 1);
--- a/crates/dispatch/tests/support/rejection_simulation.rs
+++ b/crates/dispatch/tests/support/rejection_simulation.rs
@@ -6,8 +6,8 @@
         arrival_chances, at, backend, backend_index, backend_info, gateway, item, pool, route,
     },
     gullglade_dispatch::{
-        BackendHint, BackendInfo, BackendReport, BackendStatements, Decision, Scheduler,
-        StatedRejections, TicketId, WorkItem, WorkOutcome,
+        BackendHint, BackendInfo, BackendReport, BackendStatements, Decision, RejectionLimit,
+        Scheduler, TicketId, WorkItem, WorkOutcome,
     },
     gullglade_traffic::{RequestKind, ServicePool, TrafficRoute},
     gullglade_units::{Incarnation, RandomSource, SeededRandom},
@@ -332,14 +332,18 @@
     ) {
         let Pending { gateway, ticket } = pending;
         let now = at(self.now_ms);
-        let rejections =
-            is_stating.then(|| StatedRejections::try_from(f64::from(self.scenario.allowed)));
-        let rejections = rejections.map(|stated| stated.expect("a number"));
+        let rejection_limit =
+            is_stating.then(|| RejectionLimit::try_from(f64::from(self.scenario.allowed)));
+        let rejection_limit = rejection_limit.map(|stated| stated.expect("a number"));
         let is_signed = outcome == WorkOutcome::Answered;
         let scheduler = &mut self.gateways[gateway];
         if matches!(outcome, WorkOutcome::Answered | WorkOutcome::Shed) {
-            let stated =
-                BackendStatements { is_signed, rejections, load, ..BackendStatements::default() };
+            let stated = BackendStatements {
+                is_signed,
+                rejection_limit,
+                load,
+                ..BackendStatements::default()
+            };
             scheduler.note_statements(ticket, &stated, now);
         }
         if is_signed {
--- a/crates/proxy/src/execution/placement.rs
+++ b/crates/proxy/src/execution/placement.rs
@@ -12,7 +12,7 @@
 };
 
 impl RequestExecution {
-    /// Returns a place for the single attempt that a gateway makes for another region.
+    /// Returns a place for the single attempt that a gateway makes for another one.
     ///
     /// # Errors
     ///
--- a/crates/proxy/src/execution/sending.rs
+++ b/crates/proxy/src/execution/sending.rs
@@ -4,7 +4,8 @@
     super::RequestExecution,
     crate::{
         attempt::Attempt,
-        forward::{ForwardRequest, LeasedRun},
+        forward::LeasedRun,
+        forward_message::ForwardRequest,
         liveness::{RemoteLiveness, RunLiveness, RunMonitor},
         outcome::{AttemptOutcome, AttemptTarget},
         search::{FoundPlace, LocalPlace},
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -3,7 +3,8 @@
 
 use {
     crate::{
-        CallerRequest, CallerRequestId, Dispatcher,
+        Dispatcher,
+        forward_message::{ForwardFrame, ForwardRequest, unpack_headers},
         liveness::{RemoteLiveness, RunLiveness},
         outcome::{AttemptOutcome, AttemptTarget, NotRunReason, UnknownReason},
         response::{AttemptResponse, ResponseBody},
@@ -13,18 +14,15 @@
         channel::oneshot,
         future::{Either, select},
     },
-    gullglade_dispatch::{FirstByteTimes, HandoverTimes, PromptShape, WorkItem},
+    gullglade_dispatch::{FirstByteTimes, HandoverTimes},
     gullglade_event::{EventDraft, EventSink, Level},
     gullglade_fleet::{FleetFollower, GatewayProfile, GatewayRow},
     gullglade_http::BodyError,
     gullglade_peer::{PeerError, PeerFault, PeerStream, PeerTransport},
-    gullglade_poison::ContentFingerprint,
     gullglade_units::{
-        BackendName, MonotonicTime, ProcessContext, RegionName, ServiceName, WorkspaceName, decode,
-        encode, rendezvous::score, timeout,
+        ProcessContext, RegionName, ServiceName, decode, encode, rendezvous::score, timeout,
     },
-    http::{HeaderMap, HeaderName, HeaderValue, StatusCode},
-    serde::{Deserialize, Serialize},
+    http::StatusCode,
     std::{cmp::Reverse, collections::BTreeSet, net::SocketAddr, pin::pin, rc::Rc, time::Duration},
 };
 
@@ -45,9 +43,8 @@
 /// Peer method: does nothing, and keeps a session alive.
 pub(crate) const KEEP_ALIVE: &str = "proxy.warm";
 
-/// A gateway of another region confirms at once that a request has arrived. If no confirmation
-/// comes within the usual round trip multiplied by this factor, the path to the region is
-/// considered broken.
+/// The other gateway confirms at once that a request has arrived. If no confirmation comes within
+/// the usual round trip multiplied by this factor, the gateway is considered lost.
 const ACCEPT_FACTOR: u32 = 4;
 
 /// Minimum time to wait for that confirmation: a lost packet is retransmitted after 0.2 s.
@@ -67,7 +64,7 @@
 /// Timeout of a call that keeps a session alive.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Time to wait for a gateway of another region to reserve a place.
+/// Time to wait for another gateway to reserve a place.
 const RESERVE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Most calls of one command about a reserved place until it is acknowledged.
@@ -77,122 +74,7 @@
 /// hang until its timeout.
 const MAX_GATEWAYS_TRIED: usize = 2;
 
-/// A request forwarded to another region. It is not forwarded any further there.
-#[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct ForwardRequest {
-    pub(crate) id: CallerRequestId,
-    pub(crate) method: String,
-    pub(crate) host: String,
-    pub(crate) target: String,
-    pub(crate) headers: Vec<(String, Bytes)>,
-    pub(crate) body: Bytes,
-    pub(crate) service: ServiceName,
-    /// Workspace of the caller. The gateway that received the request has checked the key.
-    pub(crate) workspace: Option<WorkspaceName>,
-    /// Time since the caller sent the request.
-    pub(crate) waited: Duration,
-    /// Remaining time to the deadline of the request.
-    pub(crate) left: Duration,
-    pub(crate) prompt: Option<PromptShape>,
-    pub(crate) resume_after: Option<u64>,
-    /// Fingerprint of the request, if it was computed.
-    pub(crate) print: Option<ContentFingerprint>,
-    /// Backend servers that were tried and must not be tried again.
-    pub(crate) tried: Vec<BackendName>,
-    /// The only backend server that may get the request, if it is sent back to one.
-    pub(crate) returns_to: Option<BackendName>,
-    /// If set, the place is reserved until [`COMMIT`] names this token.
-    pub(crate) reservation: Option<u64>,
-}
-
-/// A frame of the reply. The end of the reply stream is the end of a complete body.
-#[derive(Debug, Serialize, Deserialize)]
-pub(crate) enum ForwardFrame {
-    /// The request has arrived. The values are what the region offers for the service: the time to
-    /// the first byte in milliseconds, by priority; empty if the region offers nothing for the
-    /// service.
-    Accepted(Vec<u32>),
-    Head {
-        status: u16,
-        headers: Vec<(String, Bytes)>,
-        backend: BackendName,
-    },
-    Chunk(Bytes),
-    NotRun(NotRunReason, Option<Duration>),
-    Unknown(UnknownReason),
-    /// A place is reserved for the request.
-    Placed,
-    /// The request waits for a place.
-    Queued,
-    /// The backend server has sent nothing for some time.
-    Waiting {
-        backend: BackendName,
-        /// True if the backend server has responded to any request lately, or is not overdue yet.
-        is_at_work: bool,
-    },
-}
-
-impl ForwardFrame {
-    /// Returns `true` if the frame only reports that the request is in progress.
-    fn is_progress(&self) -> bool {
-        matches!(self, Self::Accepted(_) | Self::Queued | Self::Waiting { .. })
-    }
-}
-
-impl ForwardRequest {
-    pub(crate) fn new(
-        request: &CallerRequest,
-        item: &WorkItem,
-        resume_after: Option<u64>,
-        now: MonotonicTime,
-    ) -> Self {
-        Self {
-            id: request.id.clone(),
-            method: request.method.to_string(),
-            host: request.host.clone(),
-            target: request.target.clone(),
-            headers: pack_headers(&request.headers),
-            body: request.body.clone(),
-            service: item.service.clone(),
-            workspace: item.workspace.as_ref().map(|workspace| workspace.name.clone()),
-            waited: now.since(item.arrived),
-            left: item.deadline.since(now),
-            prompt: request.prompt.clone(),
-            resume_after,
-            print: None,
-            tried: item.tried.clone(),
-            returns_to: item.returns_to.clone(),
-            reservation: None,
-        }
-    }
-}
-
-impl ForwardRequest {
-    /// Deducts elapsed time from the time left.
-    fn deduct_time(&mut self, time: Duration) {
-        self.waited += time;
-        self.left = self.left.saturating_sub(time);
-    }
-}
-
-pub(crate) fn pack_headers(headers: &HeaderMap) -> Vec<(String, Bytes)> {
-    let pack = |(name, value): (&HeaderName, &HeaderValue)| {
-        (name.as_str().to_owned(), Bytes::copy_from_slice(value.as_bytes()))
-    };
-    headers.iter().map(pack).collect()
-}
-
-/// Unpacks headers. Gateways only pack headers that were parsed before, so skipping invalid ones
-/// loses nothing.
-pub(crate) fn unpack_headers(packed: Vec<(String, Bytes)>) -> HeaderMap {
-    let unpack = |(name, value): (String, Bytes)| {
-        let name = HeaderName::try_from(name).ok()?;
-        Some((name, HeaderValue::from_maybe_shared(value).ok()?))
-    };
-    packed.into_iter().filter_map(unpack).collect()
-}
-
-/// Forwards requests to gateways of other regions.
+/// Forwards requests to other gateways.
 pub(crate) struct Forwarder {
     pub(crate) transport: Rc<dyn PeerTransport>,
     pub(crate) fleet: Rc<FleetFollower>,
@@ -579,7 +461,7 @@
     NotSent,
 }
 
-/// A place reserved for a request by a gateway of another region. Dropping it releases the place.
+/// A place reserved for a request by another gateway. Dropping it releases the place.
 pub(crate) struct ReservedForward {
     pub(crate) region: RegionName,
     /// Round trip of the call that reserved the place.
@@ -597,7 +479,7 @@
     }
 }
 
-/// A run in another region that ends by itself unless its gateway gets a [`COMMIT`].
+/// A run at another gateway that ends by itself unless its gateway gets a [`COMMIT`].
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LeasedRun {
     gateway: SocketAddr,
@@ -606,7 +488,7 @@
     limit: Duration,
 }
 
-/// Result of a command to a gateway of another region.
+/// Result of a command to another gateway.
 enum CommandOutcome {
     /// The command was carried out.
     Acknowledged,
@@ -622,7 +504,7 @@
 /// A frame of a reply, or the error of the stream.
 type NextFrame = Result<ForwardFrame, PeerError>;
 
-/// A reply from another region as a stream of frames.
+/// The reply of another gateway as a stream of frames.
 pub(crate) struct FrameStream {
     stream: PeerStream,
     liveness: RunLiveness,
@@ -702,7 +584,7 @@
     }
 }
 
-/// A response body from another region.
+/// A response body from another gateway.
 pub(crate) struct ForwardBody {
     frames: FrameStream,
 }
--- a/crates/proxy/src/forward_server.rs
+++ b/crates/proxy/src/forward_server.rs
@@ -1,13 +1,11 @@
-//! Forwarding of requests between regions, server side.
+//! Forwarding of requests between gateways, server side.
 
 use {
     crate::{
         CallerRequest,
         execution::{ForwardedRequest, RequestExecution, SentRun},
-        forward::{
-            COMMIT, FORWARD, ForwardFrame, ForwardRequest, KEEP_ALIVE, LEASE, PROXY_PREFIX,
-            pack_headers, unpack_headers,
-        },
+        forward::{COMMIT, FORWARD, KEEP_ALIVE, LEASE, PROXY_PREFIX},
+        forward_message::{ForwardFrame, ForwardRequest, pack_headers, unpack_headers},
         liveness::RunMonitor,
         outcome::{AttemptOutcome, AttemptTarget, NotRunReason, UnknownReason},
         proxy::Proxy,
@@ -30,7 +28,7 @@
 /// Interval of reports to the calling gateway on a silent run.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Makes attempts on behalf of gateways of other regions.
+/// Makes attempts on behalf of other gateways.
 pub struct ForwardServer {
     proxy: Proxy,
     reservations: ReservationTable,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -22,6 +22,7 @@
 mod events;
 mod execution;
 mod forward;
+mod forward_message;
 mod forward_server;
 mod handover;
 mod hints;
--- a/crates/proxy/src/reservation.rs
+++ b/crates/proxy/src/reservation.rs
@@ -1,4 +1,4 @@
-//! Places reserved for gateways of other regions, and the runs that began there.
+//! Places reserved for other gateways, and the runs that began there.
 
 use {
     futures::channel::oneshot,
--- a/crates/proxy/src/search.rs
+++ b/crates/proxy/src/search.rs
@@ -2,11 +2,8 @@
 
 use {
     crate::{
-        CallerRequest, Proxy,
-        dispatcher::DispatchTicket,
-        execution::RequestExecution,
-        forward::{ForwardRequest, ReservedForward},
-        liveness::RunMonitor,
+        CallerRequest, Proxy, dispatcher::DispatchTicket, execution::RequestExecution,
+        forward::ReservedForward, forward_message::ForwardRequest, liveness::RunMonitor,
         request_fingerprint::RequestFingerprint,
     },
     gullglade_dispatch::{Decision, PromptCopy, WorkItem},
--- a/crates/proxy/src/send_monitor.rs
+++ b/crates/proxy/src/send_monitor.rs
@@ -35,10 +35,10 @@
             StatementChange::Backoff(backoff) => {
                 event("backend.backoff_requested").field("backoff_ms", backoff)
             }
-            StatementChange::Rejections(Some(rejections)) => {
-                event("backend.bears_rejections").field("per_second", rejections)
+            StatementChange::RejectionLimit(Some(limit)) => {
+                event("backend.rejections_limited").field("per_second", limit)
             }
-            StatementChange::Rejections(None) => event("backend.bears_any_rejections"),
+            StatementChange::RejectionLimit(None) => event("backend.rejections_unlimited"),
             StatementChange::Leaving => event("backend.states_leaving"),
         });
     }
