Probe only backend servers that take requests; path.lost with its figures

While a path was lost, connections were also tried to backend servers that leave or whose failure domain is evacuated, and one that was reached counted as the path being back, though no request may go there. Found by reading. Probes now select those that may be sent to, by the one check that placement uses, which is a method of the backend entry.

--- a/crates/dispatch/src/path_monitor.rs
+++ b/crates/dispatch/src/path_monitor.rs
@@ -21,6 +21,11 @@
     pub service: ServiceName,
     /// Whether the path is considered lost from now on.
     pub is_lost: bool,
+    /// Backend servers that failed since any of the service sent something. Zero once the path is
+    /// back.
+    pub failed: usize,
+    /// The serving backend servers of the service in this region.
+    pub serving: usize,
 }
 
 /// The path of this gateway to a group of targets.
@@ -55,6 +60,11 @@
         std::mem::take(&mut self.is_lost)
     }
 
+    /// Returns the number of targets that failed since any of the group sent something.
+    pub(crate) fn failed(&self) -> usize {
+        self.failed.len()
+    }
+
     /// Returns whether the path is considered lost.
     pub(crate) fn is_lost(&self) -> bool {
         self.is_lost
--- a/crates/dispatch/src/regions.rs
+++ b/crates/dispatch/src/regions.rs
@@ -83,6 +83,7 @@
     recent_offers: PerService<(FirstByteTimes, MonotonicTime)>,
     /// Regions to which the path is broken, with the end of the pause.
     broken: BTreeMap<RegionName, MonotonicTime>,
+    /// The paths to the gateways of each region.
     paths: BTreeMap<RegionName, PathMonitor<VmName>>,
     /// Gateways that could not be reached, with the end of the pause.
     lost_gateways: BTreeMap<VmName, MonotonicTime>,
--- a/crates/dispatch/src/rejection.rs
+++ b/crates/dispatch/src/rejection.rs
@@ -56,7 +56,11 @@
 
 impl fmt::Display for InvalidRejectionLimit {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} is not a valid rejection limit; it has to be zero or more", self.0)
+        write!(
+            f,
+            "{} is not a valid rejection limit; it has to be a number of rejections per second, zero or more",
+            self.0
+        )
     }
 }
 
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -67,6 +67,14 @@
     rejection_guard: RejectionGuard,
 }
 
+impl Backend {
+    /// Returns whether requests may be sent to it at all.
+    fn may_serve(&self, evacuated: &BTreeSet<FailureDomain>) -> bool {
+        let is_serving = self.info.is_serving && !self.statements.is_leaving;
+        is_serving && !evacuated.contains(&self.info.domain)
+    }
+}
+
 /// The interval at which [`Scheduler::check_stall`] has to be called.
 pub const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -626,9 +634,7 @@
 
     /// Returns whether a backend server may get requests at all.
     fn may_serve(&self, backend: &Backend) -> bool {
-        let info = &backend.info;
-        let is_serving = info.is_serving && !backend.statements.is_leaving;
-        is_serving && !self.evacuated.contains(&info.domain)
+        backend.may_serve(&self.evacuated)
     }
 }
 
--- a/crates/dispatch/src/scheduler/paths.rs
+++ b/crates/dispatch/src/scheduler/paths.rs
@@ -12,10 +12,13 @@
 const PATH_PROBES: usize = 2;
 
 impl Scheduler {
+    /// Records that no connection to a backend server of `service` could be established.
     pub(super) fn note_unreachable(&mut self, service: &ServiceName, backend: &BackendName) {
-        let count = self.serving(service).count();
-        if self.paths.entry(service.clone()).or_default().note_failed(backend, count) {
-            self.path_changes.push(PathChange { service: service.clone(), is_lost: true });
+        let serving = self.serving(service).count();
+        let path = self.paths.entry(service.clone()).or_default();
+        if path.note_failed(backend, serving) {
+            let (service, failed) = (service.clone(), path.failed());
+            self.path_changes.push(PathChange { service, is_lost: true, failed, serving });
         }
     }
 
@@ -25,7 +28,10 @@
         if !path.note_contact() {
             return;
         }
-        self.path_changes.push(PathChange { service: service.clone(), is_lost: false });
+        let serving = self.serving(service).count();
+        let service_name = service.clone();
+        let change = PathChange { service: service_name, is_lost: false, failed: 0, serving };
+        self.path_changes.push(change);
         let of_service = self.backends.values_mut().filter(|b| b.info.service == *service);
         of_service.for_each(|backend| backend.health.expedite_probe(now));
     }
@@ -34,7 +40,9 @@
     pub fn connection_probes(&mut self, now: MonotonicTime) -> Vec<(BackendRun, SocketAddr)> {
         let mut probes = Vec::new();
         for (service, path) in self.paths.iter_mut().filter(|(_, path)| path.is_lost()) {
-            let serving = self.backends.values().filter(|b| b.info.service == *service);
+            let is_serving =
+                |b: &&Backend| b.info.service == *service && b.may_serve(&self.evacuated);
+            let serving = self.backends.values().filter(is_serving);
             let names = serving.map(|b| &b.info.name);
             probes.extend(path.next_probes(names, PATH_PROBES));
         }
--- a/crates/dispatch/tests/rules.rs
+++ b/crates/dispatch/tests/rules.rs
@@ -217,6 +217,26 @@
     }
 }
 
+#[test]
+fn backends_that_take_no_requests_are_not_probed() {
+    // Guards against a lost path that counts as restored by a backend server that is leaving.
+    let mut scheduler = scheduler(0, 1, 3, 0.0);
+    for index in 0..2 {
+        let mut work = item(&route(1, 800, 10_000), None, at(0));
+        work.returns_to = Some(backend(index));
+        let ticket = scheduler.submit(work, at(0));
+        scheduler.poll(at(0));
+        scheduler.end(ticket, WorkOutcome::Unreachable, at(1));
+    }
+    let leaving = BackendInfo { is_serving: false, ..backend_info(2) };
+    scheduler.set_backends([backend_info(0), backend_info(1), leaving], at(2));
+    for round in 0..4 {
+        let probes = scheduler.connection_probes(at(1_000 + 250 * round));
+        assert!(probes.iter().all(|(run, _)| run.backend != backend(2)), "{probes:?}");
+        assert_eq!(probes.len(), 2);
+    }
+}
+
 #[test]
 fn requests_wait_out_a_second_of_silence_of_all_backends() {
     // Guards against refusals while sound backend servers are silent for a moment and go on.
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -80,12 +80,13 @@
         let (changes, probes) = dispatcher.with_scheduler(|scheduler, now| {
             (scheduler.take_path_changes(), scheduler.connection_probes(now))
         });
-        for PathChange { service, is_lost } in changes {
+        for PathChange { service, is_lost, failed, serving } in changes {
             let (kind, level) = match is_lost {
                 true => ("path.lost", Level::Warn),
                 false => ("path.restored", Level::Info),
             };
-            events.emit(EventDraft::new(kind).level(level).field("service", service));
+            let event = EventDraft::new(kind).level(level).field("service", service);
+            events.emit(event.field("failed", failed).field("serving", serving));
         }
         for (run, address) in probes {
             let (dispatcher, client) = (Rc::clone(dispatcher), Rc::clone(client));
