Ask other gateways of a region that one refused for

A refusal that states that the request did not run is followed by another gateway of the region, three at the most.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -39,6 +39,10 @@
 /// Header with the priority of the request.
 const PRIORITY_HEADER: HeaderName = HeaderName::from_static("gullglade-priority");
 
+/// Most gateways of a region that are asked for one request. One that refuses may have no path to
+/// the backend servers that the others reach. Each refusal takes a round trip.
+const MAX_GATEWAYS_ASKED: u32 = 3;
+
 /// An answer whose head has been received.
 pub(crate) struct AttemptAnswer {
     pub(crate) status: StatusCode,
@@ -234,17 +238,28 @@
         region: &RegionName,
     ) -> Result<AttemptAnswer, AttemptFailure> {
         let message = Bytes::from(encode(&self.forward_request(plan)));
+        let mut refusals = 0;
+        let mut reason = format!("no gateway of {region} can be reached");
         for address in self.directory.gateway_addresses(region) {
             let opened = self.transport.open(address, FORWARD_METHOD, message.clone()).await;
-            match opened {
-                Ok(stream) => return self.forward_answer(plan, region, address, stream).await,
-                Err(error) => match self.forward_failure(address, &error) {
-                    AttemptFailure::NotRun { .. } => {}
-                    failure => return Err(failure),
-                },
+            let is_reached = opened.is_ok();
+            let outcome = match opened {
+                Ok(stream) => self.forward_answer(plan, region, address, stream).await,
+                Err(error) => Err(self.forward_failure(address, &error)),
+            };
+            match outcome {
+                Err(AttemptFailure::NotRun { reason: refusal }) if is_reached => {
+                    refusals += 1;
+                    reason = refusal;
+                }
+                Err(AttemptFailure::NotRun { .. }) => {}
+                outcome => return outcome,
+            }
+            if refusals == MAX_GATEWAYS_ASKED {
+                break;
             }
         }
-        Err(AttemptFailure::NotRun { reason: format!("no gateway of {region} can be reached") })
+        Err(AttemptFailure::NotRun { reason })
     }
 
     fn forward_request(&self, plan: &CallPlan) -> ForwardRequest {
--- a/crates/gateway/src/placement/tests.rs
+++ b/crates/gateway/src/placement/tests.rs
@@ -19,6 +19,33 @@
     refuses_after: Duration,
 }
 
+/// Guards against a region that is given up for a request because one of its gateways refused it.
+#[test]
+fn asks_other_gateways_of_a_region_that_one_refused_for() {
+    struct Case {
+        refusing: u16,
+        status: StatusCode,
+        asked: u32,
+    }
+    let cases = [
+        Case { refusing: 0, status: StatusCode::OK, asked: 1 },
+        Case { refusing: 1, status: StatusCode::OK, asked: 2 },
+        Case { refusing: 2, status: StatusCode::OK, asked: 3 },
+        Case { refusing: 4, status: StatusCode::SERVICE_UNAVAILABLE, asked: 3 },
+    ];
+    for Case { refusing, status, asked } in cases {
+        let gateway = TestGateway::warmed_up(&TestSetup {
+            has_engines: false,
+            peers: PeerBehavior::SomeRefuse(refusing),
+            remote_gateways: 4,
+            ..TestSetup::default()
+        });
+        let sending = gateway.send("/v1/chat/completions", CHAT_BODY);
+        let (head, _) = gateway.world.run_until(sending);
+        assert_eq!((head.status, gateway.transport.opened.get()), (status, asked), "{refusing}");
+    }
+}
+
 /// Guards against requests that lose their queue position to a forward which is then refused.
 #[test]
 fn keeps_queue_position_when_another_region_refuses() {
--- a/crates/gateway/src/testing.rs
+++ b/crates/gateway/src/testing.rs
@@ -57,6 +57,7 @@
 struct InlandDirectory {
     from: MonotonicTime,
     clock: Rc<dyn Clock>,
+    gateways: u16,
 }
 
 impl RegionDirectory for InlandDirectory {
@@ -76,7 +77,7 @@
     }
 
     fn gateway_addresses(&self, _region: &RegionName) -> Vec<SocketAddr> {
-        vec![address()]
+        (0..self.gateways).map(remote_gateway_address).collect()
     }
 
     fn entry(&self, _regions: &[RegionName]) -> EntryAnswer {
@@ -95,6 +96,8 @@
     pub(crate) peers: PeerBehavior,
     /// Time from the start of the test after which another region is reachable.
     pub(crate) remote_reachable_after: Duration,
+    /// Number of gateways of that region.
+    pub(crate) remote_gateways: u16,
     pub(crate) attempt_limit: u32,
     /// Set if there is a second engine, which always answers.
     pub(crate) has_second_engine: bool,
@@ -108,6 +111,7 @@
             behavior: BackendBehavior::Answers,
             peers: PeerBehavior::Ends,
             remote_reachable_after: Duration::ZERO,
+            remote_gateways: 1,
             attempt_limit: 4,
             has_second_engine: false,
         }
@@ -169,6 +173,7 @@
             behavior,
             peers,
             remote_reachable_after,
+            remote_gateways,
             attempt_limit,
             has_second_engine: _,
         } = *setup;
@@ -204,6 +209,7 @@
             directory: Rc::new(InlandDirectory {
                 from: MonotonicTime(WARM_UP + remote_reachable_after),
                 clock: Rc::clone(&context.clock),
+                gateways: remote_gateways,
             }),
             claims: claims(context.clone()),
             admission: AdmissionQueue::new(AdmissionSettings::default(), context.clone()),
@@ -303,6 +309,11 @@
     SocketAddr::from(([127, 0, 0, 1], 9))
 }
 
+/// Address of a gateway of another region, by its position in the directory.
+fn remote_gateway_address(position: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 2], 9 + position))
+}
+
 /// Address of the second engine.
 fn second_engine_address() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 10))
--- a/crates/gateway/src/testing/fakes.rs
+++ b/crates/gateway/src/testing/fakes.rs
@@ -1,7 +1,7 @@
 //! Fake backend servers and fake gateways of other regions.
 
 use {
-    super::second_engine_address,
+    super::{remote_gateway_address, second_engine_address},
     crate::{
         attempt::{OFFSET_HEADER, REQUEST_HEADER},
         call::ContentHeader,
@@ -319,6 +319,9 @@
     Ends,
     /// States after this time that the request did not run.
     Refuses(Duration),
+    /// This number of gateways states that the request did not run; the others relay a complete
+    /// answer.
+    SomeRefuse(u16),
     /// Relays a complete answer, with a pause.
     Pauses(AnswerPause),
 }
@@ -335,9 +338,20 @@
         Self { opened: Cell::new(0), behavior, clock: Rc::clone(clock) }
     }
 
-    fn reply(&self, request: &ForwardRequest) -> PeerStream {
-        let (head, pieces, pause) = match self.behavior {
-            PeerBehavior::Ends => return PeerStream::new(stream::empty()),
+    fn reply(&self, to: SocketAddr, request: &ForwardRequest) -> PeerStream {
+        let behavior = match self.behavior {
+            PeerBehavior::SomeRefuse(count)
+                if (0..count).any(|i| to == remote_gateway_address(i)) =>
+            {
+                PeerBehavior::Refuses(Duration::ZERO)
+            }
+            PeerBehavior::SomeRefuse(_) => PeerBehavior::Pauses(AnswerPause::NONE),
+            behavior => behavior,
+        };
+        let (head, pieces, pause) = match behavior {
+            PeerBehavior::Ends | PeerBehavior::SomeRefuse(_) => {
+                return PeerStream::new(stream::empty());
+            }
             PeerBehavior::Refuses(after) => {
                 let reason = "no slot".to_owned();
                 let head = ForwardReply::NotRun { reason, retry_millis: 1_000 };
@@ -388,12 +402,12 @@
 
     fn open<'a>(
         &'a self,
-        _to: SocketAddr,
+        to: SocketAddr,
         _method: &'a str,
         body: Bytes,
     ) -> LocalFuture<'a, Result<PeerStream, PeerError>> {
         self.opened.set(self.opened.get() + 1);
         let request = decode::<ForwardRequest>(&body).unwrap();
-        Box::pin(std::future::ready(Ok(self.reply(&request))))
+        Box::pin(std::future::ready(Ok(self.reply(to, &request))))
     }
 }
