--- a/crates/dispatch/src/gateway_paths.rs
+++ b/crates/dispatch/src/gateway_paths.rs
@@ -3,8 +3,8 @@
 //! The load pattern: some gateways are partitioned from all backend servers, while callers and the
 //! other gateways still reach them. A forwarded request that such a gateway refuses says nothing
 //! about its region, whose other gateways still serve. So a refusal for lack of a path pauses only
-//! the gateway that refused, and the pause grows while the refusals continue: in a region of many
-//! gateways most requests would otherwise visit a partitioned one first.
+//! the gateway that refused. The pause grows while the refusals continue, which bounds the requests
+//! that visit a partitioned gateway first.
 
 use {
     gullglade_units::{MonotonicTime, ServiceName, VmName},
--- a/crates/dispatch/src/path_monitor.rs
+++ b/crates/dispatch/src/path_monitor.rs
@@ -2,8 +2,7 @@
 //! gateways of a region.
 //!
 //! The load pattern: a gateway is partitioned from all backend servers while they serve the other
-//! gateways of its region. Each of dozens of backend servers would otherwise fail a request of its
-//! own until the gateway knows, and each of these requests waits for a connection timeout.
+//! gateways of its region. A request to any of them waits for a connection timeout.
 //!
 //! If two targets fail and no other one of the group has sent anything in between, the path is
 //! considered lost rather than each of the targets. An answer of any of them, or an established
--- a/crates/dispatch/src/rejection.rs
+++ b/crates/dispatch/src/rejection.rs
@@ -125,8 +125,8 @@
         if own < share {
             return true;
         }
-        // If the other gateways fill their shares now, as many of their requests are rejected as
-        // were sent beyond other shares.
+        // If all other gateways fill their shares, the requests beyond the shares exceed the slots,
+        // and as many requests are rejected.
         let excess = position.share_of((f64::from(limit.per_second()) * USED_PART) as usize);
         if own - share >= excess {
             return false;
--- a/crates/dispatch/src/scheduler/decide.rs
+++ b/crates/dispatch/src/scheduler/decide.rs
@@ -28,12 +28,12 @@
 /// `retry_after` is spread over this additional time, so that callers do not return all at once.
 const RETRY_SPREAD_MS: u64 = 500;
 
-/// Connection failures of one request at this gateway, after which others of its region are tried.
-/// Where open connections live on and new ones fail, a backend server answers some requests and is
-/// unreachable for others.
+/// Connection failures of one request after which another gateway of the region sends it. If open
+/// connections continue to work and new ones fail, a backend server answers some requests and is
+/// unreachable for others, so it is not suspect for long.
 const MAX_CONNECTION_FAILURES: usize = 2;
 
-/// Interval at which such a request is checked again if all other gateways are paused.
+/// Recheck interval of a request that another gateway is to send, if no forward is possible now.
 const RELAY_RECHECK: Duration = Duration::from_millis(50);
 
 /// Time reserved for returning a refusal before the deadline of the caller.
--- a/crates/dispatch/tests/rejections.rs
+++ b/crates/dispatch/tests/rejections.rs
@@ -14,7 +14,7 @@
     scenario: RejectionScenario,
 }
 
-/// A service of model engines whose capacity is about three quarters used.
+/// A service of model engines at three quarters of its capacity.
 fn engines() -> RejectionScenario {
     RejectionScenario {
         gateways: 4,
@@ -32,7 +32,7 @@
     }
 }
 
-/// A plain service whose capacity is about three quarters used.
+/// A plain service at three quarters of its capacity.
 fn plain() -> RejectionScenario {
     RejectionScenario {
         backends: 3,
