--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -5,7 +5,7 @@
         BackendDialect, CallerRequest, RequestMetadata, ResponseMetadata,
         dispatcher::DispatchTicket,
         outcome::{AttemptOutcome, AttemptTarget, NotRunReason, UnknownReason},
-        response::{AttemptResponse, BackendBody, ResponseBody},
+        response::{AttemptResponse, BackendBody, ResponseBody, is_event_stream},
         unread_headers::UnreadHeaderReporter,
     },
     gullglade_dispatch::{StatementChange, WorkOutcome},
@@ -138,12 +138,18 @@
             true => WorkOutcome::Failed,
             false => WorkOutcome::Answered,
         };
+        let has_events = is_event_stream(head.status, &head.headers);
         AttemptOutcome::Response(Box::new(AttemptResponse {
             target: AttemptTarget::Local(attempt.backend.clone()),
             liveness: ticket.liveness(),
             status: head.status,
             headers: head.headers,
-            body: ResponseBody::Backend(BackendBody::new(body, ticket, complete_outcome)),
+            body: ResponseBody::Backend(BackendBody::new(
+                body,
+                ticket,
+                has_events,
+                complete_outcome,
+            )),
         }))
     }
 
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -198,6 +198,13 @@
         }
     }
 
+    /// Notes that a complete event of the response has arrived.
+    pub(crate) fn note_event(&self) {
+        if let Some(monitor) = &self.monitor {
+            monitor.note_event();
+        }
+    }
+
     /// Passes on the statements of the backend server in the head of its response, and returns the
     /// changes.
     pub(crate) fn note_statements(&self, statements: &BackendStatements) -> Vec<StatementChange> {
--- /dev/null
+++ b/crates/proxy/src/event_boundary.rs
@@ -0,0 +1,40 @@
+//! Finds the ends of events in the pieces of an event stream.
+
+/// Position in an event stream, which comes in pieces of any size.
+///
+/// A blank line ends an event. An event needs a field: lines that begin with a colon are comments,
+/// which backend servers send to keep a connection open before they have anything to answer.
+#[derive(Default)]
+pub(crate) struct EventBoundary {
+    line: LineState,
+    has_field: bool,
+}
+
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
+enum LineState {
+    #[default]
+    Start,
+    Comment,
+    Field,
+}
+
+impl EventBoundary {
+    /// Reads the next piece, and returns `true` if an event ends in it.
+    pub(crate) fn read(&mut self, piece: &[u8]) -> bool {
+        let mut has_event = false;
+        for byte in piece {
+            match (byte, self.line) {
+                (b'\n', LineState::Start) => has_event |= std::mem::take(&mut self.has_field),
+                (b'\n', line) => {
+                    self.has_field |= line == LineState::Field;
+                    self.line = LineState::Start;
+                }
+                (b'\r', _) => {}
+                (b':', LineState::Start) => self.line = LineState::Comment,
+                (_, LineState::Start) => self.line = LineState::Field,
+                _ => {}
+            }
+        }
+        has_event
+    }
+}
--- a/crates/proxy/src/execution/sending.rs
+++ b/crates/proxy/src/execution/sending.rs
@@ -14,7 +14,7 @@
     futures::channel::oneshot,
     gullglade_dispatch::HandoverTimes,
     gullglade_units::{BackendRun, LocalFuture, RegionName},
-    std::{rc::Rc, time::Duration},
+    std::{cell::Cell, rc::Rc, time::Duration},
 };
 
 /// The head of a repeatable response may be late by the expected time multiplied by this factor,
@@ -142,6 +142,7 @@
             fingerprint: Rc::clone(&self.fingerprint),
             run: run.clone(),
             sent: self.now(),
+            has_begun: Cell::new(false),
             crashes: Rc::clone(self.proxy.crashes()),
             events: Rc::clone(self.proxy.events()),
         }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -13,10 +13,7 @@
     futures::stream::unfold,
     gullglade_http::{BodyError, ReplyBody},
     gullglade_units::timeout,
-    http::{
-        HeaderMap, Response, StatusCode,
-        header::{CONTENT_LENGTH, CONTENT_TYPE},
-    },
+    http::{HeaderMap, Response, StatusCode, header::CONTENT_LENGTH},
     std::{rc::Rc, time::Duration},
 };
 
@@ -33,9 +30,6 @@
 /// have been preempted there, or hang alone.
 const AT_WORK_FACTOR: u32 = 2;
 
-/// Media type of event streams.
-const EVENT_STREAM: &[u8] = b"text/event-stream";
-
 impl RequestExecution {
     /// Executes the request and returns the reply to the caller.
     pub(crate) async fn run(mut self) -> Response<ReplyBody> {
@@ -56,7 +50,7 @@
                 Err(error) => return fallback.ok_or(error),
             };
             let is_failure = response.is_failure();
-            let reply = match self.item.route.kind.is_stream() && is_event_stream(&response) {
+            let reply = match self.item.route.kind.is_stream() && response.is_event_stream() {
                 true => self.first_events(response).await,
                 false => self.read_buffered(response).await,
             };
@@ -199,7 +193,7 @@
     async fn resume(&mut self, reason: UnknownReason) -> Result<EventReader, RequestError> {
         loop {
             let response = self.next_response().await?;
-            if response.status.is_success() && is_event_stream(&response) {
+            if response.is_event_stream() {
                 self.log.record_resumed(reason, self.last_event);
                 let AttemptResponse { target, liveness, body, .. } = response;
                 return Ok(EventReader::new(body, self.body_monitor(target, liveness)));
@@ -210,11 +204,6 @@
     }
 }
 
-fn is_event_stream(response: &AttemptResponse) -> bool {
-    let kind = response.headers.get(CONTENT_TYPE).map(http::HeaderValue::as_bytes);
-    response.status.is_success() && kind.is_some_and(|kind| kind.starts_with(EVENT_STREAM))
-}
-
 /// A reply that is ready to be relayed.
 struct RelayedReply {
     status: StatusCode,
--- a/crates/proxy/src/request_fingerprint.rs
+++ b/crates/proxy/src/request_fingerprint.rs
@@ -2,12 +2,32 @@
 
 use {
     crate::CallerRequest,
+    gullglade_dispatch::PromptShape,
+    gullglade_event::FieldValue,
     gullglade_poison::{ContentFingerprint, FingerprintKey, RequestContent},
     gullglade_units::WorkspaceName,
     http::header::AUTHORIZATION,
-    std::{cell::OnceCell, rc::Rc},
+    std::{cell::OnceCell, fmt, rc::Rc},
 };
 
+/// Maximum number of prompt parts in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
+/// Ids of prompt parts, for log lines.
+pub(crate) struct PartIds(Vec<u64>);
+
+impl fmt::Display for PartIds {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, id) in self.0.iter().take(MAX_LOGGED_PARTS).enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(f, "{separator}{id:x}")?;
+        }
+        Ok(())
+    }
+}
+
+impl FieldValue for PartIds {}
+
 /// Fingerprint of one request. It is computed at most once, however often the request is sent, and
 /// not at all while no request is suspect.
 pub(crate) struct RequestFingerprint {
@@ -57,6 +77,12 @@
         }
     }
 
+    /// Returns the ids of the prompt parts that other requests may share, in order.
+    pub(crate) fn part_ids(&self) -> PartIds {
+        let shared = self.request.prompt.as_ref().map_or(&[][..], PromptShape::shared_parts);
+        PartIds(shared.iter().map(|part| part.id).collect())
+    }
+
     /// Returns the fingerprint if it has been computed.
     pub(crate) fn cached(&self) -> Option<ContentFingerprint> {
         self.cached.get().copied()
--- a/crates/proxy/src/response.rs
+++ b/crates/proxy/src/response.rs
@@ -2,15 +2,18 @@
 
 use {
     crate::{
-        dispatcher::DispatchTicket, forward::ForwardBody, liveness::RunLiveness,
-        outcome::AttemptTarget,
+        dispatcher::DispatchTicket, event_boundary::EventBoundary, forward::ForwardBody,
+        liveness::RunLiveness, outcome::AttemptTarget,
     },
     bytes::Bytes,
     gullglade_dispatch::WorkOutcome,
     gullglade_http::{BodyError, ClientBody},
-    http::{HeaderMap, StatusCode},
+    http::{HeaderMap, StatusCode, header::CONTENT_TYPE},
 };
 
+/// Media type of event streams.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// A response whose head has arrived.
 pub(crate) struct AttemptResponse {
     /// Backend server or region that sent it.
@@ -22,12 +25,23 @@
 }
 
 impl AttemptResponse {
+    /// Returns `true` if the body is a stream of events.
+    pub(crate) fn is_event_stream(&self) -> bool {
+        is_event_stream(self.status, &self.headers)
+    }
+
     /// Returns `true` if the backend server reports an error of its own.
     pub(crate) fn is_failure(&self) -> bool {
         self.status.is_server_error()
     }
 }
 
+/// Returns `true` if a response with this head is a stream of events.
+pub(crate) fn is_event_stream(status: StatusCode, headers: &HeaderMap) -> bool {
+    let kind = headers.get(CONTENT_TYPE).map(http::HeaderValue::as_bytes);
+    status.is_success() && kind.is_some_and(|kind| kind.starts_with(EVENT_STREAM))
+}
+
 /// Body of a response. Dropping it before its end cancels the work of the backend server.
 pub(crate) enum ResponseBody {
     Backend(BackendBody),
@@ -48,6 +62,8 @@
 pub(crate) struct BackendBody {
     body: ClientBody,
     ticket: Option<DispatchTicket>,
+    /// Position in the events, if the body is an event stream.
+    events: Option<EventBoundary>,
     /// Outcome to report if the body is complete.
     complete_outcome: WorkOutcome,
 }
@@ -56,17 +72,23 @@
     pub(crate) fn new(
         body: ClientBody,
         ticket: DispatchTicket,
+        is_event_stream: bool,
         complete_outcome: WorkOutcome,
     ) -> Self {
-        Self { body, ticket: Some(ticket), complete_outcome }
+        let events = is_event_stream.then(EventBoundary::default);
+        Self { body, ticket: Some(ticket), events, complete_outcome }
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
         let chunk = self.body.next().await;
         match &chunk {
-            Some(Ok(_)) => {
+            Some(Ok(bytes)) => {
+                let has_event = self.events.as_mut().is_some_and(|events| events.read(bytes));
                 if let Some(ticket) = &self.ticket {
                     ticket.note_first_byte();
+                    if has_event {
+                        ticket.note_event();
+                    }
                 }
             }
             None => self.finish(self.complete_outcome),
--- a/crates/proxy/src/send_monitor.rs
+++ b/crates/proxy/src/send_monitor.rs
@@ -6,7 +6,7 @@
     gullglade_event::{EventDraft, EventSink},
     gullglade_poison::SharedCrashTracker,
     gullglade_units::{BackendRun, MonotonicTime, rendezvous::score},
-    std::rc::Rc,
+    std::{cell::Cell, rc::Rc},
 };
 
 /// Monitor of one send that detects backend servers that end while they run a request.
@@ -14,6 +14,8 @@
     pub(crate) fingerprint: Rc<RequestFingerprint>,
     pub(crate) run: BackendRun,
     pub(crate) sent: MonotonicTime,
+    /// True once a complete event of the response has arrived.
+    pub(crate) has_begun: Cell<bool>,
     pub(crate) crashes: Rc<SharedCrashTracker>,
     pub(crate) events: Rc<dyn EventSink>,
 }
@@ -24,6 +26,11 @@
         self.crashes.record_alive(&self.run, self.sent);
     }
 
+    /// Notes that a complete event of the response has arrived.
+    pub(crate) fn note_event(&self) {
+        self.has_begun.set(true);
+    }
+
     /// Logs a change in the statements of the backend server.
     pub(crate) fn statement_changed(&self, change: StatementChange) {
         let event = |kind| EventDraft::new(kind).field("backend", &self.run.backend);
@@ -65,6 +72,8 @@
         let event = event.field("fingerprint", fingerprint).field("ends", ends);
         let event = event.field("backend", &self.run.backend);
         let event = event.field("incarnation", self.run.incarnation);
-        self.events.emit(event.millis("sent_ms", now.since(self.sent)));
+        let event = event.millis("sent_ms", now.since(self.sent));
+        let event = event.field("begun", self.has_begun.get());
+        self.events.emit(event.field("parts", self.fingerprint.part_ids()));
     }
 }
