Hold back prompt parts that crash backend servers

Cause: crashes were counted for whole contents only, so each counted once. Why it works: parts are suspects beside contents, with one cause for each crash. A part counts where a run crashed before it had begun an answer to its request, and answers elsewhere clear it: an engine that a part crashes does not begin. Crashes count once for each content, parts answered before take twice as many, and none is held while another part explains the same crashes. Refused requests are told 503, not run. Messages are as they were: a part of one request is a request with a marked fingerprint.

--- a/crates/event/src/metrics.rs
+++ b/crates/event/src/metrics.rs
@@ -270,7 +270,7 @@
             fingerprints_held: gauge(
                 &registry,
                 "fingerprints_held",
-                "Requests that are held back because backend servers ended under them",
+                "Requests and prompt parts that are held back because backend servers ended under them",
             )?,
             model_series: RefCell::default(),
             totals: Cell::default(),
--- a/crates/node/src/held_requests.rs
+++ b/crates/node/src/held_requests.rs
@@ -1,19 +1,19 @@
-//! Operator view of quarantined requests: requests that are held back because backend servers
-//! terminated while processing them.
+//! Operator view of quarantined requests and prompt parts, which are held back because backend
+//! servers terminated while processing them.
 
 use {
-    gullglade_poison::{ContentFingerprint, FingerprintError, SharedCrashTracker},
+    gullglade_poison::{CrashSuspect, FingerprintError, RequestHold, SharedCrashTracker},
     serde::{Deserialize, Serialize},
     snafu::Snafu,
     std::rc::Rc,
 };
 
-/// A request that is held back, identified by its fingerprint.
+/// A request or prompt part that is held back, identified by its fingerprint.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldRow {
-    /// Fingerprint of the request, in the same format as in log lines.
+    /// Fingerprint, in the same format as in log lines.
     pub fingerprint: String,
-    /// Number of backend servers that terminated while processing the request.
+    /// Number of backend servers that terminated while processing it.
     pub ends: u32,
     /// Remaining time of the hold, in milliseconds.
     pub left_ms: u64,
@@ -28,13 +28,11 @@
         /// The parse error.
         source: FingerprintError,
     },
-    /// The crash tracker has no record of this request.
-    #[snafu(display(
-        "no backend server termination is on record for {print}; list the held requests"
-    ))]
+    /// The crash tracker has no record of it.
+    #[snafu(display("no backend server termination is on record for {print}; list what is held"))]
     Unknown {
         /// The requested fingerprint.
-        print: ContentFingerprint,
+        print: CrashSuspect,
     },
 }
 
@@ -47,9 +45,9 @@
         Self(ledger)
     }
 
-    /// Returns all requests that are currently held back.
+    /// Returns everything that is currently held back.
     pub fn list(&self) -> Vec<HeldRow> {
-        let row = |(print, hold): (ContentFingerprint, gullglade_poison::RequestHold)| HeldRow {
+        let row = |(print, hold): (CrashSuspect, RequestHold)| HeldRow {
             fingerprint: print.to_string(),
             ends: hold.ends,
             left_ms: u64::try_from(hold.left.as_millis()).unwrap_or(u64::MAX),
@@ -57,10 +55,10 @@
         self.0.holds().into_iter().map(row).collect()
     }
 
-    /// Releases a request on this process and on all gateways that it can reach. Earlier backend
-    /// server terminations no longer count against the request.
+    /// Releases a request or prompt part on this process and on all gateways that it can reach.
+    /// Earlier backend server terminations no longer count against it.
     pub fn release(&self, fingerprint: &str) -> Result<(), HeldError> {
-        let print = ContentFingerprint::try_from(fingerprint)?;
+        let print = CrashSuspect::try_from(fingerprint)?;
         match self.0.release(print) {
             true => Ok(()),
             false => UnknownSnafu { print }.fail(),
--- a/crates/poison/src/fingerprint.rs
+++ b/crates/poison/src/fingerprint.rs
@@ -1,6 +1,7 @@
 //! Content fingerprints that identify repeats of a request.
 
 use {
+    crate::PartFingerprint,
     gullglade_event::FieldValue,
     highway::{HighwayHash, HighwayHasher, Key},
     serde::{Deserialize, Serialize},
@@ -37,6 +38,38 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ContentFingerprint([u64; 2]);
 
+/// Mark of prompt parts in the upper bits of the first word of a [`ContentFingerprint`].
+const PART_MARK: u64 = 0x7061;
+
+/// Position of the mark.
+const PART_MARK_SHIFT: u32 = 48;
+
+impl ContentFingerprint {
+    /// Returns the fingerprint of a request with this hash.
+    fn unmarked([first, second]: [u64; 2]) -> Self {
+        let is_marked = first >> PART_MARK_SHIFT == PART_MARK;
+        Self([first ^ (u64::from(is_marked) << PART_MARK_SHIFT), second])
+    }
+
+    /// Returns the value that stands for a prompt part of one request in messages. Processes of
+    /// earlier versions take it for a request of its own, which crashed once.
+    pub(crate) fn of_part(part: PartFingerprint, content: u64) -> Self {
+        Self([PART_MARK << PART_MARK_SHIFT | part.bits(), content])
+    }
+
+    /// Returns the prompt part, and the hash of the request's content, if this stands for a part.
+    pub(crate) fn as_part(&self) -> Option<(PartFingerprint, u64)> {
+        let [first, content] = self.0;
+        (first >> PART_MARK_SHIFT == PART_MARK)
+            .then(|| (PartFingerprint::from_bits(first), content))
+    }
+
+    /// Returns a short hash, which tells the contents of a few requests apart.
+    pub(crate) fn short_hash(&self) -> u64 {
+        self.0[1]
+    }
+}
+
 impl fmt::Display for ContentFingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}{:016x}", self.0[0], self.0[1])
@@ -46,21 +79,26 @@
 /// The text is not a valid fingerprint.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display(
-    "{text:?} is not a fingerprint; give the 32 hexadecimal digits that a log line has after \
-     fingerprint="
+    "{text:?} is not a fingerprint; give what a log line has after fingerprint=: 32 hexadecimal \
+     digits, or part- and 12 of them"
 ))]
 pub struct FingerprintError {
     text: String,
 }
 
+impl FingerprintError {
+    pub(crate) fn new(text: &str) -> Self {
+        Self { text: text.chars().take(64).collect() }
+    }
+}
+
 impl TryFrom<&str> for ContentFingerprint {
     type Error = FingerprintError;
 
     fn try_from(text: &str) -> Result<Self, FingerprintError> {
-        let invalid = || FingerprintError { text: text.chars().take(64).collect() };
         let is_hexadecimal = text.len() == 32 && text.bytes().all(|b| b.is_ascii_hexdigit());
         let value = u128::from_str_radix(text, 16).ok().filter(|_| is_hexadecimal);
-        let value = value.ok_or_else(invalid)?.to_be_bytes();
+        let value = value.ok_or_else(|| FingerprintError::new(text))?.to_be_bytes();
         let word = |at: usize| value[at..at + 8].iter().fold(0, |v, b| v << 8 | u64::from(*b));
         Ok(Self([word(0), word(8)]))
     }
@@ -97,9 +135,13 @@
 }
 
 impl FingerprintKey {
+    pub(crate) fn hash_key(&self) -> Key {
+        Key(self.0)
+    }
+
     /// Computes the fingerprint of a request.
     pub fn fingerprint(&self, request: &RequestContent<'_>) -> ContentFingerprint {
-        let mut hasher = HighwayHasher::new(Key(self.0));
+        let mut hasher = HighwayHasher::new(self.hash_key());
         let RequestContent { method, host, target, credentials, body } = *request;
         for field in [method.as_bytes(), host.as_bytes(), target.as_bytes(), credentials, body] {
             // The length prefix keeps bytes from moving between adjacent fields without changing
@@ -107,6 +149,6 @@
             hasher.append(&(field.len() as u64).to_le_bytes());
             hasher.append(field);
         }
-        ContentFingerprint(hasher.finalize128())
+        ContentFingerprint::unmarked(hasher.finalize128())
     }
 }
--- a/crates/poison/src/lib.rs
+++ b/crates/poison/src/lib.rs
@@ -1,4 +1,5 @@
-//! Detection of poison requests: requests that crash the backend servers that run them.
+//! Detection of poison requests and poison prompt parts, which crash the backend servers that run
+//! them.
 //!
 //! Failure scenario: a request of one caller crashes every engine that starts to run it. The caller
 //! gets an error and retries under a new id through any gateway, and each retry crashes another
@@ -11,6 +12,24 @@
 //! processes, which inform all gateways of every request with two or more crashes
 //! ([`CrashUpdate`]). After the third crash, all gateways hold the request.
 //!
+//! # Prompt parts
+//!
+//! Failure scenario: one part of a prompt crashes every engine that begins to answer a request with
+//! it. Requests with the part have nothing else in common, so each content crashes once.
+//!
+//! Each part of a prompt that other requests may share is therefore tracked as well
+//! ([`PartFingerprint`]): the runs that crashed before they had begun to answer a request with the
+//! part, and the answers that began in between. It differs from the tracking of contents as
+//! follows:
+//!
+//! - *An answer that has begun* clears the parts of its request, since an engine that a part crashes
+//!   does not begin the answer. Most parts of crashed requests are answered elsewhere all the time.
+//! - *Crashes count once for each content.* A request that is repeated is held itself, not the parts
+//!   of its prompt.
+//! - *A part that was answered before its first crash* takes twice as many crashes, as it can be
+//!   the cause only if the engines have changed. Each process remembers the parts it saw answered.
+//! - *Of parts with the same crashes* none is held until the next crash tells them apart.
+//!
 //! # Telling the cause from unrelated requests
 //!
 //! A backend server runs dozens of requests at once, and all of them fail when it crashes. The
@@ -32,7 +51,10 @@
 //! Each retry of an undetected cause costs one more backend server. An unrelated request that is
 //! held gets an error that says so for ten minutes at most; then it is tried again.
 
+mod answer_memory;
 mod fingerprint;
+mod part_fingerprint;
+mod part_record;
 mod record;
 mod settings;
 mod shared;
@@ -42,6 +64,7 @@
 
 pub use {
     fingerprint::{ContentFingerprint, FingerprintError, FingerprintKey, RequestContent},
+    part_fingerprint::{CrashSuspect, PartFingerprint},
     settings::{CrashTrackerSettings, CrashTrackerSettingsError, RawCrashTrackerSettings},
     shared::SharedCrashTracker,
     tracker::{CrashTracker, RequestHold, UpdateScope},
--- a/crates/poison/src/record.rs
+++ b/crates/poison/src/record.rs
@@ -10,9 +10,6 @@
 /// retried at most once per doubling of the hold, so more are never needed.
 const MAX_SENDS: usize = 32;
 
-/// Maximum hold. Within a day a caller's system is fixed or shut down.
-const MAX_HOLD: Duration = Duration::from_secs(24 * 3_600);
-
 /// A completed send of a request.
 pub(crate) struct CompletedSend {
     pub(crate) ended: SignedTime,
@@ -132,6 +129,5 @@
 
 /// Returns the hold for this evidence: it doubles with each crash beyond the threshold.
 pub(crate) fn hold_duration(settings: &CrashTrackerSettings, evidence: u32) -> Duration {
-    let doublings = evidence.saturating_sub(settings.crash_threshold).min(16);
-    settings.hold.saturating_mul(1 << doublings).min(MAX_HOLD)
+    settings.doubled_hold(evidence.saturating_sub(settings.crash_threshold))
 }
--- a/crates/poison/src/settings.rs
+++ b/crates/poison/src/settings.rs
@@ -17,6 +17,12 @@
 /// tracker uses more than a tenth of the memory of a control process.
 const MAX_RECORDS_RANGE: RangeInclusive<usize> = 256..=131_072;
 
+/// Maximum hold. Within a day a caller's system is fixed or shut down.
+const MAX_HOLD: Duration = Duration::from_secs(24 * 3_600);
+
+/// Maximum number of times that a hold is doubled.
+const MAX_DOUBLINGS: u32 = 16;
+
 /// A setting is out of range.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display("{name}={value} is not from {min} to {max}; leave it out for {default}"))]
@@ -66,6 +72,13 @@
     }
 }
 
+impl CrashTrackerSettings {
+    /// Returns the hold after this number of doublings.
+    pub(crate) fn doubled_hold(&self, doublings: u32) -> Duration {
+        self.hold.saturating_mul(1 << doublings.min(MAX_DOUBLINGS)).min(MAX_HOLD)
+    }
+}
+
 impl TryFrom<RawCrashTrackerSettings> for CrashTrackerSettings {
     type Error = CrashTrackerSettingsError;
 
--- a/crates/poison/src/shared.rs
+++ b/crates/poison/src/shared.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        ContentFingerprint, CrashTracker, CrashTrackerSettings, CrashUpdate, RequestHold,
-        UpdateScope,
+        ContentFingerprint, CrashSuspect, CrashTracker, CrashTrackerSettings, CrashUpdate,
+        PartFingerprint, RequestHold, UpdateScope,
     },
     gullglade_event::{EventDraft, EventSink, Level, MetricSet},
     gullglade_units::{BackendRun, Clock, MonotonicTime},
@@ -25,8 +25,8 @@
     clock: Rc<dyn Clock>,
     events: Rc<dyn EventSink>,
     metrics: Rc<MetricSet>,
-    /// The held requests as of the last hold events.
-    reported_holds: RefCell<BTreeSet<ContentFingerprint>>,
+    /// The holds as of the last hold events.
+    reported_holds: RefCell<BTreeSet<CrashSuspect>>,
     last_expiry: Cell<MonotonicTime>,
 }
 
@@ -49,7 +49,7 @@
         })
     }
 
-    /// Returns whether no request is tracked, so that no fingerprint has to be computed.
+    /// Returns whether nothing is tracked, so that no fingerprint has to be computed.
     pub fn is_empty(&self) -> bool {
         self.tracker.borrow().is_empty()
     }
@@ -59,15 +59,20 @@
         self.tracker.borrow().hold(fingerprint, self.clock.now())
     }
 
-    /// Returns all held requests.
-    pub fn holds(&self) -> Vec<(ContentFingerprint, RequestHold)> {
+    /// Returns the hold on a prompt part, if there is one.
+    pub fn part_hold(&self, part: &PartFingerprint) -> Option<RequestHold> {
+        self.tracker.borrow().part_hold(part, self.clock.now())
+    }
+
+    /// Returns all holds.
+    pub fn holds(&self) -> Vec<(CrashSuspect, RequestHold)> {
         self.tracker.borrow().holds(self.clock.now())
     }
 
-    /// Clears the history of a request that an operator declares safe. Returns false if nothing is
-    /// known of it.
-    pub fn release(&self, fingerprint: ContentFingerprint) -> bool {
-        let is_known = self.tracker.borrow_mut().release(fingerprint, self.clock.now());
+    /// Clears the history of what an operator declares safe. Returns false if nothing is known of
+    /// it.
+    pub fn release(&self, suspect: CrashSuspect) -> bool {
+        let is_known = self.tracker.borrow_mut().release(suspect, self.clock.now());
         self.emit_hold_events();
         is_known
     }
@@ -89,6 +94,27 @@
         ends
     }
 
+    /// Records that the connection to `run` broke while it had a request with these prompt parts
+    /// whose answer had not begun.
+    pub fn record_parts_cut_off(
+        &self,
+        parts: &[PartFingerprint],
+        content: ContentFingerprint,
+        run: &BackendRun,
+    ) {
+        let now = self.clock.now();
+        self.tracker.borrow_mut().record_parts_cut_off(parts, content, run, now);
+        self.emit_hold_events();
+    }
+
+    /// Records that a backend server began to answer a request with these prompt parts.
+    pub fn record_parts_answered(&self, parts: &[PartFingerprint], answer: u64) {
+        let now = self.clock.now();
+        if self.tracker.borrow_mut().record_parts_answered(parts, answer, now) {
+            self.emit_hold_events();
+        }
+    }
+
     /// Records a complete answer to a request with a known crash.
     pub fn record_answer(&self, fingerprint: ContentFingerprint, answer: u64) {
         self.tracker.borrow_mut().record_answer(fingerprint, answer, self.clock.now());
@@ -122,11 +148,10 @@
         is_new
     }
 
-    /// Emits events for the requests that are newly held, and for those that are no longer held.
+    /// Emits events for what is newly held, and for what is no longer held.
     fn emit_hold_events(&self) {
         let holds = self.holds();
-        let now: BTreeSet<ContentFingerprint> =
-            holds.iter().map(|(fingerprint, _)| *fingerprint).collect();
+        let now: BTreeSet<CrashSuspect> = holds.iter().map(|(suspect, _)| *suspect).collect();
         let before = self.reported_holds.replace(now.clone());
         for (fingerprint, hold) in
             holds.iter().filter(|(fingerprint, _)| !before.contains(fingerprint))
--- a/crates/poison/tests/account.rs
+++ b/crates/poison/tests/account.rs
@@ -2,8 +2,8 @@
 
 use {
     gullglade_poison::{
-        ContentFingerprint, CrashTracker, CrashTrackerSettings, CrashUpdate, FingerprintKey,
-        RawCrashTrackerSettings, RequestContent, UpdateScope,
+        ContentFingerprint, CrashSuspect, CrashTracker, CrashTrackerSettings, CrashUpdate,
+        FingerprintKey, RawCrashTrackerSettings, RequestContent, UpdateScope,
     },
     gullglade_units::{BackendName, BackendRun, Incarnation, MonotonicTime},
     std::time::Duration,
@@ -55,7 +55,7 @@
             tracker.record_alive(&run(of), at(sent));
         }
         Event::Release(request, time) => {
-            tracker.release(fingerprint(request), at(time));
+            tracker.release(CrashSuspect::Content(fingerprint(request)), at(time));
         }
     }
 }
--- a/crates/poison/tests/schedules/main.rs
+++ b/crates/poison/tests/schedules/main.rs
@@ -1,6 +1,8 @@
 //! Seeded simulations of causes and unrelated requests: the causes must be held, the others must
 //! not.
 
+mod part_simulation;
+mod parts;
 mod simulation;
 
 use simulation::{BASELINE, Scenario, Simulation};
@@ -16,7 +18,7 @@
 
 const SIMULATED_MS: u64 = 40_000;
 
-fn seeds() -> u64 {
+pub(crate) fn seeds() -> u64 {
     std::env::var("POISON_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(SEEDS)
 }
 
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -5,7 +5,7 @@
         BackendDialect, CallerRequest, RequestMetadata, ResponseMetadata,
         dispatcher::DispatchTicket,
         outcome::{AttemptOutcome, AttemptTarget, NotRunReason, UnknownReason},
-        response::{AttemptResponse, BackendBody, ResponseBody, is_event_stream},
+        response::{AttemptResponse, BackendBody, ResponseBody},
         unread_headers::UnreadHeaderReporter,
     },
     gullglade_dispatch::{StatementChange, WorkOutcome},
@@ -134,22 +134,14 @@
             ticket.finish(WorkOutcome::Failed);
             return AttemptOutcome::Unknown(UnknownReason::Garbled);
         }
-        let complete_outcome = match head.status.is_server_error() {
-            true => WorkOutcome::Failed,
-            false => WorkOutcome::Answered,
-        };
-        let has_events = is_event_stream(head.status, &head.headers);
+        let liveness = ticket.liveness();
+        let body = BackendBody::new(body, ticket, head.status, &head.headers);
         AttemptOutcome::Response(Box::new(AttemptResponse {
             target: AttemptTarget::Local(attempt.backend.clone()),
-            liveness: ticket.liveness(),
+            liveness,
             status: head.status,
             headers: head.headers,
-            body: ResponseBody::Backend(BackendBody::new(
-                body,
-                ticket,
-                has_events,
-                complete_outcome,
-            )),
+            body: ResponseBody::Backend(Box::new(body)),
         }))
     }
 
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -198,10 +198,10 @@
         }
     }
 
-    /// Notes that a complete event of the response has arrived.
-    pub(crate) fn note_event(&self) {
+    /// Notes that the backend server has begun an answer to the request.
+    pub(crate) fn note_answer_begun(&self) {
         if let Some(monitor) = &self.monitor {
-            monitor.note_event();
+            monitor.note_answer_begun();
         }
     }
 
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -307,6 +307,10 @@
                 self.metrics.held_back();
                 ("request.held_back", RequestOutcome::Failed)
             }
+            RequestError::HeldPart { .. } => {
+                self.metrics.held_back();
+                ("request.held_back", RequestOutcome::Refused)
+            }
             RequestError::NoConfiguration
             | RequestError::NoRoute
             | RequestError::NoAccess(_)
@@ -324,6 +328,10 @@
                 let event = event.field("sends", self.sends).field("fingerprint", print);
                 event.field("ends", ends).millis("left_ms", left)
             }
+            RequestError::HeldPart { held, left } => {
+                let event = event.field("sends", self.sends).field("fingerprint", held.print);
+                event.field("ends", held.ends).millis("left_ms", left)
+            }
             _ => event.field("sends", self.sends),
         };
         self.events.emit(event);
--- a/crates/proxy/src/execution.rs
+++ b/crates/proxy/src/execution.rs
@@ -14,8 +14,8 @@
         events::RequestLog,
         liveness::RunMonitor,
         outcome::{
-            AttemptOutcome, AttemptTarget, NotRunReason, RequestError, RetryReason, UnknownReason,
-            WaitLimit,
+            AttemptOutcome, AttemptTarget, HeldPromptPart, NotRunReason, RequestError, RetryReason,
+            UnknownReason, WaitLimit,
         },
         quota::ChargeGuard,
         replacement::WaitOutcome,
@@ -214,8 +214,14 @@
         let last_event = request.resume_after;
         let request = Rc::new(request);
         let workspace = item.workspace.as_ref().map(|workspace| workspace.name.clone());
-        let fingerprint =
-            RequestFingerprint::new(&request, workspace, proxy.fingerprint_key(), fingerprint);
+        let service = item.service.clone();
+        let fingerprint = RequestFingerprint::new(
+            &request,
+            workspace,
+            service,
+            proxy.fingerprint_key(),
+            fingerprint,
+        );
         Self {
             proxy: proxy.clone(),
             request,
@@ -421,6 +427,9 @@
             let left = wait.unwrap_or_default();
             return Err(RequestError::HeldBack { print: self.fingerprint.get(), ends, left });
         }
+        if let NotRunReason::HeldPart(held) = reason {
+            return Err(self.held_part(held, wait.unwrap_or_default()));
+        }
         match reason {
             NotRunReason::NoPath => self.gateways_without_path += 1,
             _ => self.not_run_attempts += 1,
@@ -476,6 +485,15 @@
         route.kind.may_repeat() && self.ledger.may_be_replaced() && !self.left().is_zero()
     }
 
+    /// Returns the error of a request with a held prompt part, which has not run unless an earlier
+    /// attempt did.
+    pub(crate) fn held_part(&self, held: HeldPromptPart, left: Duration) -> RequestError {
+        match self.ledger.has_run() {
+            true => self.unknown(UnknownReason::Broken),
+            false => RequestError::HeldPart { held, left },
+        }
+    }
+
     fn unknown(&self, reason: UnknownReason) -> RequestError {
         if self.left().is_zero() { RequestError::TimedOut } else { RequestError::Unknown(reason) }
     }
--- a/crates/proxy/src/execution/placement.rs
+++ b/crates/proxy/src/execution/placement.rs
@@ -3,11 +3,11 @@
 use {
     super::RequestExecution,
     crate::{
-        outcome::{AttemptOutcome, NotRunReason, RequestError, UnknownReason},
+        outcome::{AttemptOutcome, HeldPromptPart, NotRunReason, RequestError, UnknownReason},
         search::{FoundPlace, LocalPlace},
     },
     gullglade_dispatch::{Decision, NextTarget, RefusalReason},
-    gullglade_poison::RequestHold,
+    gullglade_poison::{PartFingerprint, RequestHold},
     gullglade_units::RegionName,
 };
 
@@ -28,6 +28,9 @@
             RequestError::HeldBack { ends, left, .. } => {
                 AttemptOutcome::NotRun(NotRunReason::HeldBack { ends }, Some(left))
             }
+            RequestError::HeldPart { held, left } => {
+                AttemptOutcome::NotRun(NotRunReason::HeldPart(held), Some(left))
+            }
             _ => AttemptOutcome::NotRun(NotRunReason::RefusedAway, None),
         })
     }
@@ -95,18 +98,22 @@
         Ok(remote_region)
     }
 
-    /// Checks that the request is not held back. A request under which backend servers ended would
-    /// end the next one together with all other runs there, regardless of its id and of the gateway
-    /// that received it.
+    /// Checks that neither the request nor a part of its prompt is held back. One under which
+    /// backend servers ended would end the next one together with all other runs there, regardless
+    /// of its id and of the gateway that received it.
     pub(crate) fn check_hold(&self) -> Result<(), RequestError> {
         let crashes = self.proxy.crashes();
         if crashes.is_empty() {
             return Ok(());
         }
         let fingerprint = self.fingerprint.get();
-        match crashes.hold(&fingerprint) {
-            Some(RequestHold { ends, left }) => {
-                Err(RequestError::HeldBack { print: fingerprint, ends, left })
+        if let Some(RequestHold { ends, left }) = crashes.hold(&fingerprint) {
+            return Err(RequestError::HeldBack { print: fingerprint, ends, left });
+        }
+        let hold = |part: &PartFingerprint| Some((*part, crashes.part_hold(part)?));
+        match self.fingerprint.parts().iter().find_map(hold) {
+            Some((print, RequestHold { ends, left })) => {
+                Err(self.held_part(HeldPromptPart { print, ends }, left))
             }
             None => Ok(()),
         }
--- a/crates/proxy/src/outcome.rs
+++ b/crates/proxy/src/outcome.rs
@@ -5,7 +5,7 @@
     gullglade_dispatch::RefusalReason,
     gullglade_event::FieldValue,
     gullglade_http::{ApiError, ReplyBody, RunState},
-    gullglade_poison::ContentFingerprint,
+    gullglade_poison::{ContentFingerprint, PartFingerprint},
     gullglade_units::{BackendName, RegionName},
     http::{Response, StatusCode, header::RETRY_AFTER},
     std::{fmt, time::Duration},
@@ -32,6 +32,16 @@
         /// Number of backend servers that ended.
         ends: u32,
     },
+    /// A part of its prompt is held back, since backend servers ended as they began answers on it.
+    HeldPart(HeldPromptPart),
+}
+
+/// A part of a prompt that is held back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub(crate) struct HeldPromptPart {
+    pub(crate) print: PartFingerprint,
+    /// Number of backend servers that ended.
+    pub(crate) ends: u32,
 }
 
 /// Reason why it is unknown whether a request ran.
@@ -69,6 +79,7 @@
             Self::RefusedAway => "refused_away",
             Self::NoPath => "no_path",
             Self::HeldBack { .. } => "held_back",
+            Self::HeldPart(_) => "held_part",
         }
     }
 }
@@ -227,6 +238,14 @@
         /// Time for which the request is held back.
         left: Duration,
     },
+    /// Backend servers ended as they began answers on a part of the prompt. The request has not run
+    /// and would end another one.
+    HeldPart {
+        /// The part.
+        held: HeldPromptPart,
+        /// Time for which the part is held back.
+        left: Duration,
+    },
 }
 
 /// `retry-after` of a gateway that has no configuration yet.
@@ -313,6 +332,15 @@
                 let error = ApiError::new(StatusCode::BAD_GATEWAY, "ends_backends", message);
                 (error.run(RunState::Run), Some(left))
             }
+            Self::HeldPart { held: HeldPromptPart { print, ends }, left } => {
+                let message = format!(
+                    "{ends} backend servers ended as they began to answer requests with the same \
+                     part of their prompts, so this one was not run, and none is for {left:?}; \
+                     change the prompt, or ask the operator of the service to release fingerprint \
+                     {print}"
+                );
+                (unavailable("part_ends_backends", message), Some(left))
+            }
             Self::TimedOut => {
                 let message = "no response within the route's timeout or the caller's deadline; \
                                the request may have run, so repeat it only if it is idempotent";
--- a/crates/proxy/src/request_fingerprint.rs
+++ b/crates/proxy/src/request_fingerprint.rs
@@ -1,11 +1,11 @@
-//! Fingerprints of callers' requests, computed on first use.
+//! Fingerprints of callers' requests and of the parts of their prompts, computed on first use.
 
 use {
     crate::CallerRequest,
-    gullglade_dispatch::PromptShape,
+    gullglade_dispatch::{PromptPart, PromptShape},
     gullglade_event::FieldValue,
-    gullglade_poison::{ContentFingerprint, FingerprintKey, RequestContent},
-    gullglade_units::WorkspaceName,
+    gullglade_poison::{ContentFingerprint, FingerprintKey, PartFingerprint, RequestContent},
+    gullglade_units::{ServiceName, WorkspaceName},
     http::header::AUTHORIZATION,
     std::{cell::OnceCell, fmt, rc::Rc},
 };
@@ -33,8 +33,10 @@
 pub(crate) struct RequestFingerprint {
     request: Rc<CallerRequest>,
     workspace: Option<WorkspaceName>,
+    service: ServiceName,
     key: FingerprintKey,
     cached: OnceCell<ContentFingerprint>,
+    cached_parts: OnceCell<Vec<PartFingerprint>>,
 }
 
 impl RequestFingerprint {
@@ -43,11 +45,13 @@
     pub(crate) fn new(
         request: &Rc<CallerRequest>,
         workspace: Option<WorkspaceName>,
+        service: ServiceName,
         key: FingerprintKey,
         known: Option<ContentFingerprint>,
     ) -> Rc<Self> {
         let cached = known.map_or_else(OnceCell::new, OnceCell::from);
-        Rc::new(Self { request: Rc::clone(request), workspace, key, cached })
+        let request = Rc::clone(request);
+        Rc::new(Self { request, workspace, service, key, cached, cached_parts: OnceCell::new() })
     }
 
     pub(crate) fn request(&self) -> &CallerRequest {
@@ -77,10 +81,22 @@
         }
     }
 
+    /// Returns the fingerprints of the prompt parts that other requests may share, in order.
+    pub(crate) fn parts(&self) -> &[PartFingerprint] {
+        self.cached_parts.get_or_init(|| {
+            let fingerprint =
+                |part: &PromptPart| self.key.part_fingerprint(self.service.as_str(), part.id);
+            self.shared_parts().iter().map(fingerprint).collect()
+        })
+    }
+
     /// Returns the ids of the prompt parts that other requests may share, in order.
     pub(crate) fn part_ids(&self) -> PartIds {
-        let shared = self.request.prompt.as_ref().map_or(&[][..], PromptShape::shared_parts);
-        PartIds(shared.iter().map(|part| part.id).collect())
+        PartIds(self.shared_parts().iter().map(|part| part.id).collect())
+    }
+
+    fn shared_parts(&self) -> &[PromptPart] {
+        self.request.prompt.as_ref().map_or(&[], PromptShape::shared_parts)
     }
 
     /// Returns the fingerprint if it has been computed.
--- a/crates/proxy/src/response.rs
+++ b/crates/proxy/src/response.rs
@@ -44,7 +44,7 @@
 
 /// Body of a response. Dropping it before its end cancels the work of the backend server.
 pub(crate) enum ResponseBody {
-    Backend(BackendBody),
+    Backend(Box<BackendBody>),
     Forward(ForwardBody),
 }
 
@@ -58,45 +58,76 @@
     }
 }
 
+/// Content of a body, as far as it shows that an answer has begun.
+enum BodyContent {
+    /// A stream of events, and the position in it.
+    Events(EventBoundary),
+    /// A plain answer.
+    Plain,
+    /// An error of the backend server's own.
+    Error,
+}
+
+impl BodyContent {
+    fn of(status: StatusCode, headers: &HeaderMap) -> Self {
+        match status.is_success() {
+            true if is_event_stream(status, headers) => Self::Events(EventBoundary::default()),
+            true => Self::Plain,
+            false => Self::Error,
+        }
+    }
+}
+
 /// Body from a backend server of the own region. It reports the outcome to the scheduler.
 pub(crate) struct BackendBody {
     body: ClientBody,
     ticket: Option<DispatchTicket>,
-    /// Position in the events, if the body is an event stream.
-    events: Option<EventBoundary>,
+    content: BodyContent,
     /// Outcome to report if the body is complete.
     complete_outcome: WorkOutcome,
 }
 
 impl BackendBody {
+    /// Creates the body of a response with this status and these headers.
     pub(crate) fn new(
         body: ClientBody,
         ticket: DispatchTicket,
-        is_event_stream: bool,
-        complete_outcome: WorkOutcome,
+        status: StatusCode,
+        headers: &HeaderMap,
     ) -> Self {
-        let events = is_event_stream.then(EventBoundary::default);
-        Self { body, ticket: Some(ticket), events, complete_outcome }
+        let content = BodyContent::of(status, headers);
+        let complete_outcome = match status.is_server_error() {
+            true => WorkOutcome::Failed,
+            false => WorkOutcome::Answered,
+        };
+        Self { body, ticket: Some(ticket), content, complete_outcome }
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
         let chunk = self.body.next().await;
         match &chunk {
-            Some(Ok(bytes)) => {
-                let has_event = self.events.as_mut().is_some_and(|events| events.read(bytes));
-                if let Some(ticket) = &self.ticket {
-                    ticket.note_first_byte();
-                    if has_event {
-                        ticket.note_event();
-                    }
+            Some(Ok(bytes)) => self.note_chunk(bytes),
+            None => {
+                if let (BodyContent::Plain, Some(ticket)) = (&self.content, &self.ticket) {
+                    ticket.note_answer_begun();
                 }
+                self.finish(self.complete_outcome);
             }
-            None => self.finish(self.complete_outcome),
             Some(Err(_)) => self.finish(WorkOutcome::Broken),
         }
         chunk
     }
 
+    fn note_chunk(&mut self, bytes: &[u8]) {
+        let Some(ticket) = &self.ticket else { return };
+        ticket.note_first_byte();
+        if let BodyContent::Events(events) = &mut self.content
+            && events.read(bytes)
+        {
+            ticket.note_answer_begun();
+        }
+    }
+
     fn finish(&mut self, outcome: WorkOutcome) {
         if let Some(ticket) = self.ticket.take() {
             ticket.finish(outcome);
--- a/crates/proxy/src/send_monitor.rs
+++ b/crates/proxy/src/send_monitor.rs
@@ -14,7 +14,8 @@
     pub(crate) fingerprint: Rc<RequestFingerprint>,
     pub(crate) run: BackendRun,
     pub(crate) sent: MonotonicTime,
-    /// True once a complete event of the response has arrived.
+    /// True once the backend server has begun an answer: an event of a stream, or a whole plain
+    /// response, has arrived.
     pub(crate) has_begun: Cell<bool>,
     pub(crate) crashes: Rc<SharedCrashTracker>,
     pub(crate) events: Rc<dyn EventSink>,
@@ -26,9 +27,11 @@
         self.crashes.record_alive(&self.run, self.sent);
     }
 
-    /// Notes that a complete event of the response has arrived.
-    pub(crate) fn note_event(&self) {
-        self.has_begun.set(true);
+    /// Notes that the backend server has begun an answer to the request.
+    pub(crate) fn note_answer_begun(&self) {
+        if !self.has_begun.replace(true) {
+            self.crashes.record_parts_answered(self.fingerprint.parts(), self.answer_id());
+        }
     }
 
     /// Logs a change in the statements of the backend server.
@@ -55,8 +58,7 @@
         match outcome {
             WorkOutcome::Broken => self.cut_off(now),
             WorkOutcome::Answered | WorkOutcome::Failed if !self.crashes.is_empty() => {
-                let answer = score(self.fingerprint.request().id.as_str(), "answer");
-                self.crashes.record_answer(self.fingerprint.get(), answer);
+                self.crashes.record_answer(self.fingerprint.get(), self.answer_id());
             }
             // The caller left, the request did not run, or nothing came: no evidence about the
             // request.
@@ -64,8 +66,19 @@
         }
     }
 
+    /// Returns a number that identifies the answer to this request.
+    fn answer_id(&self) -> u64 {
+        score(self.fingerprint.request().id.as_str(), "answer")
+    }
+
     fn cut_off(&self, now: MonotonicTime) {
         let fingerprint = self.fingerprint.get();
+        let parts = self.fingerprint.parts();
+        match self.has_begun.get() {
+            // An engine that a part crashes does not begin the answer.
+            true => self.crashes.record_parts_answered(parts, self.answer_id()),
+            false => self.crashes.record_parts_cut_off(parts, fingerprint, &self.run),
+        }
         let ends = self.crashes.record_cut_off(fingerprint, self.run.clone(), self.sent);
         let event =
             EventDraft::new("request.cut_off").field("request", &self.fingerprint.request().id);
--- a/src/commands/held.rs
+++ b/src/commands/held.rs
@@ -1,4 +1,5 @@
-//! `gladectl held`: requests that are held back because backend servers ended under them.
+//! `gladectl held`: requests and prompt parts that are held back because backend servers ended
+//! under them.
 
 use {
     super::{
@@ -26,14 +27,16 @@
 /// The parser of `gladectl held`.
 pub(super) fn held_parser() -> impl Parser<HeldCommand> {
     let let_go = long("let-go")
-        .help("Send this request again: what ended under it until now counts no more")
+        .help(
+            "Send this request or prompt part again: what ended under it until now counts no more",
+        )
         .argument::<String>("FINGERPRINT")
         .optional();
     let at = addresses_option("Control addresses of some control processes");
     let token_file = token_option();
     construct!(HeldCommand { let_go, at, token_file })
         .to_options()
-        .descr("List requests that are held back because backend servers ended under them")
+        .descr("List the requests and prompt parts that are held back")
         .command("held")
 }
 
