--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -41,7 +41,8 @@
 
     /// Returns the number of tokens in the shared parts.
     pub fn shared_tokens(&self) -> u32 {
-        self.shared_parts().iter().map(|part| part.tokens).sum()
+        // The numbers are the caller's, and may add up to more than fits.
+        self.shared_parts().iter().fold(0, |sum, part| sum.saturating_add(part.tokens))
     }
 
     /// Returns the number of prompt tokens outside the shared parts.
