Unframed streams that end before or inside an event are broken off

Cause: the end of such a connection was taken for the end of the body, and a stream that ended inside an event was reported to the caller as broken but to scheduler and crash tracker as answered, which cancels a crash. Why it works: the body from the backend server knows its framing and its position in the events, and reports the break itself.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -19,7 +19,7 @@
     error::ClientError,
     permit::{SendPermit, send_unless_revoked},
     pool::PooledClient,
-    reply::{ClientBody, ClientReply},
+    reply::{ClientBody, ClientReply, UnframedBody},
 };
 
 /// Sends requests to backend servers and other VMs.
--- a/crates/http/src/client/pool.rs
+++ b/crates/http/src/client/pool.rs
@@ -5,7 +5,7 @@
         ClientConfig, ClientError, ClientReply, FreshConnection, HeadTimeout, HttpClient,
         KeptWithin, SendPermit,
         connection::{ClientConnection, ConnectionLease},
-        reply::{ClientBody, WireSource},
+        reply::{ClientBody, UnframedBody, WireSource},
     },
     crate::{body::error_chain, headers::KEEP_ALIVE, strip_hop_by_hop},
     bytes::Bytes,
@@ -218,10 +218,14 @@
         mut lease: ConnectionLease,
     ) -> Result<ClientReply, ClientError> {
         lease.stated = keep_alive_time(response.headers());
-        if !self.pool.config.takes_unframed && !is_framed(&method, &response) {
+        let is_framed = is_framed(&method, &response);
+        if !self.pool.config.takes_unframed && !is_framed {
             return Err(ClientError::Unframed { address: lease.address });
         }
         let (mut head, incoming) = response.into_parts();
+        if !is_framed {
+            head.extensions.insert(UnframedBody);
+        }
         strip_hop_by_hop(&mut head.headers);
         let clock = Rc::clone(&self.pool.context.clock);
         let pause = self.pool.config.body_timeout;
--- a/crates/http/src/client/reply.rs
+++ b/crates/http/src/client/reply.rs
@@ -26,6 +26,11 @@
     pub body: ClientBody,
 }
 
+/// Extension of the head of a reply whose body has neither a length nor chunks: it ends with its
+/// connection, so its end says nothing about whether it is whole.
+#[derive(Clone, Copy, Debug)]
+pub struct UnframedBody;
+
 /// The body of a reply. It ends in `None` only where the sender's own end of the body was seen;
 /// any other end is an error. Dropped before its end, it closes the connection, which cancels the
 /// work on the other side.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -22,7 +22,7 @@
 pub use body::{BodyError, LocalStream, ReplyBody};
 pub use client::{
     ClientBody, ClientConfig, ClientError, ClientReply, FreshConnection, HeadTimeout, HttpClient,
-    KeptWithin, PooledClient, SendPermit, send_unless_revoked,
+    KeptWithin, PooledClient, SendPermit, UnframedBody, send_unless_revoked,
 };
 pub use headers::strip_hop_by_hop;
 pub use request::RequestBody;
--- a/crates/http/tests/http/kept.rs
+++ b/crates/http/tests/http/kept.rs
@@ -3,7 +3,9 @@
 use {
     crate::common::{any_port, manual_context, run},
     bytes::Bytes,
-    gullglade_http::{ClientConfig, ClientError, HttpClient, KeptWithin, PooledClient},
+    gullglade_http::{
+        ClientConfig, ClientError, HttpClient, KeptWithin, PooledClient, UnframedBody,
+    },
     gullglade_units::ProcessContext,
     http::Request,
     monoio::{
@@ -117,7 +119,11 @@
         let config = ClientConfig::new().take_unframed();
         let lenient = PooledClient::new(config, ProcessContext::system());
         let reply = lenient.send(address, get()).await.unwrap();
+        assert!(reply.head.extensions.get::<UnframedBody>().is_some());
         assert_eq!(reply.body.collect(20).await.unwrap(), "all of it");
+        let (address, _) = answering("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+        let reply = lenient.send(address, get()).await.unwrap();
+        assert!(reply.head.extensions.get::<UnframedBody>().is_none());
     });
 }
 
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -135,7 +135,7 @@
             return AttemptOutcome::Unknown(UnknownReason::Garbled);
         }
         let liveness = ticket.liveness();
-        let body = BackendBody::new(body, ticket, head.status, &head.headers);
+        let body = BackendBody::new(body, ticket, &head);
         AttemptOutcome::Response(Box::new(AttemptResponse {
             target: AttemptTarget::Local(attempt.backend.clone()),
             liveness,
--- a/crates/proxy/src/event_boundary.rs
+++ b/crates/proxy/src/event_boundary.rs
@@ -8,6 +8,7 @@
 pub(crate) struct EventBoundary {
     line: LineState,
     has_field: bool,
+    has_event: bool,
 }
 
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
@@ -35,6 +36,17 @@
                 _ => {}
             }
         }
+        self.has_event |= has_event;
         has_event
     }
+
+    /// Returns whether a complete event has been read.
+    pub(crate) fn has_event(&self) -> bool {
+        self.has_event
+    }
+
+    /// Returns whether the position is inside an event.
+    pub(crate) fn is_inside_event(&self) -> bool {
+        self.has_field || self.line != LineState::Start
+    }
 }
--- a/crates/proxy/src/response.rs
+++ b/crates/proxy/src/response.rs
@@ -7,8 +7,8 @@
     },
     bytes::Bytes,
     gullglade_dispatch::WorkOutcome,
-    gullglade_http::{BodyError, ClientBody},
-    http::{HeaderMap, StatusCode, header::CONTENT_TYPE},
+    gullglade_http::{BodyError, ClientBody, UnframedBody},
+    http::{HeaderMap, StatusCode, header::CONTENT_TYPE, response::Parts},
 };
 
 /// Media type of event streams.
@@ -83,30 +83,33 @@
     body: ClientBody,
     ticket: Option<DispatchTicket>,
     content: BodyContent,
+    /// True if the body ends with its connection, whether or not it is whole.
+    is_unframed: bool,
     /// Outcome to report if the body is complete.
     complete_outcome: WorkOutcome,
 }
 
 impl BackendBody {
-    /// Creates the body of a response with this status and these headers.
-    pub(crate) fn new(
-        body: ClientBody,
-        ticket: DispatchTicket,
-        status: StatusCode,
-        headers: &HeaderMap,
-    ) -> Self {
-        let content = BodyContent::of(status, headers);
-        let complete_outcome = match status.is_server_error() {
+    /// Creates the body of a response with this head.
+    pub(crate) fn new(body: ClientBody, ticket: DispatchTicket, head: &Parts) -> Self {
+        let content = BodyContent::of(head.status, &head.headers);
+        let is_unframed = head.extensions.get::<UnframedBody>().is_some();
+        let complete_outcome = match head.status.is_server_error() {
             true => WorkOutcome::Failed,
             false => WorkOutcome::Answered,
         };
-        Self { body, ticket: Some(ticket), content, complete_outcome }
+        Self { body, ticket: Some(ticket), content, is_unframed, complete_outcome }
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
         let chunk = self.body.next().await;
         match &chunk {
             Some(Ok(bytes)) => self.note_chunk(bytes),
+            None if self.is_cut_short() => {
+                self.finish(WorkOutcome::Broken);
+                let reason = "the connection was closed before or inside an event".to_owned();
+                return Some(Err(BodyError::Incomplete { reason }));
+            }
             None => {
                 if let (BodyContent::Plain, Some(ticket)) = (&self.content, &self.ticket) {
                     ticket.note_answer_begun();
@@ -118,6 +121,17 @@
         chunk
     }
 
+    /// Returns whether the body ends where a whole one cannot. An unframed stream without an event
+    /// is one whose backend server crashed as it began to answer.
+    fn is_cut_short(&self) -> bool {
+        match &self.content {
+            BodyContent::Events(events) => {
+                events.is_inside_event() || (self.is_unframed && !events.has_event())
+            }
+            BodyContent::Plain | BodyContent::Error => false,
+        }
+    }
+
     fn note_chunk(&mut self, bytes: &[u8]) {
         let Some(ticket) = &self.ticket else { return };
         ticket.note_first_byte();
--- a/crates/proxy/tests/support/servers.rs
+++ b/crates/proxy/tests/support/servers.rs
@@ -4,7 +4,9 @@
     bytes::Bytes,
     futures::stream,
     gullglade_dispatch::BackendStatements,
-    gullglade_http::{BodyError, ClientBody, ClientError, ClientReply, HttpClient, SendPermit},
+    gullglade_http::{
+        BodyError, ClientBody, ClientError, ClientReply, HttpClient, SendPermit, UnframedBody,
+    },
     gullglade_proxy::{BackendDialect, RequestMetadata, ResponseMetadata},
     gullglade_units::{Clock, LocalFuture, MonotonicTime, ProcessContext},
     http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode},
@@ -45,6 +47,8 @@
     /// Index of a chunk and the pause before it, instead of the millisecond.
     pub(crate) pause: Option<(usize, Duration)>,
     pub(crate) is_incomplete: bool,
+    /// The body ends with its connection.
+    pub(crate) is_unframed: bool,
 }
 
 impl ScriptedResponse {
@@ -57,6 +61,7 @@
             chunks: chunks.to_vec(),
             pause: None,
             is_incomplete: false,
+            is_unframed: false,
         }
     }
 
@@ -88,6 +93,11 @@
         self
     }
 
+    pub(crate) fn unframed(mut self) -> Self {
+        self.is_unframed = true;
+        self
+    }
+
     pub(crate) fn events(chunks: &[&'static str]) -> Self {
         Self::signed(200, chunks).header("content-type", "text/event-stream")
     }
@@ -203,6 +213,9 @@
                 .headers_mut()
                 .insert(*name, HeaderValue::from_str(value).expect("a header value"));
         }
+        if script.is_unframed {
+            response.extensions_mut().insert(UnframedBody);
+        }
         let mut chunks: Vec<Result<Bytes, BodyError>> =
             script.chunks.iter().map(|chunk| Ok(Bytes::from_static(chunk.as_bytes()))).collect();
         if script.is_incomplete {
