Gateways take turns to probe what is held when its hold ends

When it ended, every gateway sent the request or part at once, and each could crash a backend server before the first crash was known: two gateways of three in the test, about as many as there are gateways where requests come often. Evidence: one_request_of_all_gateways_probes_a_part_whose_hold_has_ended fails without the schedule (2 probes) and passes with it (1). Why it works: each gateway has a slot in a cycle that depends on the suspect, long enough for all to know how the last probe ended; what is not the probe is refused as before. answered_probe_ends_the_hold_at_all_gateways shows that a sound part comes free.

--- a/crates/fleet/src/follower.rs
+++ b/crates/fleet/src/follower.rs
@@ -93,6 +93,7 @@
         parts: FollowerParts,
     ) -> Rc<Self> {
         let view = RefCell::new(FleetView::new(Rc::clone(&parts.format)));
+        parts.crashes.set_gateway(profile.vm.as_str());
         Rc::new(Self {
             parts,
             profile,
@@ -284,6 +285,7 @@
         let crash_sent_cursor = if has_all_crashes { request.crashes.cursor } else { 0 };
         self.parts.crashes.merge(reply.crashes.clone());
         let change = self.view.borrow_mut().merge(control, is_complete, reply, asked, now);
+        self.parts.crashes.set_gateways(self.view.borrow().gateway_total());
         if let Some(link) = self.followed.borrow_mut().get_mut(&control) {
             if link.is_lost || link.last_answer.is_none() {
                 self.parts.events.emit(EventDraft::new("control.heard").field("control", control));
--- a/crates/poison/src/lib.rs
+++ b/crates/poison/src/lib.rs
@@ -49,12 +49,14 @@
 //!   disconnected than crashed by the request.
 //!
 //! Each retry of an undetected cause costs one more backend server. An unrelated request that is
-//! held gets an error that says so for ten minutes at most; then it is tried again.
+//! held gets an error that says so for ten minutes at most; then one gateway after the other may
+//! send it once, until enough answers have come or another backend server has crashed.
 
 mod answer_memory;
 mod fingerprint;
 mod part_fingerprint;
 mod part_record;
+mod probe;
 mod record;
 mod settings;
 mod shared;
@@ -66,7 +68,7 @@
     fingerprint::{ContentFingerprint, FingerprintError, FingerprintKey, RequestContent},
     part_fingerprint::{CrashSuspect, PartFingerprint},
     settings::{CrashTrackerSettings, CrashTrackerSettingsError, RawCrashTrackerSettings},
-    shared::SharedCrashTracker,
+    shared::{SharedCrashTracker, SuspectState},
     tracker::{CrashTracker, RequestHold, UpdateScope},
     update::{CrashReport, CrashUpdate, RunAliveReport, SendEnd, SendReport},
 };
--- a/crates/poison/src/shared.rs
+++ b/crates/poison/src/shared.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         ContentFingerprint, CrashSuspect, CrashTracker, CrashTrackerSettings, CrashUpdate,
-        PartFingerprint, RequestHold, UpdateScope,
+        PartFingerprint, RequestHold, UpdateScope, probe::ProbeSchedule,
     },
     gullglade_event::{EventDraft, EventSink, Level, MetricSet},
     gullglade_units::{BackendRun, Clock, MonotonicTime},
@@ -18,6 +18,18 @@
 /// Interval between expiry runs.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Whether a request or a prompt part may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SuspectState {
+    /// Nothing is held against it.
+    Free,
+    /// It must not be sent.
+    Held(RequestHold),
+    /// Its hold has ended, and this gateway may send one request to find out whether backend servers
+    /// still crash.
+    Probe,
+}
+
 /// Crash tracker of one process, shared by its requests and by the session that exchanges updates
 /// with other processes.
 pub struct SharedCrashTracker {
@@ -28,6 +40,8 @@
     /// The holds as of the last hold events.
     reported_holds: RefCell<BTreeSet<CrashSuspect>>,
     last_expiry: Cell<MonotonicTime>,
+    /// Set for a gateway.
+    probes: RefCell<Option<ProbeSchedule>>,
 }
 
 impl SharedCrashTracker {
@@ -46,9 +60,51 @@
             metrics,
             reported_holds: RefCell::default(),
             last_expiry,
+            probes: RefCell::default(),
         })
     }
 
+    /// Makes this the tracker of the gateway `name`, which shares probes with the others.
+    pub fn set_gateway(&self, name: &str) {
+        *self.probes.borrow_mut() = Some(ProbeSchedule::new(name));
+    }
+
+    /// Sets the number of gateways that share the probes.
+    pub fn set_gateways(&self, count: usize) {
+        if let Some(probes) = &mut *self.probes.borrow_mut() {
+            probes.set_gateways(u32::try_from(count).unwrap_or(u32::MAX));
+        }
+    }
+
+    /// Returns whether a request with this suspect may be sent. `is_probe` tells that it has been
+    /// noted as the probe already.
+    pub fn state(&self, suspect: &CrashSuspect, is_probe: bool) -> SuspectState {
+        let (tracker, now) = (self.tracker.borrow(), self.clock.now());
+        if let Some(hold) = tracker.suspect_hold(suspect, now) {
+            return SuspectState::Held(hold);
+        }
+        let Some((ends, elapsed)) = tracker.ended_hold(suspect, now) else {
+            return SuspectState::Free;
+        };
+        if is_probe {
+            return SuspectState::Probe;
+        }
+        let probes = self.probes.borrow();
+        let left = probes.as_ref().map_or(Duration::ZERO, |p| p.wait(suspect, elapsed, now));
+        match left.is_zero() {
+            true => SuspectState::Probe,
+            false => SuspectState::Held(RequestHold { ends, left }),
+        }
+    }
+
+    /// Notes that a request with a suspect in state [`SuspectState::Probe`] is sent.
+    pub fn note_probe(&self, suspect: CrashSuspect) {
+        if let Some(probes) = &mut *self.probes.borrow_mut() {
+            probes.note_probe(suspect, self.clock.now());
+        }
+        self.events.emit(EventDraft::new("poison.probed").field("fingerprint", suspect));
+    }
+
     /// Returns whether nothing is tracked, so that no fingerprint has to be computed.
     pub fn is_empty(&self) -> bool {
         self.tracker.borrow().is_empty()
@@ -59,11 +115,6 @@
         self.tracker.borrow().hold(fingerprint, self.clock.now())
     }
 
-    /// Returns the hold on a prompt part, if there is one.
-    pub fn part_hold(&self, part: &PartFingerprint) -> Option<RequestHold> {
-        self.tracker.borrow().part_hold(part, self.clock.now())
-    }
-
     /// Returns all holds.
     pub fn holds(&self) -> Vec<(CrashSuspect, RequestHold)> {
         self.tracker.borrow().holds(self.clock.now())
--- a/crates/poison/src/tracker.rs
+++ b/crates/poison/src/tracker.rs
@@ -163,7 +163,23 @@
         self.held.keys().filter_map(hold).collect()
     }
 
-    fn suspect_hold(&self, suspect: &CrashSuspect, now: MonotonicTime) -> Option<RequestHold> {
+    /// Returns the number of crashes of a suspect whose hold has ended and that has not been cleared
+    /// by answers, and the time since the end.
+    pub(crate) fn ended_hold(
+        &self,
+        suspect: &CrashSuspect,
+        now: MonotonicTime,
+    ) -> Option<(u32, Duration)> {
+        let HeldSuspect { ends, until } = self.held.get(suspect)?;
+        let now = SignedTime::from(now);
+        (now >= *until).then(|| (*ends, now.since(*until)))
+    }
+
+    pub(crate) fn suspect_hold(
+        &self,
+        suspect: &CrashSuspect,
+        now: MonotonicTime,
+    ) -> Option<RequestHold> {
         let HeldSuspect { ends, until } = self.held.get(suspect)?;
         let left = until.since(now.into());
         (!left.is_zero()).then_some(RequestHold { ends: *ends, left })
--- a/crates/proxy/src/execution.rs
+++ b/crates/proxy/src/execution.rs
@@ -27,7 +27,7 @@
     gullglade_poison::ContentFingerprint,
     gullglade_traffic::{TrafficRoute, TrafficWorkspace},
     gullglade_units::{BackendName, MonotonicTime, RegionName, ServiceName, WorkspaceName},
-    std::{rc::Rc, time::Duration},
+    std::{cell::Cell, rc::Rc, time::Duration},
 };
 
 /// Most attempts of one request that certainly did not run. Each is rejected quickly, but a request
@@ -67,6 +67,8 @@
     /// Retry to be taken from the budget when there is a place for it.
     pending_retry: Option<PendingRetry>,
     sends: SendTracker,
+    /// True if this is the request that probes suspects whose hold has ended.
+    is_probe: Cell<bool>,
     /// The next attempt, if its place is already secured.
     secured: Option<SecuredRun>,
     /// True if a run was abandoned for another one that has not begun yet.
@@ -236,6 +238,7 @@
             gateways_without_path: 0,
             pending_retry: None,
             sends: SendTracker::default(),
+            is_probe: Cell::default(),
             secured: None,
             must_replace_run: false,
             last_event,
--- a/crates/proxy/src/execution/placement.rs
+++ b/crates/proxy/src/execution/placement.rs
@@ -7,7 +7,7 @@
         search::{FoundPlace, LocalPlace},
     },
     gullglade_dispatch::{Decision, NextTarget, RefusalReason},
-    gullglade_poison::{PartFingerprint, RequestHold},
+    gullglade_poison::{CrashSuspect, RequestHold, SuspectState},
     gullglade_units::RegionName,
 };
 
@@ -106,16 +106,29 @@
         if crashes.is_empty() {
             return Ok(());
         }
-        let fingerprint = self.fingerprint.get();
-        if let Some(RequestHold { ends, left }) = crashes.hold(&fingerprint) {
-            return Err(RequestError::HeldBack { print: fingerprint, ends, left });
+        let content = CrashSuspect::Content(self.fingerprint.get());
+        let parts = self.fingerprint.parts().iter().copied().map(CrashSuspect::Part);
+        let suspects = || std::iter::once(content).chain(parts.clone());
+        for suspect in suspects() {
+            self.check_suspect(suspect)?;
         }
-        let hold = |part: &PartFingerprint| Some((*part, crashes.part_hold(part)?));
-        match self.fingerprint.parts().iter().find_map(hold) {
-            Some((print, RequestHold { ends, left })) => {
-                Err(self.held_part(HeldPromptPart { print, ends }, left))
+        if !self.is_probe.get() {
+            let is_probed =
+                |suspect: &CrashSuspect| crashes.state(suspect, false) == SuspectState::Probe;
+            for suspect in suspects().filter(is_probed) {
+                crashes.note_probe(suspect);
+                self.is_probe.set(true);
             }
-            None => Ok(()),
+        }
+        Ok(())
+    }
+
+    fn check_suspect(&self, suspect: CrashSuspect) -> Result<(), RequestError> {
+        let state = self.proxy.crashes().state(&suspect, self.is_probe.get());
+        let SuspectState::Held(RequestHold { ends, left }) = state else { return Ok(()) };
+        match suspect {
+            CrashSuspect::Content(print) => Err(RequestError::HeldBack { print, ends, left }),
+            CrashSuspect::Part(print) => Err(self.held_part(HeldPromptPart { print, ends }, left)),
         }
     }
 }
--- a/crates/proxy/tests/poison_parts.rs
+++ b/crates/proxy/tests/poison_parts.rs
@@ -4,9 +4,10 @@
 
 use {
     gullglade_dispatch::{PromptPart, PromptShape},
+    gullglade_poison::{FingerprintKey, RequestContent},
     gullglade_proxy::{CallerRequest, CallerRequestId},
     gullglade_traffic::RequestKind,
-    gullglade_units::MonotonicTime,
+    gullglade_units::{BackendName, BackendRun, Incarnation, MonotonicTime},
     http::{HeaderMap, HeaderValue},
     std::time::Duration,
     support::{BackendAction, BedSettings, ScriptedResponse, TestBed, fetch},
@@ -21,6 +22,9 @@
 const SOUND_PART: u64 = 0xb1;
 const POISON_PART: u64 = 0xbad;
 
+/// Service of the test bed's route.
+const SERVICE: &str = "pool";
+
 /// Time after the fifth crash by which connected gateways must know of it.
 const WINDOW: Duration = Duration::from_secs(5);
 
@@ -139,3 +143,67 @@
         assert_eq!(arrivals(&bed), before, "gateway {gateway}");
     }
 }
+
+/// Reports three crashes of backend servers that have been replaced since, and waits until all
+/// gateways know.
+fn report_crashes(bed: &TestBed) {
+    let key = FingerprintKey::from([1; 32]);
+    let parts = [key.part_fingerprint(SERVICE, POISON_PART)];
+    for number in 0..3_u8 {
+        let content = key.fingerprint(&RequestContent {
+            method: "POST",
+            host: "h",
+            target: "/",
+            credentials: b"",
+            body: &[number],
+        });
+        let backend = BackendName::try_from(format!("replaced-{number}").as_str()).expect("a name");
+        let run = BackendRun { backend, incarnation: Incarnation(1) };
+        bed.control_crash_ledger().record_parts_cut_off(&parts, content, &run);
+        bed.world.run_for(Duration::from_secs(1));
+    }
+    bed.world.run_for(Duration::from_secs(2));
+}
+
+/// Guards against all gateways sending a part at once when its hold ends: each would crash a backend
+/// server before the first crash is known.
+#[test]
+fn one_request_of_all_gateways_probes_a_part_whose_hold_has_ended() {
+    let bed = bed();
+    report_crashes(&bed);
+    let before = arrivals(&bed);
+    bed.world.run_for(Duration::from_secs(600));
+    let (mut number, mut refused) = (100, 0);
+    for round in 0..1_200 {
+        let poison = request(&bed, number, &[COMMON_PART, POISON_PART]);
+        let crash = response(number, &[]).incomplete();
+        let (status, ..) = send(&bed, round % GATEWAYS, poison, crash);
+        refused += usize::from(status == 503);
+        number += 1;
+        bed.world.run_for(Duration::from_millis(50));
+    }
+    assert_eq!(arrivals(&bed) - before, 1, "one probe");
+    assert_eq!(refused, 1_199, "all others are told that they have not run");
+    assert_eq!(bed.events.count("poison.probed"), 1);
+}
+
+/// Guards against a part that stays held although backend servers answer it again.
+#[test]
+fn answered_probe_ends_the_hold_at_all_gateways() {
+    let bed = bed();
+    report_crashes(&bed);
+    bed.world.run_for(Duration::from_secs(600));
+    let mut number = 100;
+    for round in 0..1_200 {
+        let sound = request(&bed, number, &[COMMON_PART, POISON_PART]);
+        send(&bed, round % GATEWAYS, sound, response(number, &["id: 1\ndata: x\n\n"]));
+        number += 1;
+        bed.world.run_for(Duration::from_millis(50));
+    }
+    for gateway in 0..GATEWAYS {
+        let sound = request(&bed, number, &[COMMON_PART, POISON_PART]);
+        let answer = response(number, &["id: 1\ndata: x\n\n"]);
+        assert_eq!(send(&bed, gateway, sound, answer).0, 200, "gateway {gateway}");
+        number += 1;
+    }
+}
