Track at most 64 parts of a prompt; holds of parts survive a restart

Found by reading the whole change: a prompt header of 16 KB has over a thousand entries, and one request cut off would have evicted a quarter of what all others left on record. Real prompts have a handful. The test of the restart looks at a held part as well.

--- a/crates/fleet/tests/memory.rs
+++ b/crates/fleet/tests/memory.rs
@@ -8,7 +8,8 @@
         FleetSnapshot, FleetView, ServingState, SyncReply, TrafficSnapshot, TrafficSource,
     },
     gullglade_poison::{
-        CrashTrackerSettings, CrashUpdate, FingerprintKey, RequestContent, SharedCrashTracker,
+        CrashSuspect, CrashTrackerSettings, CrashUpdate, FingerprintKey, RequestContent,
+        SharedCrashTracker, SuspectState,
     },
     gullglade_traffic::{RawTraffic, TrafficError, TrafficFormat},
     gullglade_units::{
@@ -147,8 +148,8 @@
     )
 }
 
-/// The crashes must survive a complete restart. Otherwise no process would know the requests, and
-/// each would crash three more backend servers.
+/// The crashes must survive a complete restart. Otherwise no process would know the requests and
+/// prompt parts, and each would crash three more backend servers.
 #[test]
 fn requests_that_crash_backend_servers_are_restored() {
     let (world, _) = FakeWorld::new(1);
@@ -161,6 +162,7 @@
         body: b"question",
     };
     let fingerprint = FingerprintKey::from([1; 32]).fingerprint(&request);
+    let part = FingerprintKey::from([1; 32]).part_fingerprint("pool", 7);
     let start = || {
         let process = world.process();
         let (context, events) = (process.context().clone(), Rc::<MemorySink>::default());
@@ -172,9 +174,15 @@
         (process, server, crashes)
     };
     let (process, server, crashes) = start();
-    for number in 1..=3 {
-        let (backend, incarnation) = (name(&format!("i-{number}")), Incarnation(1));
-        crashes.record_cut_off(fingerprint, BackendRun { backend, incarnation }, world.now());
+    for number in 1..=3_u8 {
+        let run = |kind| BackendRun {
+            backend: name(&format!("{kind}-{number}")),
+            incarnation: Incarnation(1),
+        };
+        crashes.record_cut_off(fingerprint, run("i"), world.now());
+        let content = FingerprintKey::from([1; 32])
+            .fingerprint(&RequestContent { body: &[number], ..request });
+        crashes.record_parts_cut_off(&[part], content, &run("j"));
         world.run_for(Duration::from_secs(1));
     }
     // Any change of the backend servers saves the crashes as well.
@@ -183,8 +191,12 @@
     process.kill();
     world.run_for(Duration::from_secs(30));
     let (_process, _server, crashes) = start();
-    let hold = crashes.hold(&fingerprint).expect("the request is held");
-    assert_eq!(hold.ends, 3);
+    let held = |suspect| match crashes.state(&suspect, false) {
+        SuspectState::Held(hold) => hold.ends,
+        state => panic!("{suspect}: {state:?}"),
+    };
+    assert_eq!(held(CrashSuspect::Content(fingerprint)), 3);
+    assert_eq!(held(CrashSuspect::Part(part)), 3);
 }
 
 /// Runs a control process over `folder` that observes `announced` and `left`, and returns the
--- a/crates/proxy/src/request_fingerprint.rs
+++ b/crates/proxy/src/request_fingerprint.rs
@@ -10,6 +10,10 @@
     std::{cell::OnceCell, fmt, rc::Rc},
 };
 
+/// Maximum number of parts of one prompt that are tracked. A caller that lists thousands must not
+/// evict the records of all others.
+const MAX_TRACKED_PARTS: usize = 64;
+
 /// Maximum number of prompt parts in a log line.
 const MAX_LOGGED_PARTS: usize = 8;
 
@@ -96,7 +100,8 @@
     }
 
     fn shared_parts(&self) -> &[PromptPart] {
-        self.request.prompt.as_ref().map_or(&[], PromptShape::shared_parts)
+        let shared = self.request.prompt.as_ref().map_or(&[][..], PromptShape::shared_parts);
+        &shared[..shared.len().min(MAX_TRACKED_PARTS)]
     }
 
     /// Returns the fingerprint if it has been computed.
