Directory: answers select gateways by the capacity of their VMs

Gateways announce the processor time, memory and link that their settings state. Where the VMs of a region differ, an answer of the directory names each gateway with a probability in proportion to its weight, and stays the same for a caller. Callers behind a shared address get an answer for each port. Where all VMs are alike, or state nothing, answers are as before.

--- a/crates/fleet/examples/sync_bytes.rs
+++ b/crates/fleet/examples/sync_bytes.rs
@@ -4,7 +4,7 @@
 use {
     gullglade_fleet::{
         BackendObservation, BackendRecord, GatewayAnnouncement, GatewayPhase, GatewayProfile,
-        RegionOffer, ServiceOffer, ServingState, SyncReply, SyncRequest,
+        RegionOffer, ServiceOffer, ServingState, SyncReply, SyncRequest, VmCapacity,
     },
     gullglade_poison::CrashUpdate,
     gullglade_units::{
@@ -30,6 +30,7 @@
         domain: domain.clone(),
         caller_address: address,
         peer_address: address,
+        capacity: VmCapacity::default(),
     };
     let request = |services| SyncRequest {
         pulse: GatewayAnnouncement { profile: profile.clone(), phase: GatewayPhase::Ready },
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -1,7 +1,7 @@
 //! Resolution of the gateways that callers should connect to.
 
 use {
-    crate::FleetServer,
+    crate::{CallerCounter, FleetServer},
     gullglade_event::{EventDraft, EventSink, Level},
     gullglade_traffic::{TrafficConfig, TrafficFormat, TrafficRoute},
     gullglade_units::RegionName,
@@ -14,6 +14,7 @@
     format: Rc<dyn TrafficFormat>,
     events: Rc<dyn EventSink>,
     cached: RefCell<Option<Rc<TrafficConfig>>>,
+    callers: RefCell<CallerCounter>,
 }
 
 impl EntryResolver {
@@ -23,22 +24,28 @@
         format: Rc<dyn TrafficFormat>,
         events: Rc<dyn EventSink>,
     ) -> Self {
-        Self { fleet, format, events, cached: RefCell::default() }
+        Self { fleet, format, events, cached: RefCell::default(), callers: RefCell::default() }
     }
 
-    /// Returns the caller addresses of the gateways that callers of `host` in `region` should use;
-    /// `None` while this process may not have observed all gateways.
+    /// Returns the caller addresses of the gateways that the caller of `host` at `remote` in
+    /// `region` should use; `None` while this process may not have observed all gateways.
     ///
     /// A caller sends its body to the gateway that it connects to. If its own region has no
     /// gateway, it is therefore directed to regions in which all routes of its host may be served,
     /// if there are any.
-    pub fn addresses(&self, host: &str, region: &RegionName) -> Option<Vec<SocketAddr>> {
+    pub fn addresses(
+        &self,
+        host: &str,
+        region: &RegionName,
+        remote: SocketAddr,
+    ) -> Option<Vec<SocketAddr>> {
         let config = self.config();
         let is_home = |candidate: &RegionName| {
             let allows = |route: &Rc<TrafficRoute>| route.allows(candidate);
             config.as_ref().is_none_or(|config| config.routes().of_host(host).all(allows))
         };
-        self.fleet.entry_addresses(region, is_home)
+        let caller = self.callers.borrow_mut().identify(remote, host, self.fleet.wall());
+        self.fleet.entry_addresses(region, is_home, &caller)
     }
 
     /// Returns the configuration applied here, which may be older than the newest one.
--- a/crates/fleet/src/follower.rs
+++ b/crates/fleet/src/follower.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         ActiveTraffic, BackendRow, FleetView, GatewayAnnouncement, GatewayPhase, GatewayProfile,
-        ServiceOffer, SyncReply, SyncRequest, message::SYNC, view::ViewChange,
+        ServiceOffer, SyncReply, SyncRequest, VmCapacity, message::SYNC, view::ViewChange,
     },
     bytes::Bytes,
     futures::{
@@ -73,6 +73,8 @@
 pub struct FleetFollower {
     parts: FollowerParts,
     profile: GatewayProfile,
+    /// Announced capacity, which may change with the settings of the process.
+    capacity: Cell<VmCapacity>,
     phase: Cell<GatewayPhase>,
     seeds: RefCell<BTreeSet<SocketAddr>>,
     followed: RefCell<BTreeMap<SocketAddr, ControlLink>>,
@@ -96,6 +98,7 @@
         parts.crashes.set_gateway(profile.vm.as_str());
         Rc::new(Self {
             parts,
+            capacity: Cell::new(profile.capacity),
             profile,
             phase: Cell::new(GatewayPhase::Starting),
             seeds: RefCell::new(seeds.into_iter().collect()),
@@ -123,6 +126,17 @@
         &self.profile
     }
 
+    /// Sets the capacity of this gateway's VM and announces it at once.
+    pub fn set_capacity(&self, capacity: VmCapacity) {
+        let previous = self.capacity.replace(capacity);
+        if previous == capacity {
+            return;
+        }
+        let event = EventDraft::new("gateway.capacity_changed").field("gateway", &self.profile.vm);
+        self.parts.events.emit(event.field("from", previous).field("to", capacity));
+        self.phase_changed.take();
+    }
+
     /// Returns the announced phase of this gateway.
     pub fn phase(&self) -> GatewayPhase {
         self.phase.get()
@@ -236,7 +250,10 @@
         // control processes restart, only the gateways still know them.
         let sent_cursor = if run == 0 { 0 } else { link.crash_sent_cursor };
         Some(SyncRequest {
-            pulse: GatewayAnnouncement { profile: self.profile.clone(), phase: self.phase.get() },
+            pulse: GatewayAnnouncement {
+                profile: GatewayProfile { capacity: self.capacity.get(), ..self.profile.clone() },
+                phase: self.phase.get(),
+            },
             offers: self.offers.borrow().clone(),
             crashes: self.parts.crashes.updates_after(sent_cursor, UpdateScope::Own),
             crash_cursor: link.crash_cursor,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,7 +10,9 @@
 //! every gateway that this process reaches, regardless of other network partitions. The cost is one
 //! session from each gateway to each control process, with a long-polling call.
 
+mod capacity;
 mod entry;
+mod entry_selection;
 mod follower;
 mod member;
 mod message;
@@ -22,7 +24,9 @@
 mod view;
 
 pub use {
+    capacity::{CapacityError, RawVmCapacity, VmCapacity, are_equal_weights, gateway_weights},
     entry::EntryResolver,
+    entry_selection::{CallerCounter, EntryCaller, EntryCandidate, select_entries},
     follower::{FleetFollower, FollowerParts, ViewWatcher},
     member::{
         BackendObservation, BackendRecord, DepartedRun, GatewayObservation, GatewayPhase,
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -1,6 +1,7 @@
 //! Records of backend servers and gateways.
 
 use {
+    crate::VmCapacity,
     gullglade_event::FieldValue,
     gullglade_units::{BackendName, FailureDomain, Incarnation, RegionName, ServiceName, VmName},
     serde::{Deserialize, Serialize},
@@ -119,6 +120,8 @@
     pub caller_address: SocketAddr,
     /// Address for peer sessions.
     pub peer_address: SocketAddr,
+    /// Capacity of its VM.
+    pub capacity: VmCapacity,
 }
 
 /// Observation of a gateway by one control process.
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::{
-        BackendObservation, BackendRecord, DepartedRun, FleetSnapshot, GatewayAnnouncement,
-        GatewayObservation, GatewayPhase, RegionOffer, ServiceOffer,
+        BackendObservation, BackendRecord, DepartedRun, EntryCandidate, FleetSnapshot,
+        GatewayAnnouncement, GatewayObservation, GatewayPhase, GatewayProfile, RegionOffer,
+        ServiceOffer, VmCapacity, gateway_weights,
     },
     gullglade_poison::CrashUpdate,
     gullglade_units::{
@@ -381,17 +382,17 @@
         self.gateways.values().filter(|e| !e.is_silent).count()
     }
 
-    /// Returns the caller addresses of the gateways that callers in `region` should use.
+    /// Returns the gateways that callers in `region` should use.
     ///
     /// These are the ready gateways of the region; if there are none, the ready ones of other
     /// regions that `is_home` allows; then those of either that are stopping, as they still serve
     /// for a while. Other regions that `is_home` does not allow are never used, because a caller
     /// sends its body to the gateway that it is directed to.
-    pub fn entry_addresses(
+    pub fn entry_candidates(
         &self,
         region: &RegionName,
         is_home: impl Fn(&RegionName) -> bool,
-    ) -> Vec<SocketAddr> {
+    ) -> Vec<EntryCandidate<'_>> {
         let is_near = |e: &GatewayEntry| e.announcement.profile.region == *region;
         let is_allowed = |e: &GatewayEntry| is_home(&e.announcement.profile.region);
         let is_stopping =
@@ -404,14 +405,30 @@
         ];
         for choice in choices {
             let chosen = self.gateways.values().filter(|e| choice(e));
-            let found: Vec<_> = chosen.map(|e| e.announcement.profile.caller_address).collect();
+            let found: Vec<_> = chosen.map(|e| &e.announcement.profile).collect();
             if !found.is_empty() {
-                return found;
+                let capacities: Vec<_> = found.iter().map(|profile| profile.capacity).collect();
+                let weighted = found.into_iter().zip(gateway_weights(&capacities));
+                return weighted.map(|(profile, weight)| candidate(profile, weight)).collect();
             }
         }
         Vec::new()
     }
 
+    /// Returns the caller addresses of [`entry_candidates`](Self::entry_candidates).
+    pub fn entry_addresses(
+        &self,
+        region: &RegionName,
+        is_home: impl Fn(&RegionName) -> bool,
+    ) -> Vec<SocketAddr> {
+        self.entry_candidates(region, is_home).into_iter().map(|entry| entry.address).collect()
+    }
+
+    /// Returns the capacity that a gateway announced last.
+    pub(crate) fn gateway_capacity(&self, vm: &VmName) -> Option<VmCapacity> {
+        self.gateways.get(vm).map(|entry| entry.announcement.profile.capacity)
+    }
+
     /// Returns the numbers of live backend servers and live gateways.
     pub fn live_counts(&self) -> (usize, usize) {
         let backends = self.backends.values().filter(|e| !e.is_silent).count();
@@ -458,6 +475,10 @@
     }
 }
 
+fn candidate(profile: &GatewayProfile, weight: f64) -> EntryCandidate<'_> {
+    EntryCandidate { vm: &profile.vm, address: profile.caller_address, weight }
+}
+
 /// Averages the offers of several gateways for one service.
 fn mean_offer(service: ServiceName, offers: &[&ServiceOffer]) -> ServiceOffer {
     let priorities = offers.iter().map(|o| o.first_byte_ms.len()).max().unwrap_or_default();
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -2,10 +2,11 @@
 
 use {
     crate::{
-        BackendObservation, BackendRecord, FleetRegistry, FleetSettings, FleetSnapshot,
-        FleetUpdate, GatewayObservation, RegionOffer, SyncReply, SyncRequest, TrafficSource,
-        UpdateFilter,
+        BackendObservation, BackendRecord, EntryCaller, FleetRegistry, FleetSettings,
+        FleetSnapshot, FleetUpdate, GatewayObservation, RegionOffer, SyncReply, SyncRequest,
+        TrafficSource, UpdateFilter,
         message::{FLEET_PREFIX, SYNC},
+        select_entries,
     },
     bytes::Bytes,
     futures::{
@@ -17,8 +18,8 @@
     gullglade_peer::{HandlerTable, PeerFault, PeerHandler, PeerIdentity},
     gullglade_poison::{SharedCrashTracker, UpdateScope},
     gullglade_units::{
-        BackendName, BootTime, LocalFuture, MonotonicTime, ProcessContext, RegionName, decode,
-        encode, timeout,
+        BackendName, BootTime, LocalFuture, MonotonicTime, ProcessContext, RegionName, WallMillis,
+        decode, encode, timeout,
     },
     std::{
         cell::{Cell, RefCell},
@@ -167,16 +168,24 @@
         }
     }
 
-    /// Returns the caller addresses of the gateways that callers in `region` should use; `None`
+    /// Returns the caller addresses of the gateways that `caller` in `region` should use; `None`
     /// while this process may not have observed all gateways.
     pub(crate) fn entry_addresses(
         &self,
         region: &RegionName,
         is_home: impl Fn(&RegionName) -> bool,
+        caller: &EntryCaller,
     ) -> Option<Vec<SocketAddr>> {
+        let clock = &self.context.clock;
         let registry = self.registry.borrow();
-        let is_complete = registry.has_complete_gateways(self.context.clock.now());
-        is_complete.then(|| registry.entry_addresses(region, is_home))
+        registry.has_complete_gateways(clock.now()).then(|| {
+            select_entries(&registry.entry_candidates(region, is_home), caller, clock.wall())
+        })
+    }
+
+    /// Returns the wall-clock time.
+    pub(crate) fn wall(&self) -> WallMillis {
+        self.context.clock.wall()
     }
 
     /// Returns the source of the traffic configuration.
@@ -219,14 +228,19 @@
 
     async fn sync(&self, request: SyncRequest) -> SyncReply {
         let arrived = self.context.clock.boot();
+        let profile = &request.pulse.profile;
+        let previous = self.registry.borrow().gateway_capacity(&profile.vm);
         let change =
             self.registry.borrow_mut().announce_gateway(&request.pulse, self.context.clock.now());
+        if let Some(previous) = previous.filter(|previous| *previous != profile.capacity) {
+            let event = EventDraft::new("gateway.capacity_changed").field("gateway", &profile.vm);
+            self.events.emit(event.field("from", previous).field("to", profile.capacity));
+        }
         if let Some(observation) = change {
             self.events.emit(gateway_event("gateway.heard", &observation));
             self.wake();
         }
-        let vm = &request.pulse.profile.vm;
-        self.registry.borrow_mut().record_offers(vm, request.offers.clone());
+        self.registry.borrow_mut().record_offers(&profile.vm, request.offers.clone());
         if self.crashes.merge(request.crashes.clone()) {
             self.is_unsaved.set(true);
         }
--- a/crates/fleet/tests/audience.rs
+++ b/crates/fleet/tests/audience.rs
@@ -4,6 +4,7 @@
     gullglade_fleet::{
         BackendRecord, FleetRegistry, FleetSettings, FleetUpdate, FleetView, GatewayAnnouncement,
         GatewayObservation, GatewayPhase, GatewayProfile, ServingState, SyncReply, UpdateFilter,
+        VmCapacity,
     },
     gullglade_poison::CrashUpdate,
     gullglade_traffic::{RawTraffic, TrafficError, TrafficFormat},
@@ -69,6 +70,7 @@
             domain: FailureDomain::try_from(format!("{place}-a")).expect("a name"),
             caller_address: ([10, 0, 1, index as u8], 80).into(),
             peer_address: ([10, 0, 1, index as u8], 81).into(),
+            capacity: VmCapacity::default(),
         },
         phase,
     }
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -5,7 +5,7 @@
     gullglade_fleet::{
         BackendObservation, BackendRecord, DepartedRun, FleetRegistry, FleetSettings, FleetView,
         GatewayAnnouncement, GatewayObservation, GatewayPhase, GatewayProfile, ServiceOffer,
-        ServingState, SyncReply, TrafficSnapshot,
+        ServingState, SyncReply, TrafficSnapshot, VmCapacity,
     },
     gullglade_poison::CrashUpdate,
     gullglade_traffic::{
@@ -66,6 +66,7 @@
             domain: FailureDomain::try_from("d").expect("a name"),
             caller_address: address(host),
             peer_address: address(host),
+            capacity: VmCapacity::default(),
         },
         phase,
     }
--- a/crates/node/src/proxy_node.rs
+++ b/crates/node/src/proxy_node.rs
@@ -10,7 +10,7 @@
     gullglade_event::{EventDraft, EventSink, MetricSet},
     gullglade_fleet::{
         BackendRow, FleetFollower, FollowerParts, GatewayPhase, GatewayProfile, RegionOffer,
-        ServiceOffer, ServingState,
+        ServiceOffer, ServingState, VmCapacity,
     },
     gullglade_http::{ClientConfig, PooledClient, RequestHandler, ServerConfig, StopHandle},
     gullglade_peer::{NoticeSocket, PeerPool, PeerStopHandle},
@@ -50,6 +50,8 @@
 pub struct ProxyNodeSettings {
     /// Settings common to all processes.
     pub core: CoreSettings,
+    /// Capacity of the VM that the gateway announces to the fleet.
+    pub capacity: VmCapacity,
     /// Address for callers that the gateway announces to the fleet.
     pub caller_address: SocketAddr,
     /// Peer addresses of control processes to contact first.
@@ -336,6 +338,7 @@
         domain: identity.domain.clone(),
         caller_address: settings.caller_address,
         peer_address: settings.core.peer_address,
+        capacity: settings.capacity,
     }
 }
 
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -21,6 +21,7 @@
     gullglade_event::{EventSink, MemorySink, MetricSet},
     gullglade_fleet::{
         FleetFollower, FleetServer, FleetSettings, FollowerParts, GatewayPhase, GatewayProfile,
+        VmCapacity,
     },
     gullglade_http::ReplyBody,
     gullglade_peer::{
@@ -272,6 +273,7 @@
             domain: FailureDomain::try_from("d").expect("a name"),
             caller_address: address(host),
             peer_address: address(host),
+            capacity: VmCapacity::default(),
         };
         let format = FixedFormat {
             kind: settings.kind,
