dispatch: learn the pace of engines and place requests by the expected end of their answers

Backend servers may state how long work takes on their machine, and callers the expected length of an answer. Where a service states the former, placement adds the cost of answers that would not end before their deadline.

--- a/crates/dispatch/src/hint.rs
+++ b/crates/dispatch/src/hint.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        BackendReport, PromptPart, RejectionLimit, StatedLimit, StatementChange, limit::LimitRecord,
+        AnswerHint, BackendReport, PromptPart, RejectionLimit, StatedLimit, StatementChange,
+        limit::LimitRecord,
     },
     gullglade_units::{BackendRun, MonotonicTime},
     serde::{Deserialize, Serialize},
@@ -34,6 +35,8 @@
         tokens: Option<u32>,
         /// The shared parts of the prompt, which the engine will cache.
         parts: Vec<PromptPart>,
+        /// The expected answer, if it is known and the service places requests by it.
+        answer: Option<AnswerHint>,
     },
     /// The first byte of the answer was received.
     Begun {
@@ -43,6 +46,8 @@
         load: Option<BackendReport>,
         /// The known rate limit of the backend server.
         limit: LimitUpdate,
+        /// The learned pace of the engine, encoded; zeros if it is not known.
+        pace: [u8; 2],
     },
     /// The request ended without an answer.
     Dropped,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`BackendReport`], changes of the fleet), and carries out each [`Decision`].
 //!
 //! - [`BackendLoad`] predicts the time to first byte at a backend server.
+//! - [`AnswerHint`] tells other gateways how long an answer is expected to run.
 //! - [`CacheEstimate`] estimates which prompt parts are in the cache of a model engine.
 //! - [`HealthRecord`] detects failing backend servers by passive outlier detection.
 //! - [`SilentRun`] decides when to look for a replacement of a run that produces no output.
@@ -13,6 +14,7 @@
 //! - [`HandoverDelays`] determines how long a run is kept after its replacement was sent.
 //! - [`RepeatBudget`] and [`AllowanceShare`] divide a fleet-wide retry budget among gateways.
 
+mod answer_end;
 mod attempts;
 mod backoff;
 mod budget;
@@ -28,6 +30,7 @@
 mod limit;
 mod load;
 mod membership;
+mod pace;
 mod path_monitor;
 mod prefill;
 mod priority;
@@ -42,6 +45,7 @@
 mod work;
 
 pub use {
+    answer_end::AnswerHint,
     attempts::{AttemptTracker, NextTarget, UsedBackend},
     backoff::{InvalidBackoff, StatedBackoff},
     budget::{RepeatArrival, RepeatBudget, RepeatDecision},
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -10,6 +10,7 @@
     crate::{
         TicketId,
         decay::{DecayRule, DecayingAverage, decayed},
+        pace::StatedSlowdown,
         prefill::{FirstByte, PendingPrompt, PrefillQueue},
     },
     gullglade_units::MonotonicTime,
@@ -37,6 +38,9 @@
 /// six slots were idle for seconds while requests waited for them.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(200);
 
+/// The stated number of requests at an engine is used for this long when the pace is estimated.
+const STATED_REQUESTS_MAX_AGE: Duration = Duration::from_secs(1);
+
 /// The assumed service time of a request without a prompt until it is measured.
 const INITIAL_WORK_MS: f64 = 20.0;
 
@@ -64,6 +68,8 @@
     pub waiting: u32,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
+    /// How long work takes on its machine at the moment, in percent of the usual time.
+    pub slowdown_percent: Option<u32>,
 }
 
 /// The work that a request causes at a backend server.
@@ -112,6 +118,7 @@
     prefill_rate: f64,
     work_ms: f64,
     report: Option<(BackendReport, MonotonicTime)>,
+    slowdown: Option<StatedSlowdown>,
     /// Unfinished requests of this gateway when the load was stated.
     own_at_report: u32,
     /// Requests of other gateways sent since then.
@@ -129,6 +136,7 @@
             prefill_rate: INITIAL_PREFILL_RATE,
             work_ms: INITIAL_WORK_MS,
             report: None,
+            slowdown: None,
             own_at_report: 0,
             others_since_report: 0,
         }
@@ -298,10 +306,54 @@
             return;
         }
         self.report = Some((report, now));
+        self.note_slowdown(report, now);
         self.own_at_report = u32::try_from(self.sent.len()).unwrap_or(u32::MAX);
         self.others_since_report = 0;
     }
 
+    /// Records the slowdown that the backend server stated. Implausible values are ignored.
+    fn note_slowdown(&mut self, report: BackendReport, now: MonotonicTime) {
+        let Some(factor) = report.slowdown_percent.and_then(StatedSlowdown::factor) else { return };
+        match &mut self.slowdown {
+            Some(slowdown) => slowdown.note(factor, now),
+            None => self.slowdown = Some(StatedSlowdown::new(factor, now)),
+        }
+        self.prefill.set_stated_slowdown(factor);
+    }
+
+    /// Returns the slowdown that the backend server stated, if it states any.
+    pub(crate) fn slowdown(&self) -> Option<&StatedSlowdown> {
+        self.slowdown.as_ref()
+    }
+
+    /// Replaces a stated slowdown that is out of date by the mean. An engine that was avoided for
+    /// its slowdown states no new one.
+    pub(crate) fn expire_slowdown(&mut self, now: MonotonicTime) {
+        if let Some(slowdown) = &self.slowdown {
+            self.prefill.set_stated_slowdown(slowdown.at(now));
+        }
+    }
+
+    /// Returns whether prompts are queued.
+    pub(crate) fn is_in_prefill(&self, now: MonotonicTime) -> bool {
+        self.prefill.is_busy(now)
+    }
+
+    /// Returns the recent share of time in prefill.
+    pub(crate) fn prefill_share(&self, now: MonotonicTime) -> f64 {
+        self.prefill.busy_share(now)
+    }
+
+    /// Returns the number of unfinished requests of all gateways. In contrast to
+    /// [`total_requests`](Self::total_requests), the stated requests of other gateways do not decay
+    /// while the report is recent, as generations take seconds.
+    pub(crate) fn stated_requests(&self, now: MonotonicTime) -> u32 {
+        let total = self.total_requests(now);
+        let Some(report) = self.recent_report(STATED_REQUESTS_MAX_AGE, now) else { return total };
+        let others = (report.running + report.waiting).saturating_sub(self.own_at_report);
+        total.max(others + self.others_since_report + self.sent.len() as u32)
+    }
+
     /// Returns the stated load if it is younger than `age`.
     pub fn recent_report(&self, age: Duration, now: MonotonicTime) -> Option<BackendReport> {
         self.report.filter(|(_, at)| now.since(*at) < age).map(|(report, _)| report)
@@ -327,7 +379,7 @@
         if prompt.tokens < MIN_SAMPLE_TOKENS || prompt.ahead_ms > 0.0 || offset_ms > 20.0 {
             return;
         }
-        let rate = f64::from(prompt.tokens) / took_ms.max(1.0);
+        let rate = f64::from(prompt.tokens) / took_ms.max(1.0) * self.prefill.stated_slowdown();
         let (least, most) = PREFILL_RATE_BOUNDS;
         self.prefill_rate =
             (self.prefill_rate + 0.1 * (rate - self.prefill_rate)).clamp(least, most);
--- a/crates/dispatch/src/prefill.rs
+++ b/crates/dispatch/src/prefill.rs
@@ -96,6 +96,8 @@
     /// Decaying sum of the prefill time that arrived per class, milliseconds, and its time of
     /// update.
     inflow: [(f64, MonotonicTime); PRIORITY_CLASSES],
+    /// The slowdown that the engine states, if any. The measured slowdown is relative to it.
+    stated_slowdown: Option<f64>,
 }
 
 impl PrefillQueue {
@@ -125,9 +127,7 @@
     /// that arrive later are processed first.
     pub(crate) fn preemption_factor(&self, class: usize, now: MonotonicTime) -> f64 {
         let inflow_ms: f64 = (0..class).map(|urgent| self.inflow_ms(urgent, now)).sum();
-        // In a steady state the decaying sum is the arrival rate times this span.
-        let span_ms = INFLOW_HALF_LIFE.as_secs_f64() * 1_000.0 / std::f64::consts::LN_2;
-        1.0 / (1.0 - (inflow_ms * self.slowdown() / span_ms).min(MAX_INFLOW_SHARE))
+        1.0 / (1.0 - (inflow_ms * self.slowdown() / inflow_span_ms()).min(MAX_INFLOW_SHARE))
     }
 
     /// Returns the prefill time ahead of a new prompt of this class, milliseconds.
@@ -157,7 +157,27 @@
     /// Returns the ratio of the measured to the nominal prefill time.
     pub(crate) fn slowdown(&self) -> f64 {
         let slowdown = (self.observed_ms + PRIOR_PREFILL_MS) / (self.nominal_ms + PRIOR_PREFILL_MS);
-        slowdown.clamp(SLOWDOWN_BOUNDS.0, SLOWDOWN_BOUNDS.1)
+        slowdown.clamp(SLOWDOWN_BOUNDS.0, SLOWDOWN_BOUNDS.1) * self.stated_slowdown()
+    }
+
+    /// Returns the stated slowdown, or 1 if none is stated.
+    pub(crate) fn stated_slowdown(&self) -> f64 {
+        self.stated_slowdown.unwrap_or(1.0)
+    }
+
+    pub(crate) fn set_stated_slowdown(&mut self, slowdown: f64) {
+        self.stated_slowdown = Some(slowdown);
+    }
+
+    /// Returns whether prompts are queued.
+    pub(crate) fn is_busy(&self, now: MonotonicTime) -> bool {
+        self.current(now).next().is_some()
+    }
+
+    /// Returns the recent inflow of prefill work of all classes as a share of the engine's time.
+    pub(crate) fn busy_share(&self, now: MonotonicTime) -> f64 {
+        let inflow_ms: f64 = (0..PRIORITY_CLASSES).map(|class| self.inflow_ms(class, now)).sum();
+        (inflow_ms * self.slowdown() / inflow_span_ms()).min(1.0)
     }
 
     /// Completes the prompt that a first byte belongs to, and the prompts ahead of it. Returns the
@@ -179,6 +199,7 @@
     }
 
     fn observe(&mut self, measured_ms: f64, nominal_ms: f64) {
+        let measured_ms = measured_ms / self.stated_slowdown();
         let kept = 0.5_f64.powf(nominal_ms / PREFILL_HALF_LIFE_MS);
         let (_, max_slowdown) = SLOWDOWN_BOUNDS;
         self.observed_ms =
@@ -191,3 +212,9 @@
         self.prompts.retain(|p| p.request != request);
     }
 }
+
+/// Returns the span by which the decaying sum of the inflow is divided to get its rate: in a steady
+/// state the sum is the arrival rate times this span.
+fn inflow_span_ms() -> f64 {
+    INFLOW_HALF_LIFE.as_secs_f64() * 1_000.0 / std::f64::consts::LN_2
+}
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -14,6 +14,7 @@
 //! time after which capacity is expected.
 
 mod decide;
+mod end;
 mod paths;
 mod place;
 mod prompt_copy;
@@ -25,6 +26,7 @@
         CacheEstimate, Decision, FirstByteTimes, HealthRecord, LimitUpdate, PromptShape,
         RegionInfo, RepeatArrival, RepeatBudget, RepeatDecision, RequestUpdate, SchedulerSettings,
         SentRequest, StallDetector, StatementChange, TicketId, WorkCost, WorkItem, WorkOutcome,
+        answer_end::{EngineAnswers, RequestedAnswer},
         gateway_paths::GatewayPaths,
         hint::{PendingHint, micros_ago, statement_update},
         load::PROGRESS_MAX_AGE,
@@ -36,7 +38,8 @@
         rejection::RejectionGuard,
         statement::{RetainedStatements, StatementRecord},
     },
-    gullglade_traffic::ServicePool,
+    end::ServiceAnswers,
+    gullglade_traffic::{ServicePool, TrafficRoute},
     gullglade_units::{
         BackendName, BackendRun, FailureDomain, MonotonicTime, RegionName, ServiceName, VmName,
         rendezvous,
@@ -65,6 +68,7 @@
     pacer: SendPacer,
     statements: StatementRecord,
     rejection_guard: RejectionGuard,
+    answers: EngineAnswers,
 }
 
 impl Backend {
@@ -84,6 +88,9 @@
     /// When the latest bytes of the answer arrived. They are recorded here because a run that is no
     /// longer announced may still answer, while its [`Backend`] entry is gone.
     last_byte: Option<MonotonicTime>,
+    route: Rc<TrafficRoute>,
+    /// The length of the answer that the caller expects, in tokens.
+    length_hint: Option<u32>,
 }
 
 struct Waiting {
@@ -98,6 +105,8 @@
     backends: BTreeMap<BackendName, Backend>,
     regions: RegionTable,
     objectives: HashMap<ServiceName, LatencyObjectives>,
+    /// What is known about the answers of each service of model engines.
+    answers: HashMap<ServiceName, ServiceAnswers>,
     evacuated: Rc<BTreeSet<FailureDomain>>,
     /// Failure domains whose evacuation has ended, with the time of its end.
     returned: BTreeMap<FailureDomain, MonotonicTime>,
@@ -142,6 +151,7 @@
             backends: BTreeMap::new(),
             regions,
             objectives: HashMap::new(),
+            answers: HashMap::new(),
             evacuated: Rc::default(),
             returned: BTreeMap::new(),
             budgets: HashMap::new(),
@@ -199,6 +209,7 @@
                     health: HealthRecord::default(),
                     pacer: SendPacer::default(),
                     rejection_guard: RejectionGuard::default(),
+                    answers: EngineAnswers::default(),
                 },
             };
             self.backends.insert(backend.info.name.clone(), backend);
@@ -309,6 +320,7 @@
         for waiting in queue {
             let service = &waiting.item.service;
             if !scans.contains_key(service) {
+                self.refresh_answers(service, now);
                 scans.insert(service.clone(), self.start_scan(service));
             }
             let Some(scan) = scans.get_mut(service) else { continue };
@@ -348,6 +360,7 @@
         let Some(backend) = self.sent_backend(ticket) else { return };
         let service = backend.info.service.clone();
         self.note_contact(&service, now);
+        self.note_answer_event(ticket, now);
         let Some(backend) = self.sent_backend(ticket) else { return };
         // The rest applies to the first chunk only.
         let Some(sent) = backend.load.note_own_first_byte(ticket, now) else { return };
@@ -356,7 +369,8 @@
         let load = backend.load.recent_report(SHARED_REPORT_MAX_AGE, now);
         let limit = LimitUpdate::new(&backend.statements.limit, now);
         let run = backend.info.run();
-        let news = RequestUpdate::Begun { ago_us: 0, load, limit };
+        let pace = backend.answers.pace.shared();
+        let news = RequestUpdate::Begun { ago_us: 0, load, limit, pace };
         self.queue_hint(run, sent, news, now);
     }
 
@@ -425,7 +439,10 @@
 
     /// Records the outcome of a request that was sent.
     pub fn end(&mut self, ticket: TicketId, outcome: WorkOutcome, now: MonotonicTime) {
-        let Some(Placement { run, .. }) = self.sent.remove(&ticket) else { return };
+        let Some(Placement { run, route, length_hint, .. }) = self.sent.remove(&ticket) else {
+            return;
+        };
+        self.note_answer_end(ticket, &run, &route, length_hint, outcome);
         let Some(backend) = backend_of_run(&mut self.backends, &run) else { return };
         let unbegun = backend.load.end(ticket);
         backend.health.note(outcome, now);
@@ -441,7 +458,8 @@
             }
             WorkOutcome::Shed => {
                 let slots = backend.info.slots;
-                let full = BackendReport { running: slots, waiting: 1, slots };
+                let full =
+                    BackendReport { running: slots, waiting: 1, slots, slowdown_percent: None };
                 backend.load.note_report(full, now);
                 backend.rejection_guard.note_rejected(now);
                 self.note_contact(&service, now);
@@ -566,24 +584,39 @@
         };
         let sent = micros_ago(now, sent_ago_us);
         match news {
-            RequestUpdate::Sent { tokens, parts } => {
+            RequestUpdate::Sent { tokens, parts, answer } => {
                 let cost = WorkCost { tokens, slots: backend.info.slots };
                 let other = SentRequest { request, cost, priority, sent };
                 backend.load.note_send(None, other, now);
+                if let Some(answer) = answer {
+                    let left = Duration::from_millis(answer.left_ms.into());
+                    let requested = RequestedAnswer {
+                        request,
+                        ticket: None,
+                        length: Some(answer.length()),
+                        deadline: sent + left,
+                    };
+                    backend.answers.note_requested(requested, now);
+                }
                 let engine = self.services.get(&backend.info.service).and_then(|s| s.engine);
                 if let Some(engine) = engine {
                     backend.cache.note(&parts, engine.memory_tokens, now);
                 }
             }
-            RequestUpdate::Begun { ago_us, load, limit } => {
+            RequestUpdate::Begun { ago_us, load, limit, pace } => {
                 let came = micros_ago(now, ago_us);
                 backend.statements.limit.note(limit.limit, micros_ago(now, limit.ago_us));
                 backend.load.note_first_byte(request, priority, sent, came);
+                backend.answers.note_begun(request, came);
+                backend.answers.pace.note_peer(pace);
                 if let Some(load) = load {
                     backend.load.note_report(load, came);
                 }
             }
-            RequestUpdate::Dropped => backend.load.note_dropped(request),
+            RequestUpdate::Dropped => {
+                backend.load.note_dropped(request);
+                backend.answers.note_dropped(request);
+            }
             RequestUpdate::Backoff { left_us } => {
                 let until = now + Duration::from_micros(left_us.into());
                 backend.statements.backoff.note_peer(until, now);
@@ -591,6 +624,8 @@
             RequestUpdate::Leaving => backend.statements.is_leaving = true,
             RequestUpdate::RejectionLimit(limit) => backend.statements.rejection_limit = limit,
         }
+        let is_in_prefill = backend.load.is_in_prefill(now);
+        backend.answers.note_prefill(is_in_prefill, now);
     }
 
     fn budget(&mut self, service: &ServiceName) -> &mut RepeatBudget {
@@ -622,8 +657,15 @@
         if let (Some(prompt), Some(engine)) = (&waiting.item.prompt, engine) {
             backend.cache.note(&prompt.parts, engine.memory_tokens, now);
         }
-        self.sent.insert(waiting.ticket, Placement { run: run.clone(), last_byte: None });
-        let news = RequestUpdate::Sent { tokens: cost.tokens, parts };
+        let answer = self.note_answer_sent(waiting, sent.request, name, now);
+        let placement = Placement {
+            run: run.clone(),
+            last_byte: None,
+            route: Rc::clone(&waiting.item.route),
+            length_hint: waiting.item.prompt.as_ref().and_then(|p| p.expected_answer_tokens),
+        };
+        self.sent.insert(waiting.ticket, placement);
+        let news = RequestUpdate::Sent { tokens: cost.tokens, parts, answer };
         self.queue_hint(run.clone(), sent, news, now);
     }
 
--- /dev/null
+++ b/crates/dispatch/src/scheduler/end.rs
@@ -0,0 +1,209 @@
+//! The expected end of answers in the placement of requests.
+//!
+//! The rule applies to services whose backend servers state the slowdown of their machines and that
+//! have an engine profile. Elsewhere each function here returns nothing, and placement is as
+//! without it.
+
+use {
+    super::{Backend, Scheduler, Waiting, backend_of_run, place::Candidate},
+    crate::{
+        AnswerHint, PromptShape, TicketId, WorkCost, WorkItem, WorkOutcome,
+        answer_end::{AnswerLengths, EnginePace, EngineState, LengthEstimate, RequestedAnswer},
+        pace::StepTimes,
+    },
+    gullglade_traffic::{EngineProfile, TrafficRoute},
+    gullglade_units::{BackendName, BackendRun, MonotonicTime, ServiceName},
+    std::{collections::HashMap, time::Duration},
+};
+
+/// How often the usual times of a service are computed.
+const MEDIAN_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The cost of an answer that does not end in time, as a multiple of the objective of its route. A
+/// late first byte still has some value, whereas an answer that is cut off has none and has used
+/// an engine for seconds.
+const MISSED_END_OBJECTIVES: f64 = 4.0;
+
+/// The cost of pauses beyond the objective, as a share of the cost of a missed end: such an answer
+/// is late, not lost.
+const LONG_PAUSE_SHARE: f64 = 0.3;
+
+/// What is known about the answers of one service.
+#[derive(Debug, Default)]
+pub(super) struct ServiceAnswers {
+    /// Whether a backend server has stated its slowdown.
+    is_stated: bool,
+    /// The medians of the known engines.
+    usual: Option<StepTimes>,
+    checked_at: Option<MonotonicTime>,
+    /// By the name of the route.
+    lengths: HashMap<String, AnswerLengths>,
+}
+
+/// The answer to a request that is to be placed.
+pub(super) struct AnswerOutlook {
+    length: LengthEstimate,
+    usual: Option<StepTimes>,
+    engine: EngineProfile,
+}
+
+/// The cost of placing a request on an engine that its end causes, milliseconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct EndCost {
+    /// The answer itself does not end in time.
+    pub(super) own_ms: f64,
+    /// Answers that run there no longer end in time.
+    pub(super) others_ms: f64,
+}
+
+impl Scheduler {
+    /// Updates what the engines of a service have in common.
+    pub(super) fn refresh_answers(&mut self, service: &ServiceName, now: MonotonicTime) {
+        if self.services.get(service).is_none_or(|s| s.engine.is_none()) {
+            return;
+        }
+        let answers = self.answers.entry(service.clone()).or_default();
+        if answers.checked_at.is_some_and(|at| now.since(at) < MEDIAN_INTERVAL) {
+            return;
+        }
+        let mut of_service: Vec<&mut Backend> =
+            self.backends.values_mut().filter(|b| b.info.service == *service).collect();
+        let times: Vec<StepTimes> =
+            of_service.iter().filter_map(|b| b.answers.pace.times()).collect();
+        answers.usual = StepTimes::median(&times).or(answers.usual);
+        answers.is_stated = of_service.iter().any(|b| b.load.slowdown().is_some());
+        answers.checked_at = Some(now);
+        of_service.iter_mut().for_each(|backend| backend.load.expire_slowdown(now));
+    }
+
+    /// Returns what is expected of the answer to a request, or `None` if the rule does not apply.
+    pub(super) fn answer_outlook(&self, item: &WorkItem) -> Option<AnswerOutlook> {
+        let answers = self.answers.get(&item.service).filter(|answers| answers.is_stated)?;
+        let engine = self.services.get(&item.service)?.engine?;
+        let lengths = answers.lengths.get(&item.route.name).copied().unwrap_or_default();
+        let length = lengths.estimate(item.prompt.as_ref()?)?;
+        Some(AnswerOutlook { length, usual: answers.usual, engine })
+    }
+
+    /// Records that a request was sent, and returns what other gateways are told of its answer.
+    pub(super) fn note_answer_sent(
+        &mut self,
+        waiting: &Waiting,
+        request: u64,
+        backend: &BackendName,
+        now: MonotonicTime,
+    ) -> Option<AnswerHint> {
+        let Waiting { ticket, item } = waiting;
+        let length = self.answer_outlook(item).map(|outlook| outlook.length);
+        let backend = self.backends.get_mut(backend)?;
+        item.prompt.as_ref()?;
+        backend.answers.note_prefill(backend.load.is_in_prefill(now), now);
+        let deadline = item.deadline;
+        let answer = RequestedAnswer { request, ticket: Some(*ticket), length, deadline };
+        backend.answers.note_requested(answer, now);
+        length.map(|length| AnswerHint::new(&length, deadline.since(now)))
+    }
+
+    /// Records an event of a stream that this gateway relays.
+    pub(super) fn note_answer_event(&mut self, ticket: TicketId, now: MonotonicTime) {
+        let Some(placement) = self.sent.get(&ticket) else { return };
+        let Some(backend) = backend_of_run(&mut self.backends, &placement.run) else {
+            return;
+        };
+        let engine = self.services.get(&backend.info.service).and_then(|s| s.engine);
+        let (Some(engine), Some(slowdown)) = (engine, backend.load.slowdown()) else { return };
+        let state = EngineState {
+            is_in_prefill: backend.load.is_in_prefill(now),
+            running: running(backend, now),
+            slowdown: slowdown.at(now),
+            tokens_per_event: engine.tokens_per_event,
+            initial: self.answers.get(&backend.info.service).and_then(|answers| answers.usual),
+        };
+        backend.answers.note_event(ticket, state, now);
+    }
+
+    /// Records the end of an answer that this gateway relayed.
+    pub(super) fn note_answer_end(
+        &mut self,
+        ticket: TicketId,
+        run: &BackendRun,
+        route: &TrafficRoute,
+        hint: Option<u32>,
+        outcome: WorkOutcome,
+    ) {
+        let Some(backend) = backend_of_run(&mut self.backends, run) else { return };
+        let Some(events) = backend.answers.end(ticket) else { return };
+        if backend.load.slowdown().is_none() {
+            return;
+        }
+        let service = &backend.info.service;
+        let Some(engine) = self.services.get(service).and_then(|s| s.engine) else { return };
+        let tokens = f64::from(events) * f64::from(engine.tokens_per_event);
+        let answers = self.answers.entry(service.clone()).or_default();
+        let lengths = answers.lengths.entry(route.name.clone()).or_default();
+        // An answer that was cut off is longer than what arrived, which is worth noting only if
+        // that was more than expected.
+        let shape = PromptShape { expected_answer_tokens: hint, ..PromptShape::default() };
+        let is_longer = || lengths.estimate(&shape).is_some_and(|l| tokens > l.median());
+        if outcome == WorkOutcome::Answered || is_longer() {
+            lengths.note(tokens, hint);
+        }
+    }
+}
+
+impl AnswerOutlook {
+    /// Returns the cost of placing a request on an engine for the end of its answer, and of those
+    /// that run there.
+    pub(super) fn cost(
+        &self,
+        item: &WorkItem,
+        backend: &Backend,
+        candidate: &Candidate,
+        now: MonotonicTime,
+    ) -> EndCost {
+        let Some(pace) = engine_pace(backend, self.usual, now) else {
+            return EndCost::default();
+        };
+        let stake_ms = MISSED_END_OBJECTIVES * millis(item.route.objective);
+        let left_ms = millis(item.deadline.since(now)) - candidate.estimate.expected_ms;
+        let missed = match left_ms > 0.0 {
+            true => self.length.exceeds_after(0.0, pace.tokens_in(left_ms, 0.0)),
+            false => 1.0,
+        };
+        let tokens_per_event = self.engine.tokens_per_event;
+        let pause_ms = pace.prefill_ms * f64::from(tokens_per_event);
+        let pauses = item.route.gap_objective.map_or(0.0, |gap| {
+            // Likely once the mean pause during prefill reaches the objective.
+            let ratio = pause_ms / millis(gap).max(1.0);
+            pace.prefill_share * ratio.powi(4) / (1.0 + ratio.powi(4))
+        });
+        let prefill_ms = candidate.work.tokens.map_or(0.0, |tokens| {
+            backend.load.service_ms(WorkCost { tokens: Some(tokens), ..candidate.work })
+        });
+        let lost = backend.answers.loss_per_ms(&pace, tokens_per_event, now) * prefill_ms;
+        EndCost {
+            own_ms: stake_ms * (missed + LONG_PAUSE_SHARE * pauses * (1.0 - missed)),
+            others_ms: stake_ms * lost,
+        }
+    }
+}
+
+/// Returns the expected pace of one more stream at an engine, if it is known.
+fn engine_pace(
+    backend: &Backend,
+    usual: Option<StepTimes>,
+    now: MonotonicTime,
+) -> Option<EnginePace> {
+    let times = backend.answers.pace.times().or(usual)?;
+    let slowdown = backend.load.slowdown().map_or(1.0, |slowdown| slowdown.mean());
+    let share = backend.load.prefill_share(now);
+    Some(EnginePace::new(times, running(backend, now) + 1, slowdown, share))
+}
+
+fn running(backend: &Backend, now: MonotonicTime) -> usize {
+    backend.load.stated_requests(now) as usize
+}
+
+fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
--- a/crates/dispatch/src/scheduler/place.rs
+++ b/crates/dispatch/src/scheduler/place.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Backend, Scheduler,
+        end::EndCost,
         prompt_copy::CopySource,
         scan::{AllFull, ServiceScan},
         work_cost,
@@ -173,6 +174,7 @@
     ) -> LocalChoice {
         let shared = self.shared_parts(item, open);
         let objectives = self.objectives.get(&item.service).copied().unwrap_or_default();
+        let outlook = self.answer_outlook(item);
         let mut best: Option<(Candidate, &BackendName)> = None;
         let mut wait_ms = f64::MAX;
         let mut held_wait_ms = f64::MAX;
@@ -185,7 +187,10 @@
                 held_wait_ms = held_wait_ms.min(wait_ms);
                 continue;
             }
-            let candidate = candidate(item, backend, &shared, &objectives, now);
+            let mut candidate = candidate(item, backend, &shared, &objectives, now);
+            if let Some(outlook) = &outlook {
+                candidate.add_end(outlook.cost(item, backend, &candidate, now));
+            }
             wait_ms = wait_ms.min(candidate.estimate.wait_ms);
             let is_better = best.as_ref().is_none_or(|(b, _)| candidate.cost_ms < b.cost_ms);
             if is_better && self.has_capacity(backend, item, candidate.estimate.priority, now) {
@@ -411,13 +416,22 @@
 }
 
 /// A backend server that could get the request.
-struct Candidate {
+pub(super) struct Candidate {
     /// The cost by which candidates are compared, milliseconds.
     cost_ms: f64,
-    estimate: LocalEstimate,
+    pub(super) estimate: LocalEstimate,
+    /// The work at the backend server.
+    pub(super) work: WorkCost,
     copy: Option<PromptCopy>,
 }
 
+impl Candidate {
+    /// Adds the cost of answers that do not end in time.
+    fn add_end(&mut self, end: EndCost) {
+        self.cost_ms += end.own_ms + end.others_ms;
+    }
+}
+
 fn candidate(
     item: &WorkItem,
     backend: &Backend,
@@ -462,7 +476,7 @@
         + PREFILL_WEIGHT * prefill_tokens.map_or(0.0, |tokens| backend.load.prefill_ms(tokens))
         + CONCURRENCY_COST_MS * utilization
         + failure_cost_ms * backend.health.failure_rate(now);
-    Candidate { cost_ms, estimate, copy }
+    Candidate { cost_ms, estimate, work, copy }
 }
 
 /// Returns the engine that probably holds the shared parts of a prompt if this gateway knows of
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -31,6 +31,8 @@
     pub prompt_tokens: u32,
     /// Maximum length of the answer in tokens.
     pub answer_tokens: u32,
+    /// Expected length of the answer in tokens, as stated by the caller.
+    pub expected_answer_tokens: Option<u32>,
 }
 
 impl PromptShape {
--- a/crates/dispatch/tests/plain.rs
+++ b/crates/dispatch/tests/plain.rs
@@ -63,7 +63,7 @@
 
     fn statements(&self) -> BackendStatements {
         let (running, waiting) = (self.running.len() as u32, self.waiting.len() as u32);
-        let load = Some(BackendReport { running, waiting, slots: SLOTS });
+        let load = Some(BackendReport { running, waiting, slots: SLOTS, slowdown_percent: None });
         BackendStatements { load, ..BackendStatements::default() }
     }
 }
--- a/crates/dispatch/tests/rules.rs
+++ b/crates/dispatch/tests/rules.rs
@@ -552,7 +552,7 @@
         assert_eq!(sent_to(&decision), Some("i-0"), "{name}");
         if let Some(ms) = hint_ms {
             let limit = LimitUpdate { limit: None, ago_us: 0 };
-            let news = RequestUpdate::Begun { ago_us: 0, load: None, limit };
+            let news = RequestUpdate::Begun { ago_us: 0, load: None, limit, pace: [0; 2] };
             scheduler.note_hints(vec![BackendHint { news, ..sent_hint(0, 0, &[]) }], at(ms));
         }
         // The other engine has nothing cached, so a healthy first one is preferred.
--- a/crates/dispatch/tests/support/deployment.rs
+++ b/crates/dispatch/tests/support/deployment.rs
@@ -34,10 +34,41 @@
     pub(crate) own: (f64, f64, f64),
     /// Mean, spread and maximum of the number of events of an answer.
     pub(crate) events: (f64, f64, f64),
+    /// The hints of the length of answers, if callers send any.
+    pub(crate) hints: Option<HintModel>,
     pub(crate) worth: f64,
     pub(crate) late_worth: f64,
 }
 
+/// Hints of the length of answers.
+#[derive(Clone, Copy)]
+pub(crate) struct HintModel {
+    /// Their spread around the length, and the factor by which they are wrong in the median.
+    pub(crate) spread: f64,
+    pub(crate) bias: f64,
+}
+
+/// Machines of different speeds that are shared with other work.
+#[derive(Clone)]
+pub(crate) struct MachineModel {
+    /// The speeds of the engines in turn.
+    pub(crate) speeds: Vec<f64>,
+    /// The slowdown by other work. It affects one in `every` engines for `for_ms`, in turn.
+    pub(crate) slowdown: f64,
+    pub(crate) every: usize,
+    pub(crate) for_ms: u64,
+    /// Whether the engines state their slowdown.
+    pub(crate) is_stated: bool,
+}
+
+impl MachineModel {
+    /// Returns the slowdown of the machine of an engine at a time.
+    pub(super) fn slowdown_at(&self, engine: usize, ms: u64) -> f64 {
+        let is_slow = (engine + (ms / self.for_ms) as usize).is_multiple_of(self.every);
+        if is_slow { self.slowdown } else { 1.0 }
+    }
+}
+
 /// The results for one kind of request.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct KindOutcome {
@@ -90,6 +121,8 @@
     pub(crate) regions: Vec<RegionModel>,
     pub(crate) kinds: Vec<KindModel>,
     pub(crate) engine: EngineModel,
+    /// `None` if all machines are alike.
+    pub(crate) machines: Option<MachineModel>,
     pub(crate) seconds: u64,
     pub(crate) crash: Option<CrashModel>,
     pub(crate) seed: u64,
--- a/crates/dispatch/tests/support/engine.rs
+++ b/crates/dispatch/tests/support/engine.rs
@@ -54,6 +54,8 @@
 
 pub(crate) struct ModelEngine {
     model: EngineModel,
+    /// How long a step takes, compared to `model`.
+    pub(crate) slowdown: f64,
     waiting: Vec<Job>,
     batch: Vec<Job>,
     held: HashMap<u64, (u32, f64)>,
@@ -71,6 +73,7 @@
     pub(crate) fn new(model: EngineModel) -> Self {
         Self {
             model,
+            slowdown: 1.0,
             waiting: Vec::new(),
             batch: Vec::new(),
             held: HashMap::new(),
@@ -209,6 +212,7 @@
             + model.context_ms * contexts / 1_000.0
             + read / model.prefill_rate
             + pairs / 1e6 * model.attention_ms;
+        let took = took * self.slowdown;
         self.prefill_tokens += read;
         self.busy_ms += if read > 0.0 { took } else { 0.0 };
         self.step_end += took;
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -184,6 +184,7 @@
         ],
         prompt_tokens: shared + own,
         answer_tokens: 300,
+        expected_answer_tokens: None,
     }
 }
 
@@ -194,7 +195,7 @@
         request: 1_000_000 + index as u64,
         priority: 0,
         sent_ago_us: 0,
-        news: RequestUpdate::Sent { tokens: Some(tokens), parts: parts.to_vec() },
+        news: RequestUpdate::Sent { tokens: Some(tokens), parts: parts.to_vec(), answer: None },
     }
 }
 
--- a/crates/dispatch/tests/support/rejection_simulation.rs
+++ b/crates/dispatch/tests/support/rejection_simulation.rs
@@ -241,6 +241,7 @@
             running: running.len() as u32,
             waiting: waiting.len() as u32,
             slots: self.scenario.slots as u32,
+            slowdown_percent: None,
         })
     }
 
--- a/crates/dispatch/tests/support/simulation.rs
+++ b/crates/dispatch/tests/support/simulation.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         arrival_chances, at, backend_index,
-        deployment::{Deployment, KindOutcome, Outcome},
+        deployment::{Deployment, HintModel, KindOutcome, Outcome},
         engine::{EngineEvent, ModelEngine, Owner},
         gateway, item, region, service,
     },
@@ -215,7 +215,22 @@
         let events = self.lognormal(model.events).max(1.0) as u32;
         let answer = events * self.model.engine.tokens_per_event;
         parts.push(PromptPart { id: 1_000_000_000 + self.callers.len() as u64, tokens: own });
-        let shape = PromptShape { parts, prompt_tokens: shared + own, answer_tokens: answer };
+        // Without hints the maximum of an answer is its length.
+        let (maximum, expected_answer_tokens) = match model.hints {
+            None => (answer, None),
+            Some(HintModel { spread, bias }) => {
+                let tokens_per_event = f64::from(self.model.engine.tokens_per_event);
+                let median = f64::from(answer) * bias * (spread * spread / 2.0).exp();
+                let hint = self.lognormal((median, spread, f64::MAX)).max(1.0);
+                ((model.events.2 * tokens_per_event) as u32, Some(hint as u32))
+            }
+        };
+        let shape = PromptShape {
+            parts,
+            prompt_tokens: shared + own,
+            answer_tokens: maximum,
+            expected_answer_tokens,
+        };
         let size = |prompt: f64, answer: f64| prompt + 10.0 * answer;
         let mean = size(
             model.chain.iter().map(|(_, t)| t).sum::<f64>() + model.own.0,
@@ -407,6 +422,10 @@
 
     fn advance_engines(&mut self, ms: u64) {
         for index in 0..self.engines.len() {
+            if let Some(machines) = &self.model.machines {
+                let speed = machines.speeds[index % machines.speeds.len()];
+                self.engines[index].slowdown = machines.slowdown_at(index, ms) / speed;
+            }
             for event in self.engines[index].advance(ms as f64) {
                 let (owner, is_end, happened) = match event {
                     EngineEvent::Event { owner, at } => (owner, false, at),
@@ -428,7 +447,10 @@
                     self.outcome.kinds[kind].prediction_errors_ms.push(happened - due);
                     let (running, waiting) = self.engines[index].load();
                     let slots = self.model.engine.slots as u32;
-                    let report = BackendReport { running, waiting, slots };
+                    let machines = self.model.machines.as_ref().filter(|m| m.is_stated);
+                    let slowdown_percent =
+                        machines.map(|m| (m.slowdown_at(index, ms) * 100.0) as u32);
+                    let report = BackendReport { running, waiting, slots, slowdown_percent };
                     let stated =
                         BackendStatements { load: Some(report), ..BackendStatements::default() };
                     self.gateways[owner.0].note_statements(owner.1, &stated, at(ms));
--- a/crates/proxy/tests/hints.rs
+++ b/crates/proxy/tests/hints.rs
@@ -20,7 +20,8 @@
 fn request_with_prompt(bed: &TestBed, parts: u64) -> CallerRequest {
     let parts: Vec<_> = (0..parts).map(|id| PromptPart { id, tokens: 500 }).collect();
     let prompt_tokens = parts.iter().map(|part| part.tokens).sum();
-    let prompt = PromptShape { parts, prompt_tokens, answer_tokens: 10 };
+    let prompt =
+        PromptShape { parts, prompt_tokens, answer_tokens: 10, expected_answer_tokens: None };
     CallerRequest { prompt: Some(prompt), ..bed.request() }
 }
 
--- a/crates/proxy/tests/poison_parts.rs
+++ b/crates/proxy/tests/poison_parts.rs
@@ -51,7 +51,8 @@
     let parts: Vec<PromptPart> =
         shared.iter().chain([&own]).map(|id| PromptPart { id: *id, tokens: 10 }).collect();
     let prompt_tokens = parts.iter().map(|part| part.tokens).sum();
-    let prompt = PromptShape { parts, prompt_tokens, answer_tokens: 20 };
+    let prompt =
+        PromptShape { parts, prompt_tokens, answer_tokens: 20, expected_answer_tokens: None };
     let body = format!("question {number}").into();
     CallerRequest { id, body, prompt: Some(prompt), ..bed.request() }
 }
