--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -185,6 +185,7 @@
         ],
         prompt_tokens: shared + own,
         answer_tokens: 300,
+        expected_answer_tokens: None,
     }
 }
 
@@ -200,6 +201,7 @@
             parts: parts.to_vec(),
             holds_slot: false,
             workspace: None,
+            answer: None,
         },
     }
 }
