--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::RefusalReason,
+    gullglade_event::FieldValue,
     gullglade_units::{BackendRun, RegionName},
-    std::{net::SocketAddr, time::Duration},
+    std::{fmt, net::SocketAddr, time::Duration},
 };
 
 /// The decision on a request.
@@ -79,4 +80,26 @@
     pub paused: usize,
     /// Requests queued at this gateway.
     pub waiting: usize,
+    /// The share of the capacity that the request was confined to, if overload control did so.
+    pub share: Option<FullShare>,
 }
+
+/// A share of the capacity that was full when a request was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FullShare {
+    /// The slots that a less urgent route may use.
+    Route,
+    /// The share of the workspace.
+    Workspace,
+}
+
+impl fmt::Display for FullShare {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Route => "route",
+            Self::Workspace => "workspace",
+        })
+    }
+}
+
+impl FieldValue for FullShare {}
--- a/crates/dispatch/src/hint.rs
+++ b/crates/dispatch/src/hint.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        BackendReport, PromptPart, RejectionLimit, StatedLimit, StatementChange, limit::LimitRecord,
+        BackendReport, PromptPart, RejectionLimit, StatedLimit, StatementChange,
+        limit::LimitRecord, overload::shares::WorkspaceUse,
     },
     gullglade_units::{BackendRun, MonotonicTime},
     serde::{Deserialize, Serialize},
@@ -37,8 +38,9 @@
         /// Whether the request probably holds its slot for long. Its end is then reported with
         /// [`Ended`](Self::Ended).
         holds_slot: bool,
-        /// The hash of the workspace's name, while requests of the service wait for capacity.
-        workspace: Option<u32>,
+        /// What the request takes of its workspace's share, while requests of the service wait for
+        /// capacity.
+        workspace: Option<WorkspaceUse>,
     },
     /// The first byte of the answer was received.
     Begun {
--- a/crates/dispatch/src/overload/limits.rs
+++ b/crates/dispatch/src/overload/limits.rs
@@ -24,6 +24,9 @@
 /// little worse, and none clearly worse.
 const RESERVED_SHARE: f64 = 0.4;
 
+/// The number of values of [`PlacementLimits::group`].
+pub(crate) const LIMIT_GROUPS: usize = 4;
+
 /// The limits on what a request may use of an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct PlacementLimits {
@@ -32,22 +35,50 @@
     pub(crate) backlog_ms: Option<f64>,
     /// Whether a share of the slots is reserved for more urgent routes.
     pub(crate) is_reserved: bool,
+    /// The priority to send with instead of that of the route, for a workspace that has no priority
+    /// of its own and used more than its share.
+    pub(crate) priority: Option<u8>,
+}
+
+/// How the recent use of a workspace compares to its share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ShareStanding {
+    /// Nobody lacks capacity because of another workspace.
+    Equal,
+    /// The workspace is within its share and lacks capacity because of others.
+    Within,
+    /// The workspace is above its share, and others lack capacity.
+    Above,
 }
 
 impl PlacementLimits {
-    pub(super) fn new(item: &WorkItem, activity: &RouteActivity, now: MonotonicTime) -> Self {
+    pub(super) fn new(
+        item: &WorkItem,
+        activity: &RouteActivity,
+        standing: ShareStanding,
+        now: MonotonicTime,
+    ) -> Self {
         let (least, most) = BACKLOG_BOUNDS_MS;
         let backlog_ms = |objective: Duration| {
             (objective.as_secs_f64() * 1_000.0 * BACKLOG_SHARE).clamp(least, most)
         };
         let priority = item.route.priority;
+        // The urgent requests of a workspace above its share would otherwise fill the slots that the
+        // less urgent ones of the others may use, and interrupt those at the engine.
+        let is_exempt = standing == ShareStanding::Within || activity.is_starved(priority);
+        let is_yielding = standing == ShareStanding::Above && !item.has_own_priority();
         Self {
             backlog_ms: activity.shortest_objective(now).map(backlog_ms),
-            is_reserved: activity.is_less_urgent(priority, now)
-                && !activity.is_starved(priority, now),
+            is_reserved: activity.is_less_urgent(priority, now) && !is_exempt,
+            priority: is_yielding.then(|| activity.least_urgent(now)).flatten(),
         }
     }
 
+    /// Returns an index of the limits by which requests of equal priority differ.
+    pub(crate) fn group(&self) -> usize {
+        usize::from(self.is_reserved) + 2 * usize::from(self.priority.is_some())
+    }
+
     /// Returns the number of the `slots` of an engine that the request may use.
     pub(crate) fn usable_slots(&self, slots: u32) -> u32 {
         let reserved = if self.is_reserved { RESERVED_SHARE } else { 0.0 };
--- a/crates/dispatch/src/overload/order.rs
+++ b/crates/dispatch/src/overload/order.rs
@@ -30,6 +30,12 @@
     Late,
 }
 
+/// Returns whether a request will probably be late.
+pub(super) fn is_late(item: &WorkItem, now: MonotonicTime) -> bool {
+    let objective = item.route.objective;
+    (item.arrived + objective).since(now) < objective.mul_f64(MIN_TIME_SHARE)
+}
+
 /// The position of a request in the queue. Lower ranks are placed first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct QueueRank {
@@ -37,6 +43,8 @@
     /// The priority of the workspace, otherwise of the route.
     priority: u8,
     is_past_objective: bool,
+    /// Whether the workspace used more than its share.
+    is_above_share: bool,
     route_priority: u8,
     arrived: MonotonicTime,
     ticket: TicketId,
@@ -50,6 +58,7 @@
             tier: Tier::Timely,
             priority: item.priority(),
             is_past_objective: now > item.arrived + item.route.objective,
+            is_above_share: false,
             route_priority: 0,
             arrived: item.arrived,
             ticket,
@@ -61,20 +70,27 @@
         item: &WorkItem,
         ticket: TicketId,
         activity: &RouteActivity,
+        is_above_share: bool,
         now: MonotonicTime,
     ) -> Self {
         let route = &item.route;
-        let left = (item.arrived + route.objective).since(now);
-        let is_late = left < route.objective.mul_f64(MIN_TIME_SHARE);
-        let tier = match is_late {
+        let tier = match is_late(item, now) {
             true => Tier::Late,
-            false if activity.is_starved(route.priority, now) => Tier::Starved,
+            false if activity.is_starved(route.priority) => Tier::Starved,
             false => Tier::Timely,
         };
+        // A workspace without a priority of its own selects it with its routes. Beyond its share it
+        // gets that of the least urgent route, as its urgent requests would otherwise take the
+        // capacity for the less urgent requests of all others.
+        let priority = match is_above_share && !item.has_own_priority() {
+            true => activity.least_urgent(now).unwrap_or(route.priority),
+            false => item.priority(),
+        };
         Self {
             tier,
-            priority: item.priority(),
+            priority,
             is_past_objective: false,
+            is_above_share,
             route_priority: route.priority,
             arrived: item.arrived,
             ticket,
--- a/crates/dispatch/src/overload/routes.rs
+++ b/crates/dispatch/src/overload/routes.rs
@@ -18,9 +18,10 @@
 /// so that the ratio covers requests that are still waiting.
 const COUNT_HALF_LIFE: Duration = Duration::from_secs(3);
 
-/// A kind of request starves if the share of it that is placed is below this part of the share of
-/// all requests. Callers of a kind are promised a quarter of what the others get.
-const MIN_RATE_SHARE: f64 = 0.25;
+/// A kind of request starves if the share of it that is placed in time is below this part of the share of
+/// all requests. Each kind is to get a quarter of the rate of all; the rest allows for requests that
+/// are placed in time and end late. At 0.35 a tenth less was served at twice the capacity.
+const MIN_RATE_SHARE: f64 = 0.28;
 
 /// Submitted requests of a kind below which nothing is concluded from the share that was placed.
 const MIN_SUBMITTED: f64 = 2.0;
@@ -58,6 +59,7 @@
     last_seen: MonotonicTime,
     submitted: DecayingCount,
     placed: DecayingCount,
+    is_starved: bool,
     /// The mean time for which a request holds its slot, once one has ended.
     held: Option<Duration>,
 }
@@ -81,6 +83,7 @@
                 last_seen: now,
                 submitted: DecayingCount::default(),
                 placed: DecayingCount::default(),
+                is_starved: false,
                 held: None,
             }),
         };
@@ -88,13 +91,15 @@
         route.objective = if was_active { route.objective.min(objective) } else { objective };
         route.last_seen = now;
         route.submitted.add(now);
+        self.compare(now);
     }
 
-    /// Records that a request was sent or forwarded.
+    /// Records that a timely request was sent or forwarded.
     pub(super) fn note_placed(&mut self, priority: u8, now: MonotonicTime) {
         if let Some(route) = self.routes.iter_mut().find(|r| r.priority == priority) {
             route.placed.add(now);
         }
+        self.compare(now);
     }
 
     /// Records for how long a request held its slot.
@@ -107,10 +112,23 @@
         }
     }
 
+    /// Returns the mean time for which requests of this route hold their slot, or zero if none has
+    /// ended yet.
+    pub(super) fn held(&self, priority: u8) -> Duration {
+        let route = self.routes.iter().find(|r| r.priority == priority);
+        route.and_then(|r| r.held).unwrap_or_default()
+    }
+
     /// Returns whether requests of this route hold their slot for long.
     pub(super) fn holds_slot(&self, priority: u8) -> bool {
-        let route = self.routes.iter().find(|r| r.priority == priority);
-        route.and_then(|r| r.held).is_some_and(|held| held >= LONG_HOLD)
+        self.held(priority) >= LONG_HOLD
+    }
+
+    /// Returns the rate at which requests were placed recently.
+    pub(super) fn placed_per_second(&self, now: MonotonicTime) -> f64 {
+        let placed: f64 = self.routes.iter().map(|r| r.placed.value(now)).sum();
+        // In a steady state the decaying count is the rate times this span.
+        placed * std::f64::consts::LN_2 / COUNT_HALF_LIFE.as_secs_f64()
     }
 
     /// Returns the shortest objective of the routes in use.
@@ -118,6 +136,11 @@
         self.active(now).map(|r| r.objective).min()
     }
 
+    /// Returns the priority of the least urgent route in use.
+    pub(super) fn least_urgent(&self, now: MonotonicTime) -> Option<u8> {
+        self.active(now).map(|r| r.priority).max()
+    }
+
     /// Returns whether a more urgent route is in use.
     pub(super) fn is_less_urgent(&self, priority: u8, now: MonotonicTime) -> bool {
         self.active(now).any(|r| r.priority < priority)
@@ -129,15 +152,22 @@
     }
 
     /// Returns whether too few requests of this route are placed, compared to those of all routes.
-    pub(super) fn is_starved(&self, priority: u8, now: MonotonicTime) -> bool {
-        let Some(route) = self.routes.iter().find(|r| r.priority == priority) else { return false };
-        let submitted = route.submitted.value(now);
+    pub(super) fn is_starved(&self, priority: u8) -> bool {
+        self.routes.iter().any(|r| r.priority == priority && r.is_starved)
+    }
+
+    /// Compares the routes. All counts decay alike, so the result holds until the next count, and a
+    /// scan of the queue does not repeat it for each request.
+    fn compare(&mut self, now: MonotonicTime) {
         let (all_placed, all_submitted) = self
             .routes
             .iter()
             .fold((0.0, 0.0), |(p, s), r| (p + r.placed.value(now), s + r.submitted.value(now)));
-        submitted >= MIN_SUBMITTED
-            && route.placed.value(now) / submitted < MIN_RATE_SHARE * all_placed / all_submitted
+        for route in &mut self.routes {
+            let (placed, submitted) = (route.placed.value(now), route.submitted.value(now));
+            route.is_starved = submitted >= MIN_SUBMITTED
+                && placed / submitted < MIN_RATE_SHARE * all_placed / all_submitted;
+        }
     }
 
     fn active(&self, now: MonotonicTime) -> impl Iterator<Item = &RouteUse> {
--- a/crates/dispatch/src/priority.rs
+++ b/crates/dispatch/src/priority.rs
@@ -52,6 +52,16 @@
 }
 
 impl EffectivePriority {
+    /// Returns the latency with a given priority.
+    pub(crate) fn fixed(
+        load: &BackendLoad,
+        cost: WorkCost,
+        priority: u8,
+        now: MonotonicTime,
+    ) -> Self {
+        Self { priority, expected_ms: load.first_byte_ms(cost, priority, now) }
+    }
+
     /// Selects the priority for a request at a backend server with this load.
     pub(crate) fn for_backend(
         load: &BackendLoad,
@@ -60,8 +70,7 @@
         objectives: &LatencyObjectives,
         now: MonotonicTime,
     ) -> Self {
-        let with =
-            |priority| Self { priority, expected_ms: load.first_byte_ms(cost, priority, now) };
+        let with = |priority| Self::fixed(load, cost, priority, now);
         let unboosted = with(item.priority());
         if cost.tokens.is_none() {
             return unboosted;
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -279,6 +279,12 @@
         (self.waiting.len(), self.sent.len())
     }
 
+    /// Returns the number of workspaces that used more than their share of a service under shortage.
+    /// Zero without overload control.
+    pub fn workspaces_above_share(&self, now: MonotonicTime) -> usize {
+        self.overload.workspaces_above_share(now)
+    }
+
     /// Detects whether this process was stalled, and returns the length of the stall. Has to be
     /// called every [`STALL_CHECK_INTERVAL`].
     pub fn check_stall(&mut self, now: MonotonicTime) -> Option<Duration> {
@@ -329,6 +335,7 @@
                 }
                 None => {
                     scan.add_queued(&waiting.item);
+                    self.overload.note_waiting(&waiting.item, now);
                     self.waiting.push(waiting);
                 }
             }
@@ -582,7 +589,10 @@
         };
         let sent = micros_ago(now, sent_ago_us);
         match news {
-            RequestUpdate::Sent { tokens, parts, holds_slot, .. } => {
+            RequestUpdate::Sent { tokens, parts, holds_slot, workspace } => {
+                if let Some(used) = workspace {
+                    self.overload.note_peer_use(&backend.info.service, used, now);
+                }
                 let cost = WorkCost { tokens, slots: backend.info.slots };
                 let other = SentRequest { request, cost, priority, sent };
                 backend.load.note_send(None, other, now);
@@ -642,12 +652,15 @@
         if let (Some(prompt), Some(engine)) = (&waiting.item.prompt, engine) {
             backend.cache.note(&prompt.parts, engine.memory_tokens, now);
         }
+        let prefill_ms = cost.tokens.map_or(0.0, |tokens| backend.load.prefill_ms(tokens));
+        let workspace =
+            self.overload.note_own_use(&waiting.item, prefill_ms, backend.info.slots, now);
         let holds_slot = self.overload.holds_slot(&waiting.item);
         let route_priority = waiting.item.route.priority;
         let placement =
             Placement { run: run.clone(), last_byte: None, sent, route_priority, holds_slot };
         self.sent.insert(waiting.ticket, placement);
-        let news = RequestUpdate::Sent { tokens: cost.tokens, parts, holds_slot, workspace: None };
+        let news = RequestUpdate::Sent { tokens: cost.tokens, parts, holds_slot, workspace };
         self.queue_hint(run.clone(), sent, news, now);
     }
 
--- a/crates/dispatch/src/scheduler/decide.rs
+++ b/crates/dispatch/src/scheduler/decide.rs
@@ -107,7 +107,11 @@
                 if now + wait >= item.first_byte_deadline.min(useful_by) {
                     let (reason, wait) = match backoff_end {
                         Some(end) => (RefusalReason::Backoff, end.since(now)),
-                        None => (RefusalReason::TooLate, wait.min(MAX_RETRY_AFTER)),
+                        None => {
+                            let promised = self.overload.promise_retry(item, now);
+                            let wait = promised.unwrap_or(wait.min(MAX_RETRY_AFTER));
+                            (RefusalReason::TooLate, wait)
+                        }
                     };
                     return Some(self.refuse(reason, waiting, wait, now));
                 }
@@ -161,6 +165,7 @@
             regions: offers().count(),
             paused: offers().filter(|r| self.regions.is_paused(&r.region, &r.service, now)).count(),
             waiting: self.waiting.len(),
+            share: self.overload.full_share(item, now),
         }
     }
 
--- a/crates/dispatch/src/scheduler/place.rs
+++ b/crates/dispatch/src/scheduler/place.rs
@@ -188,7 +188,7 @@
                 held_wait_ms = held_wait_ms.min(wait_ms);
                 continue;
             }
-            let candidate = candidate(item, backend, &shared, &objectives, now);
+            let candidate = candidate(item, backend, &shared, &objectives, limits, now);
             wait_ms = wait_ms.min(candidate.estimate.wait_ms);
             let is_better = best.as_ref().is_none_or(|(b, _)| candidate.cost_ms < b.cost_ms);
             let priority = candidate.estimate.priority;
@@ -429,6 +429,7 @@
     backend: &Backend,
     shared: &SharedParts<'_>,
     objectives: &LatencyObjectives,
+    limits: PlacementLimits,
     now: MonotonicTime,
 ) -> Candidate {
     let shape = item.prompt.as_ref();
@@ -436,8 +437,10 @@
     let copy = source.and_then(|(source, shape)| source.copy_to(backend, shape));
     let work = work_cost(backend, item);
     let work = copy.map_or(work, |copy| copy.reduce(work));
-    let EffectivePriority { priority, expected_ms } =
-        EffectivePriority::for_backend(&backend.load, item, work, objectives, now);
+    let EffectivePriority { priority, expected_ms } = match limits.priority {
+        Some(priority) => EffectivePriority::fixed(&backend.load, work, priority, now),
+        None => EffectivePriority::for_backend(&backend.load, item, work, objectives, now),
+    };
     let wait_ms = expected_ms - backend.load.service_ms(work);
     let uncached = WorkCost { tokens: shape.map(|shape| shape.prompt_tokens), ..work };
     let (utilization, rejection_cost_ms) =
--- a/crates/dispatch/src/scheduler/scan.rs
+++ b/crates/dispatch/src/scheduler/scan.rs
@@ -10,7 +10,7 @@
     crate::{
         BackendLoad, WorkCost, WorkItem,
         load::{PRIORITY_CLASSES, priority_class},
-        overload::limits::PlacementLimits,
+        overload::limits::{LIMIT_GROUPS, PlacementLimits},
     },
     gullglade_units::MonotonicTime,
 };
@@ -36,8 +36,8 @@
     queues_per_backend: f64,
     /// The work of the requests that stay in the queue, milliseconds.
     queued_ms: f64,
-    /// By priority class, and by whether slots are reserved for more urgent routes.
-    full: [[Option<AllFull>; 2]; PRIORITY_CLASSES],
+    /// By priority class and group of limits.
+    full: [[Option<AllFull>; LIMIT_GROUPS]; PRIORITY_CLASSES],
 }
 
 impl ServiceScan {
@@ -67,14 +67,14 @@
         // separately.
         let is_unrestricted = item.may_go_anywhere();
         let class = &self.full[priority_class(item.priority())];
-        class[usize::from(limits.is_reserved)].filter(|_| is_unrestricted)
+        class[limits.group()].filter(|_| is_unrestricted)
     }
 
     /// Records that all backend servers are full for the priority and the limits of `item`.
     pub(crate) fn note_full(&mut self, item: &WorkItem, limits: PlacementLimits, full: AllFull) {
         if item.may_go_anywhere() {
             let class = &mut self.full[priority_class(item.priority())];
-            class[usize::from(limits.is_reserved)] = Some(full);
+            class[limits.group()] = Some(full);
         }
     }
 
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -91,6 +91,11 @@
         own.unwrap_or(self.route.priority)
     }
 
+    /// Returns whether the priority is that of the workspace.
+    pub(crate) fn has_own_priority(&self) -> bool {
+        self.workspace.as_ref().is_some_and(|workspace| workspace.priority.is_some())
+    }
+
     /// Returns whether this gateway may send the request to the backend server.
     pub fn may_go_to(&self, name: &BackendName) -> bool {
         self.may_run_at(name) && !self.unreachable.contains(name)
--- a/crates/dispatch/tests/deployment.rs
+++ b/crates/dispatch/tests/deployment.rs
@@ -71,6 +71,7 @@
         seconds: 10,
         crash: None,
         seed,
+        loses_hints: false,
         overload_control: false,
     }
 }
--- a/crates/dispatch/tests/support/deployment.rs
+++ b/crates/dispatch/tests/support/deployment.rs
@@ -48,7 +48,7 @@
     pub(crate) share: f64,
 }
 
-/// The requests of one workspace, and those served in time.
+/// The requests of one workspace and kind, and those served in time.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct WorkspaceOutcome {
     pub(crate) submitted: usize,
@@ -112,13 +112,16 @@
     pub(crate) seconds: u64,
     pub(crate) crash: Option<CrashModel>,
     pub(crate) seed: u64,
+    /// Whether all hints between gateways are lost.
+    pub(crate) loses_hints: bool,
     pub(crate) overload_control: bool,
 }
 
 #[derive(Clone, Debug)]
 pub(crate) struct Outcome {
     pub(crate) kinds: Vec<KindOutcome>,
-    pub(crate) workspaces: Vec<WorkspaceOutcome>,
+    /// By workspace and kind.
+    pub(crate) workspaces: Vec<Vec<WorkspaceOutcome>>,
     /// Requests that engines interrupted for more urgent ones.
     pub(crate) preempted: usize,
     /// Millions of prefill tokens in total, and of shared parts processed before by some engine.
--- a/crates/dispatch/tests/support/simulation.rs
+++ b/crates/dispatch/tests/support/simulation.rs
@@ -105,7 +105,10 @@
             seen_parts: BTreeSet::new(),
             outcome: Outcome {
                 kinds: vec![KindOutcome::default(); model.kinds.len()],
-                workspaces: vec![WorkspaceOutcome::default(); model.workspaces.len()],
+                workspaces: vec![
+                    vec![WorkspaceOutcome::default(); model.kinds.len()];
+                    model.workspaces.len()
+                ],
                 preempted: 0,
                 prefilled: 0.0,
                 repeated_prefill: 0.0,
@@ -261,7 +264,7 @@
         outcome.submitted += 1;
         outcome.owed += worth * model.worth;
         if let Some(workspace) = workspace {
-            self.outcome.workspaces[workspace].submitted += 1;
+            self.outcome.workspaces[workspace][kind].submitted += 1;
         }
         if relative > 2.0 {
             outcome.large_owed += worth * model.worth;
@@ -535,7 +538,7 @@
             (true, false) => {
                 outcome.in_time += 1;
                 if let Some(workspace) = submitted.workspace {
-                    self.outcome.workspaces[workspace].in_time += 1;
+                    self.outcome.workspaces[workspace][submitted.kind].in_time += 1;
                 }
                 submitted.worth * kind.worth
             }
@@ -588,6 +591,9 @@
         }
         self.flush_at[index] = None;
         let hints = self.gateways[index].take_hints(at(ms + 1));
+        if self.model.loses_hints {
+            return;
+        }
         let first = self.model.first_gateway(region);
         for to in (first..first + count).filter(|to| *to != index) {
             let hints = hints.clone();
--- a/crates/event/src/metrics.rs
+++ b/crates/event/src/metrics.rs
@@ -122,6 +122,7 @@
     workspaces: LabelGuard,
     confirmed_age: Gauge,
     fingerprints_held: IntGauge,
+    workspaces_above_share: IntGauge,
     totals: Cell<RequestTotals>,
     services: LabelGuard,
     models: LabelGuard,
@@ -272,6 +273,11 @@
                 "fingerprints_held",
                 "Requests and prompt parts that are held back because backend servers ended under them",
             )?,
+            workspaces_above_share: gauge(
+                &registry,
+                "workspaces_above_share",
+                "Workspaces that used more than their share of a service under shortage",
+            )?,
             model_series: RefCell::default(),
             totals: Cell::default(),
             services: LabelGuard::new(SERVICE_LIMIT),
@@ -416,6 +422,11 @@
         self.confirmed_age.set(age.as_secs_f64());
     }
 
+    /// Sets the number of workspaces that used more than their share of a service under shortage.
+    pub fn workspaces_above_share(&self, count: usize) {
+        self.workspaces_above_share.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Sets the number of distinct requests that are held back.
     pub fn fingerprints_held(&self, count: usize) {
         self.fingerprints_held.set(i64::try_from(count).unwrap_or(i64::MAX));
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -191,7 +191,8 @@
         let event = event.field("suspect", details.suspect).field("cold", details.cold);
         let event = event.field("backed_off", details.backed_off);
         let event = event.field("regions", details.regions).field("paused", details.paused);
-        let event = event.field("waiting", details.waiting).optional("version", self.version);
+        let event = event.field("waiting", details.waiting).optional("share", details.share);
+        let event = event.optional("version", self.version);
         self.events.emit(event.millis("retry_after_ms", wait));
     }
 
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -182,11 +182,13 @@
             loop {
                 clock.sleep(STALL_CHECK_INTERVAL).await;
                 let Some(shared) = shared.upgrade() else { return };
-                let ProxyParts { dispatcher, events, .. } = &shared.parts;
+                let ProxyParts { dispatcher, events, metrics, .. } = &shared.parts;
                 if let Some(stall) = dispatcher.with_scheduler(Scheduler::check_stall) {
                     let event = EventDraft::new("gateway.stood_still").level(Level::Warn);
                     events.emit(event.millis("stall_ms", stall));
                 }
+                let above = dispatcher.with_scheduler(|s, now| s.workspaces_above_share(now));
+                metrics.workspaces_above_share(above);
                 shared.probe_connections();
             }
         }));
