--- a/crates/proxy/src/hints.rs
+++ b/crates/proxy/src/hints.rs
@@ -114,7 +114,7 @@
 }
 
 /// Encodes `hints` into as many notices as are needed to stay within [`MAX_NOTICE_BYTES`].
-fn encode_notices(hints: &[BackendHint]) -> Vec<Vec<u8>> {
+pub fn encode_notices(hints: &[BackendHint]) -> Vec<Vec<u8>> {
     let body = encode_hints(hints);
     if body.len() <= MAX_NOTICE_BYTES {
         return vec![body];
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -47,5 +47,6 @@
     dialect::{BackendDialect, RequestMetadata, ResponseMetadata},
     dispatcher::Dispatcher,
     forward_server::ForwardServer,
+    hints::encode_notices,
     proxy::{Proxy, ProxyParts},
 };
