Hints: compact encoding, and longer batches on small links of mixed regions

A hint refers to the run of a backend server by a hash that the receiver resolves, and takes 25 bytes instead of 47. What receivers get is unchanged.

--- a/crates/fleet/src/follower.rs
+++ b/crates/fleet/src/follower.rs
@@ -126,6 +126,11 @@
         &self.profile
     }
 
+    /// Returns the capacity of this gateway's VM.
+    pub fn capacity(&self) -> VmCapacity {
+        self.capacity.get()
+    }
+
     /// Sets the capacity of this gateway's VM and announces it at once.
     pub fn set_capacity(&self, capacity: VmCapacity) {
         let previous = self.capacity.replace(capacity);
--- a/crates/proxy/examples/link_bytes.rs
+++ b/crates/proxy/examples/link_bytes.rs
@@ -8,7 +8,7 @@
         SyncRequest, VmCapacity,
     },
     gullglade_poison::CrashUpdate,
-    gullglade_proxy::encode_notices,
+    gullglade_proxy::{RunDirectory, encode_notices},
     gullglade_units::{
         BackendName, BackendRun, FailureDomain, Incarnation, NameError, RandomSource, RegionName,
         SeededRandom, ServiceName, VmName, encode,
@@ -140,14 +140,14 @@
     );
 }
 
-fn print_hints(delay_us: u64, hints: &[TimedHint]) {
+fn print_hints(delay_us: u64, hints: &[TimedHint], runs: &RunDirectory) {
     let (mut notices, mut bytes) = (0, 0);
     let mut rest = hints;
     while let [first, ..] = rest {
         let now = first.happened_at + delay_us;
         let (batch, later) = rest.split_at(rest.partition_point(|hint| hint.happened_at <= now));
         let batch: Vec<_> = batch.iter().map(|hint| aged(hint, now)).collect();
-        let bodies = encode_notices(&batch);
+        let bodies = encode_notices(&batch, runs);
         notices += bodies.len() * PEERS;
         bytes += bodies.iter().map(Vec::len).sum::<usize>() * PEERS;
         rest = later;
@@ -190,8 +190,9 @@
 
 fn main() -> Result<(), Box<dyn Error>> {
     let hints = hints(&SeededRandom::new(1))?;
+    let runs = RunDirectory::new(hints.iter().map(|timed| timed.hint.run.clone()));
     for delay in [Duration::from_millis(20), Duration::from_millis(40)] {
-        print_hints(delay.as_micros() as u64, &hints);
+        print_hints(delay.as_micros() as u64, &hints, &runs);
     }
     let syncs = SYNCS_PER_SECOND * SECONDS as usize;
     let sync = encode(&sync_request()?).len();
--- a/crates/proxy/src/hints.rs
+++ b/crates/proxy/src/hints.rs
@@ -7,11 +7,16 @@
 //! sends.
 
 use {
-    crate::{Dispatcher, notice::encode_hints},
+    crate::{
+        Dispatcher,
+        compact_hints::{KnownRuns, RunDirectory},
+        hint_batching::batch_delay,
+        notice::{GatewayNotice, encode_hints},
+    },
     gullglade_dispatch::{BackendHint, RequestUpdate},
     gullglade_fleet::FleetFollower,
     gullglade_peer::{MAX_NOTICE_BYTES, NoticeSender},
-    gullglade_units::{MonotonicTime, ProcessContext},
+    gullglade_units::{MonotonicTime, ProcessContext, decode},
     std::{
         cell::{Cell, RefCell},
         net::SocketAddr,
@@ -20,17 +25,6 @@
     },
 };
 
-/// Time for which hints are batched before they are sent: a tenth of the time that reading a
-/// typical prompt takes.
-const BATCH_DELAY: Duration = Duration::from_millis(8);
-
-/// Batching time in a region with more than [`SMALL_REGION_PEERS`] other gateways, where each
-/// notice costs more in total.
-const LARGE_REGION_BATCH_DELAY: Duration = Duration::from_millis(20);
-
-/// Most other gateways for which [`BATCH_DELAY`] applies.
-const SMALL_REGION_PEERS: usize = 8;
-
 /// Most gateways that get hints. In larger regions each gateway always notifies the same subset.
 const MAX_PEERS: usize = 40;
 
@@ -43,6 +37,7 @@
     notices: Rc<dyn NoticeSender>,
     fleet: Rc<FleetFollower>,
     context: ProcessContext,
+    runs: Rc<KnownRuns>,
     is_scheduled: Cell<bool>,
     peers: RefCell<PeerList>,
 }
@@ -51,6 +46,8 @@
 #[derive(Default)]
 struct PeerList {
     addresses: Vec<SocketAddr>,
+    /// Time for which hints to them are batched.
+    batch_delay: Duration,
     /// Time at which the list was read.
     read_at: Option<MonotonicTime>,
 }
@@ -60,9 +57,10 @@
         notices: Rc<dyn NoticeSender>,
         fleet: Rc<FleetFollower>,
         context: ProcessContext,
+        runs: Rc<KnownRuns>,
     ) -> Rc<Self> {
         let (is_scheduled, peers) = (Cell::new(false), RefCell::default());
-        Rc::new(Self { notices, fleet, context, is_scheduled, peers })
+        Rc::new(Self { notices, fleet, context, runs, is_scheduled, peers })
     }
 
     /// From now on sends the hints of `dispatcher`.
@@ -82,8 +80,7 @@
         }
         self.refresh_peers();
         let (sender, source) = (Rc::clone(self), Rc::downgrade(dispatcher));
-        let is_large = self.peers.borrow().addresses.len() > SMALL_REGION_PEERS;
-        let delay = if is_large { LARGE_REGION_BATCH_DELAY } else { BATCH_DELAY };
+        let delay = self.peers.borrow().batch_delay;
         self.context.spawner.spawn(Box::pin(async move {
             sender.context.clock.sleep(delay).await;
             sender.is_scheduled.set(false);
@@ -100,36 +97,50 @@
             return;
         }
         let own = self.fleet.profile();
-        let addresses = self.fleet.read(|view| view.neighbours(own, MAX_PEERS, now));
-        *peers = PeerList { addresses, read_at: Some(now) };
+        *peers = self.fleet.read(|view| {
+            let addresses = view.neighbours(own, MAX_PEERS, now);
+            let region = view.ready_gateways(&own.region, now).into_iter();
+            let region = region.map(|row| row.profile.capacity);
+            let batch_delay = batch_delay(addresses.len(), &self.fleet.capacity(), region);
+            PeerList { addresses, batch_delay, read_at: Some(now) }
+        });
     }
 
     fn send(&self, dispatcher: &Dispatcher) {
         let hints = dispatcher.with_scheduler(|scheduler, now| scheduler.take_hints(now));
         let peers = self.peers.borrow();
-        for body in encode_notices(&hints) {
+        for body in encode_notices(&hints, &self.runs.directory()) {
             self.notices.notify(&peers.addresses, &body);
         }
     }
 }
 
 /// Encodes `hints` into as many notices as are needed to stay within [`MAX_NOTICE_BYTES`].
-pub fn encode_notices(hints: &[BackendHint]) -> Vec<Vec<u8>> {
-    let body = encode_hints(hints);
+pub fn encode_notices(hints: &[BackendHint], runs: &RunDirectory) -> Vec<Vec<u8>> {
+    let body = encode_hints(&runs.compact(hints));
     if body.len() <= MAX_NOTICE_BYTES {
         return vec![body];
     }
     match hints {
         // The prompt has more parts than fit into a notice. The load of reading it matters more
         // than its parts, so the hint is sent without them.
-        [hint] => vec![encode_hints(&[without_parts(hint)])],
+        [hint] => vec![encode_hints(&runs.compact(&[without_parts(hint)]))],
         _ => {
             let (first, second) = hints.split_at(hints.len() / 2);
-            [encode_notices(first), encode_notices(second)].concat()
+            [encode_notices(first, runs), encode_notices(second, runs)].concat()
         }
     }
 }
 
+/// Decodes the hints of a notice, omitting those for runs that are neither in `runs` nor listed in
+/// the notice; `None` if it is no notice with hints.
+pub fn decode_notice(body: &[u8], runs: &RunDirectory) -> Option<Vec<BackendHint>> {
+    match decode(body) {
+        Ok(GatewayNotice::Hints(hints)) => Some(runs.restore(hints)),
+        _ => None,
+    }
+}
+
 fn without_parts(hint: &BackendHint) -> BackendHint {
     let mut hint = hint.clone();
     if let RequestUpdate::Sent { parts, .. } = &mut hint.news {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -16,6 +16,7 @@
 mod access;
 mod attempt;
 mod caller_request;
+mod compact_hints;
 mod configuration_gate;
 mod dialect;
 mod dispatcher;
@@ -26,6 +27,7 @@
 mod forward_message;
 mod forward_server;
 mod handover;
+mod hint_batching;
 mod hints;
 mod liveness;
 mod notice;
@@ -44,9 +46,11 @@
 
 pub use {
     caller_request::{CallerRequest, CallerRequestId, CallerRequestIdError},
+    compact_hints::RunDirectory,
     dialect::{BackendDialect, RequestMetadata, ResponseMetadata},
     dispatcher::Dispatcher,
     forward_server::ForwardServer,
-    hints::encode_notices,
+    hint_batching::batch_delay,
+    hints::{decode_notice, encode_notices},
     proxy::{Proxy, ProxyParts},
 };
--- a/crates/proxy/src/notice.rs
+++ b/crates/proxy/src/notice.rs
@@ -1,7 +1,7 @@
 //! Notices between gateways: single datagrams that may be lost.
 
 use {
-    gullglade_dispatch::BackendHint,
+    crate::compact_hints::CompactHints,
     gullglade_quota::SpendNotice,
     gullglade_units::encode,
     serde::{Deserialize, Serialize},
@@ -11,7 +11,7 @@
 #[derive(Deserialize)]
 pub(crate) enum GatewayNotice {
     /// Requests sent to backend servers, and responses that have begun.
-    Hints(Vec<BackendHint>),
+    Hints(CompactHints),
     /// Quota usage.
     Spend(SpendNotice),
 }
@@ -19,12 +19,12 @@
 /// A notice to be sent. The encoding is that of [`GatewayNotice`].
 #[derive(Serialize)]
 enum OutgoingNotice<'a> {
-    Hints(&'a [BackendHint]),
+    Hints(&'a CompactHints),
     Spend(&'a SpendNotice),
 }
 
 /// Encodes a notice with hints.
-pub(crate) fn encode_hints(hints: &[BackendHint]) -> Vec<u8> {
+pub(crate) fn encode_hints(hints: &CompactHints) -> Vec<u8> {
     encode(&OutgoingNotice::Hints(hints))
 }
 
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -5,6 +5,7 @@
         BackendDialect, CallerRequest, CallerRequestId, Dispatcher,
         access::AccessChecker,
         attempt::AttemptSender,
+        compact_hints::KnownRuns,
         configuration_gate::ConfigurationGate,
         execution::RequestExecution,
         forward::Forwarder,
@@ -71,6 +72,7 @@
     forwards: Cell<usize>,
     /// Callers' requests that arrived before the first configuration.
     configuration_gate: ConfigurationGate,
+    known_runs: Rc<KnownRuns>,
 }
 
 impl ProxyShared {
@@ -148,10 +150,13 @@
             regions: parts.regions.clone(),
         });
         quota.start();
+        let clock = Rc::clone(&parts.context.clock);
+        let known_runs = KnownRuns::new(Rc::clone(&parts.fleet), clock);
         let hints = HintSender::new(
             Rc::clone(&parts.notices),
             Rc::clone(&parts.fleet),
             parts.context.clone(),
+            Rc::clone(&known_runs),
         );
         hints.attach(&parts.dispatcher);
         let cutoff = Cell::new(None);
@@ -166,6 +171,7 @@
             cutoff,
             forwards,
             configuration_gate,
+            known_runs,
         };
         let proxy = Self { shared: Rc::new(shared) };
         proxy.watch_configuration();
@@ -284,6 +290,7 @@
     pub fn handle_notice(&self, body: &[u8]) {
         match decode(body) {
             Ok(GatewayNotice::Hints(hints)) => {
+                let hints = self.shared.known_runs.directory().restore(hints);
                 self.dispatcher().with_scheduler(|scheduler, now| scheduler.note_hints(hints, now));
             }
             Ok(GatewayNotice::Spend(spend)) => self.quota().handle_notice(spend),
