Forwards: power of two choices by capacity in regions of different VMs

Two of the preferred gateways are drawn by weight; the one with fewer own requests in progress for its weight is tried first. Where the VMs of a region are alike, the order is random as before.

--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -5,6 +5,7 @@
     crate::{
         Dispatcher,
         forward_message::{ForwardFrame, ForwardRequest, unpack_headers},
+        gateway_choice::{CountedForward, ForwardCounts, GatewayOption, choose_gateways},
         liveness::{RemoteLiveness, RunLiveness},
         outcome::{AttemptOutcome, AttemptTarget, NotRunReason, UnknownReason},
         response::{AttemptResponse, ResponseBody},
@@ -16,14 +17,23 @@
     },
     gullglade_dispatch::{FirstByteTimes, HandoverTimes},
     gullglade_event::{EventDraft, EventSink, Level},
-    gullglade_fleet::{FleetFollower, GatewayProfile, GatewayRow},
+    gullglade_fleet::{
+        FleetFollower, GatewayProfile, GatewayRow, are_equal_weights, gateway_weights,
+    },
     gullglade_http::BodyError,
     gullglade_peer::{PeerError, PeerFault, PeerStream, PeerTransport},
     gullglade_units::{
-        ProcessContext, RegionName, ServiceName, decode, encode, rendezvous::score, timeout,
+        ProcessContext, RegionName, ServiceName, VmName, decode, encode, rendezvous::score, timeout,
     },
     http::StatusCode,
-    std::{cmp::Reverse, collections::BTreeSet, net::SocketAddr, pin::pin, rc::Rc, time::Duration},
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        pin::pin,
+        rc::Rc,
+        time::Duration,
+    },
 };
 
 /// Prefix of the peer methods that gateways serve to each other.
@@ -81,6 +91,8 @@
     pub(crate) context: ProcessContext,
     pub(crate) dispatcher: Rc<Dispatcher>,
     pub(crate) events: Rc<dyn EventSink>,
+    /// Requests of this gateway in progress at others.
+    pub(crate) counts: ForwardCounts,
 }
 
 impl Forwarder {
@@ -232,6 +244,8 @@
             request.deduct_time(self.context.clock.now().since(began));
             match opened {
                 Some(Ok(stream)) => {
+                    let counted = self.counts.begin(&gateway.profile.vm);
+                    let stream = CountedStream { stream, _counted: counted };
                     return OpenedForward::Stream(Box::new(gateway.profile), stream);
                 }
                 // If no session is established within this time, nothing has been sent.
@@ -324,7 +338,8 @@
         rows
     }
 
-    /// Returns a few of the preferred gateways with a path to `service`, in random order.
+    /// Returns a few of the preferred gateways with a path to `service`, in the order in which they
+    /// are tried: random, or by capacity in a region of different VMs.
     fn pick_gateways(&self, region: &RegionName, service: &ServiceName) -> Vec<GatewayRow> {
         let has_path = |row: &GatewayRow| {
             self.dispatcher.with_scheduler(|scheduler, now| {
@@ -332,6 +347,15 @@
             })
         };
         let mut rows = self.preferred_gateways(region, has_path);
+        if let Some(weights) = self.region_weights(region) {
+            let option = |row: &GatewayRow| GatewayOption {
+                weight: weights.get(&row.profile.vm).copied().unwrap_or(1.0),
+                in_progress: self.counts.at(&row.profile.vm),
+            };
+            let options: Vec<_> = rows.iter().map(option).collect();
+            let chosen = choose_gateways(&options, &*self.context.random);
+            return chosen.into_iter().map(|index| rows[index].clone()).collect();
+        }
         let mut picked = Vec::new();
         while picked.len() < MAX_GATEWAYS_TRIED && !rows.is_empty() {
             let at = self.context.random.below(rows.len() as u64) as usize;
@@ -340,6 +364,16 @@
         picked
     }
 
+    /// Returns the weights of the known gateways of the region; `None` if they are equal.
+    fn region_weights(&self, region: &RegionName) -> Option<BTreeMap<VmName, f64>> {
+        let now = self.context.clock.now();
+        let rows = self.fleet.read(|view| view.serving_gateways(region, now));
+        let capacities: Vec<_> = rows.iter().map(|row| row.profile.capacity).collect();
+        let weights = gateway_weights(&capacities);
+        let is_mixed = !are_equal_weights(&weights);
+        is_mixed.then(|| rows.into_iter().map(|row| row.profile.vm).zip(weights).collect())
+    }
+
     /// Waits for the first frame of the reply, which confirms that the request has arrived. Returns
     /// `None` if the path is considered broken, which only happens for a request that may be
     /// repeated.
@@ -451,10 +485,16 @@
     service: &'a ServiceName,
 }
 
+/// The reply of another gateway to a request, which is in progress there until this is dropped.
+struct CountedStream {
+    stream: PeerStream,
+    _counted: CountedForward,
+}
+
 /// Result of forwarding a request.
 enum OpenedForward {
     /// The request was sent to this gateway, whose reply comes on the stream.
-    Stream(Box<GatewayProfile>, PeerStream),
+    Stream(Box<GatewayProfile>, CountedStream),
     /// The request may have been sent.
     Lost,
     /// The request was certainly not sent.
@@ -468,7 +508,7 @@
     pub(crate) round_trip: Duration,
     gateway: Box<GatewayProfile>,
     token: u64,
-    stream: PeerStream,
+    stream: CountedStream,
 }
 
 impl ReservedForward {
@@ -506,14 +546,14 @@
 
 /// The reply of another gateway as a stream of frames.
 pub(crate) struct FrameStream {
-    stream: PeerStream,
+    stream: CountedStream,
     liveness: RunLiveness,
 }
 
 impl FrameStream {
     /// Returns the next frame; `None` after the last one of a complete reply.
     async fn next(&mut self) -> Option<NextFrame> {
-        let bytes = match self.stream.next().await? {
+        let bytes = match self.stream.stream.next().await? {
             Ok(bytes) => bytes,
             Err(error) => return Some(Err(error)),
         };
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -26,6 +26,7 @@
 mod forward;
 mod forward_message;
 mod forward_server;
+mod gateway_choice;
 mod handover;
 mod hint_batching;
 mod hints;
@@ -50,6 +51,7 @@
     dialect::{BackendDialect, RequestMetadata, ResponseMetadata},
     dispatcher::Dispatcher,
     forward_server::ForwardServer,
+    gateway_choice::{GatewayOption, choose_gateways},
     hint_batching::batch_delay,
     hints::{decode_notice, encode_notices},
     proxy::{Proxy, ProxyParts},
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -9,6 +9,7 @@
         configuration_gate::ConfigurationGate,
         execution::RequestExecution,
         forward::Forwarder,
+        gateway_choice::ForwardCounts,
         hints::HintSender,
         notice::GatewayNotice,
         outcome::RequestError,
@@ -137,6 +138,7 @@
             context: parts.context.clone(),
             dispatcher: Rc::clone(&parts.dispatcher),
             events: Rc::clone(&parts.events),
+            counts: ForwardCounts::default(),
         };
         let access = AccessChecker::new(Rc::clone(&parts.fleet), parts.revocation);
         let quota = QuotaEnforcer::new(QuotaParts {
