--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -29,8 +29,8 @@
     entry_selection::{CallerCounter, EntryCaller, EntryCandidate, select_entries},
     follower::{FleetFollower, FollowerParts, ViewWatcher},
     member::{
-        BackendObservation, BackendRecord, DepartedRun, GatewayObservation, GatewayPhase,
-        GatewayProfile, ServingState,
+        BackendObservation, BackendRecord, DepartedRun, GatewayListing, GatewayObservation,
+        GatewayPhase, GatewayProfile, ServingState,
     },
     message::{
         GatewayAnnouncement, RegionOffer, ServiceOffer, SyncReply, SyncRequest, TrafficSnapshot,
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -124,6 +124,29 @@
     pub capacity: VmCapacity,
 }
 
+/// A gateway as operators see it listed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GatewayListing {
+    /// Its VM.
+    pub gateway: VmName,
+    /// Its region.
+    pub region: RegionName,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// Its last announced phase.
+    pub phase: String,
+    /// Whether its calls are overdue.
+    pub is_silent: bool,
+    /// Stated processor time per second, thousandths of a core.
+    pub cpu_millis: Option<u32>,
+    /// Stated memory, megabytes.
+    pub memory_mb: Option<u32>,
+    /// Stated bandwidth of its link, kilobits per second.
+    pub link_kbps: Option<u32>,
+    /// Its weight among the ready gateways of the region; `None` if it is not one of them.
+    pub weight: Option<f64>,
+}
+
 /// Observation of a gateway by one control process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GatewayObservation {
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -3,14 +3,14 @@
 use {
     crate::{
         BackendObservation, BackendRecord, DepartedRun, EntryCandidate, FleetSnapshot,
-        GatewayAnnouncement, GatewayObservation, GatewayPhase, GatewayProfile, RegionOffer,
-        ServiceOffer, VmCapacity, gateway_weights,
+        GatewayAnnouncement, GatewayListing, GatewayObservation, GatewayPhase, GatewayProfile,
+        RegionOffer, ServiceOffer, VmCapacity, gateway_weights,
     },
     gullglade_poison::CrashUpdate,
     gullglade_units::{
         BackendName, Incarnation, MonotonicTime, RegionName, ServiceName, VmName, WallMillis,
     },
-    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+    std::{collections::BTreeMap, iter, net::SocketAddr, time::Duration},
 };
 
 /// Smaller differences between announced cold times are ignored.
@@ -424,6 +424,26 @@
         self.entry_candidates(region, is_home).into_iter().map(|entry| entry.address).collect()
     }
 
+    /// Returns all gateways, live or silent, by region. Weights are relative to the ready gateways
+    /// of the region, as for answers of the directory.
+    pub fn gateway_listings(&self) -> Vec<GatewayListing> {
+        let mut regions: BTreeMap<&RegionName, Vec<&GatewayEntry>> = BTreeMap::new();
+        for entry in self.gateways.values() {
+            regions.entry(&entry.announcement.profile.region).or_default().push(entry);
+        }
+        let mut listings = Vec::new();
+        for mut entries in regions.into_values() {
+            entries.sort_by_key(|entry| !entry.is_ready());
+            let ready = entries.iter().filter(|entry| entry.is_ready());
+            let capacities: Vec<_> =
+                ready.map(|entry| entry.announcement.profile.capacity).collect();
+            let weights = gateway_weights(&capacities).into_iter().map(Some);
+            let weights = weights.chain(iter::repeat(None));
+            listings.extend(entries.into_iter().zip(weights).map(|(e, w)| e.listing(w)));
+        }
+        listings
+    }
+
     /// Returns the capacity that a gateway announced last.
     pub(crate) fn gateway_capacity(&self, vm: &VmName) -> Option<VmCapacity> {
         self.gateways.get(vm).map(|entry| entry.announcement.profile.capacity)
@@ -466,6 +486,21 @@
         self.announcement.phase == GatewayPhase::Ready && !self.is_silent
     }
 
+    fn listing(&self, weight: Option<f64>) -> GatewayListing {
+        let GatewayAnnouncement { profile, phase } = &self.announcement;
+        GatewayListing {
+            gateway: profile.vm.clone(),
+            region: profile.region.clone(),
+            domain: profile.domain.clone(),
+            phase: phase.to_string(),
+            is_silent: self.is_silent,
+            cpu_millis: profile.capacity.cpu_millis(),
+            memory_mb: profile.capacity.memory_mb(),
+            link_kbps: profile.capacity.link_kbps(),
+            weight,
+        }
+    }
+
     pub(crate) fn observation(&self) -> GatewayObservation {
         GatewayObservation {
             profile: self.announcement.profile.clone(),
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         BackendObservation, BackendRecord, EntryCaller, FleetRegistry, FleetSettings,
-        FleetSnapshot, FleetUpdate, GatewayObservation, RegionOffer, SyncReply, SyncRequest,
-        TrafficSource, UpdateFilter,
+        FleetSnapshot, FleetUpdate, GatewayListing, GatewayObservation, RegionOffer, SyncReply,
+        SyncRequest, TrafficSource, UpdateFilter,
         message::{FLEET_PREFIX, SYNC},
         select_entries,
     },
@@ -183,6 +183,11 @@
         })
     }
 
+    /// Returns the gateways that this process observes.
+    pub fn gateway_listings(&self) -> Vec<GatewayListing> {
+        self.registry.borrow().gateway_listings()
+    }
+
     /// Returns the wall-clock time.
     pub(crate) fn wall(&self) -> WallMillis {
         self.context.clock.wall()
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -4,8 +4,8 @@
     bytes::Bytes,
     gullglade_fleet::{
         BackendObservation, BackendRecord, DepartedRun, FleetRegistry, FleetSettings, FleetView,
-        GatewayAnnouncement, GatewayObservation, GatewayPhase, GatewayProfile, ServiceOffer,
-        ServingState, SyncReply, TrafficSnapshot, VmCapacity,
+        GatewayAnnouncement, GatewayObservation, GatewayPhase, GatewayProfile, RawVmCapacity,
+        ServiceOffer, ServingState, SyncReply, TrafficSnapshot, VmCapacity,
     },
     gullglade_poison::CrashUpdate,
     gullglade_traffic::{
@@ -260,6 +260,32 @@
     }
 }
 
+/// Guards against weights that stay relative to a VM that is gone: while the only large gateway is
+/// silent, the others are listed with equal weights, and it has none.
+#[test]
+fn weights_follow_the_ready_gateways_and_their_changed_capacity() {
+    let mut registry = FleetRegistry::new(FleetSettings::new(INTERVAL), at(0));
+    let announcement = |vm: &str, link: f64| {
+        let mut announcement = gateway_announcement(vm, "puget", GatewayPhase::Ready);
+        let raw = RawVmCapacity { link_mbps: Some(link), ..RawVmCapacity::default() };
+        announcement.profile.capacity = VmCapacity::try_from(raw).expect("valid");
+        announcement
+    };
+    let weights = |registry: &FleetRegistry| -> Vec<Option<f64>> {
+        registry.gateway_listings().into_iter().map(|listing| listing.weight).collect()
+    };
+    let small = ["a", "b"].map(|vm| announcement(vm, 10.0));
+    small.iter().for_each(|small| drop(registry.announce_gateway(small, at(0))));
+    registry.announce_gateway(&announcement("c", 10.0), at(0));
+    assert_eq!(weights(&registry), [Some(1.0), Some(1.0), Some(1.0)]);
+    let change = registry.announce_gateway(&announcement("c", 40.0), at(10));
+    assert!(change.is_some(), "a changed capacity reaches the gateways");
+    assert_eq!(weights(&registry), [Some(0.5), Some(0.5), Some(2.0)]);
+    small.iter().for_each(|small| drop(registry.announce_gateway(small, at(1_500))));
+    registry.tick(at(2_000));
+    assert_eq!(weights(&registry), [Some(1.0), Some(1.0), None]);
+}
+
 #[test]
 fn the_offer_of_a_region_is_the_mean_of_its_ready_gateways() {
     let mut registry = FleetRegistry::new(FleetSettings::new(INTERVAL), at(0));
