--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -16,6 +16,7 @@
 mod access;
 mod attempt;
 mod caller_request;
+mod compact_hints;
 mod configuration_gate;
 mod dialect;
 mod dispatcher;
@@ -25,7 +26,9 @@
 mod forward;
 mod forward_message;
 mod forward_server;
+mod gateway_choice;
 mod handover;
+mod hint_batching;
 mod hints;
 mod liveness;
 mod notice;
@@ -44,8 +47,12 @@
 
 pub use {
     caller_request::{CallerRequest, CallerRequestId, CallerRequestIdError},
+    compact_hints::RunDirectory,
     dialect::{BackendDialect, RequestMetadata, ResponseMetadata},
     dispatcher::Dispatcher,
     forward_server::ForwardServer,
+    gateway_choice::{GatewayOption, choose_gateways},
+    hint_batching::batch_delay,
+    hints::{decode_notice, encode_notices},
     proxy::{Proxy, ProxyParts},
 };
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -5,9 +5,11 @@
         BackendDialect, CallerRequest, CallerRequestId, Dispatcher,
         access::AccessChecker,
         attempt::AttemptSender,
+        compact_hints::KnownRuns,
         configuration_gate::ConfigurationGate,
         execution::RequestExecution,
         forward::Forwarder,
+        gateway_choice::ForwardCounts,
         hints::HintSender,
         notice::GatewayNotice,
         outcome::RequestError,
@@ -71,6 +73,7 @@
     forwards: Cell<usize>,
     /// Callers' requests that arrived before the first configuration.
     configuration_gate: ConfigurationGate,
+    known_runs: Rc<KnownRuns>,
 }
 
 impl ProxyShared {
@@ -135,6 +138,7 @@
             context: parts.context.clone(),
             dispatcher: Rc::clone(&parts.dispatcher),
             events: Rc::clone(&parts.events),
+            counts: ForwardCounts::default(),
         };
         let access = AccessChecker::new(Rc::clone(&parts.fleet), parts.revocation);
         let quota = QuotaEnforcer::new(QuotaParts {
@@ -148,10 +152,13 @@
             regions: parts.regions.clone(),
         });
         quota.start();
+        let clock = Rc::clone(&parts.context.clock);
+        let known_runs = KnownRuns::new(Rc::clone(&parts.fleet), clock);
         let hints = HintSender::new(
             Rc::clone(&parts.notices),
             Rc::clone(&parts.fleet),
             parts.context.clone(),
+            Rc::clone(&known_runs),
         );
         hints.attach(&parts.dispatcher);
         let cutoff = Cell::new(None);
@@ -166,6 +173,7 @@
             cutoff,
             forwards,
             configuration_gate,
+            known_runs,
         };
         let proxy = Self { shared: Rc::new(shared) };
         proxy.watch_configuration();
@@ -286,6 +294,7 @@
     pub fn handle_notice(&self, body: &[u8]) {
         match decode(body) {
             Ok(GatewayNotice::Hints(hints)) => {
+                let hints = self.shared.known_runs.directory().restore(hints);
                 self.dispatcher().with_scheduler(|scheduler, now| scheduler.note_hints(hints, now));
             }
             Ok(GatewayNotice::Spend(spend)) => self.quota().handle_notice(spend),
