--- a/crates/dispatch/src/answer_end.rs
+++ b/crates/dispatch/src/answer_end.rs
@@ -35,7 +35,7 @@
 /// tracked. This is about half a second of decode steps.
 const MIN_TRACKED_TOKENS: f64 = 64.0;
 
-/// Number of events between two samples of the pace. Single events may arrive together.
+/// Least number of events in a sample of the pace. Single events may arrive together.
 const SAMPLE_EVENTS: u32 = 4;
 
 /// The prefill for which the loss of running answers is computed, milliseconds.
@@ -213,9 +213,11 @@
 #[derive(Clone, Copy, Debug)]
 struct OwnProgress {
     ticket: TicketId,
-    /// Number of events after the first byte.
+    /// Number of events after the first ones.
     events: u32,
-    /// The beginning of the current pace sample, and the prefill time of the engine then.
+    /// The number of events at the beginning of the current pace sample, its time, and the prefill
+    /// time of the engine then.
+    sample_events: u32,
     sample_at: MonotonicTime,
     sample_prefill_ms: f64,
 }
@@ -281,6 +283,7 @@
         let own = ticket.map(|ticket| OwnProgress {
             ticket,
             events: 0,
+            sample_events: 0,
             sample_at: now,
             sample_prefill_ms: 0.0,
         });
@@ -296,8 +299,14 @@
         }
     }
 
-    /// Records an event of a stream that this gateway relays, the first byte included.
-    pub(crate) fn note_event(&mut self, ticket: TicketId, state: EngineState, now: MonotonicTime) {
+    /// Records events of a stream that this gateway relays.
+    pub(crate) fn note_events(
+        &mut self,
+        ticket: TicketId,
+        events: u32,
+        state: EngineState,
+        now: MonotonicTime,
+    ) {
         self.note_prefill(state.is_in_prefill, now);
         let prefill_ms = self.prefill_ms;
         let of_ticket = |a: &&mut RunningAnswer| a.own.is_some_and(|own| own.ticket == ticket);
@@ -308,18 +317,20 @@
             (own.sample_at, own.sample_prefill_ms) = (now, prefill_ms);
             return;
         }
-        own.events += 1;
-        if !own.events.is_multiple_of(SAMPLE_EVENTS) {
+        own.events = own.events.saturating_add(events);
+        let sampled = own.events - own.sample_events;
+        if sampled < SAMPLE_EVENTS {
             return;
         }
         let sample = PaceSample {
-            tokens: f64::from(SAMPLE_EVENTS) * f64::from(state.tokens_per_event),
+            tokens: f64::from(sampled) * f64::from(state.tokens_per_event),
             took_ms: now.since(own.sample_at).as_secs_f64() * 1_000.0,
             prefill_ms: prefill_ms - own.sample_prefill_ms,
             running: state.running,
             slowdown: state.slowdown,
         };
         (own.sample_at, own.sample_prefill_ms) = (now, prefill_ms);
+        own.sample_events = own.events;
         self.pace.learn(sample, state.initial);
     }
 
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -354,13 +354,21 @@
     /// Records that bytes of an answer arrived. Has to be called for the first byte and may be
     /// called for every later chunk.
     pub fn note_progress(&mut self, ticket: TicketId, now: MonotonicTime) {
+        self.note_events(ticket, 1, now);
+    }
+
+    /// Records that bytes of a stream arrived in which this number of events ends. The pace of an
+    /// engine is learned from events, of which several may arrive at once.
+    pub fn note_events(&mut self, ticket: TicketId, events: u32, now: MonotonicTime) {
         if let Some(placement) = self.sent.get_mut(&ticket) {
             placement.last_byte = Some(now);
         }
         let Some(backend) = self.sent_backend(ticket) else { return };
         let service = backend.info.service.clone();
         self.note_contact(&service, now);
-        self.note_answer_event(ticket, now);
+        if events > 0 {
+            self.note_answer_events(ticket, events, now);
+        }
         let Some(backend) = self.sent_backend(ticket) else { return };
         // The rest applies to the first chunk only.
         let Some(sent) = backend.load.note_own_first_byte(ticket, now) else { return };
--- a/crates/dispatch/src/scheduler/end.rs
+++ b/crates/dispatch/src/scheduler/end.rs
@@ -160,8 +160,8 @@
         length.map(|length| AnswerHint::new(&length, deadline.since(now)))
     }
 
-    /// Records an event of a stream that this gateway relays.
-    pub(super) fn note_answer_event(&mut self, ticket: TicketId, now: MonotonicTime) {
+    /// Records events of a stream that this gateway relays.
+    pub(super) fn note_answer_events(&mut self, ticket: TicketId, events: u32, now: MonotonicTime) {
         let Some(placement) = self.sent.get(&ticket) else { return };
         let Some(backend) = backend_of_run(&mut self.backends, &placement.run) else {
             return;
@@ -175,7 +175,7 @@
             tokens_per_event: engine.tokens_per_event,
             initial: self.answers.get(&backend.info.service).and_then(|answers| answers.usual),
         };
-        backend.answers.note_event(ticket, state, now);
+        backend.answers.note_events(ticket, events, state, now);
     }
 
     /// Records the end of an answer that this gateway relayed.
--- a/crates/dispatch/tests/answer_end.rs
+++ b/crates/dispatch/tests/answer_end.rs
@@ -97,34 +97,26 @@
     (failed, outcomes.iter().map(Outcome::worth).sum::<f64>() / outcomes.len() as f64)
 }
 
-/// Replays a load with the rules of before and with the expected end of answers.
-fn compare(load: f64, hint_bias: f64) -> [(usize, f64); 2] {
-    [("before", false), ("with", true)].map(|(title, is_stated)| {
-        let outcomes = replay(load, is_stated, hint_bias);
-        show(title, &outcomes);
-        let result = result(&outcomes);
-        println!("load {load}, hints times {hint_bias}, {title}: {result:?}");
-        result
-    })
+/// Replays a load and returns its result.
+fn measure(title: &str, load: f64, is_stated: bool, hint_bias: f64) -> (usize, f64) {
+    let outcomes = replay(load, is_stated, hint_bias);
+    show(title, &outcomes);
+    let result = result(&outcomes);
+    println!("load {load}, {title}: {result:?}");
+    result
 }
 
 #[test]
 fn long_answers_end_in_time_at_a_peak() {
     // The load: a lasting peak with nine tenths of the prefill that engines of three speeds can do.
     // Guards against long answers on engines that are slow or always in prefill, which run for
-    // seconds and are then cut off by their deadline.
-    let [(failed, worth), (failed_with, worth_with)] = compare(0.9, 1.0);
-    assert!(3 * failed_with <= 2 * failed, "{failed_with} failed, {failed} before");
-    assert!(worth_with > worth + 0.01, "{worth_with} against {worth}");
-}
-
-#[test]
-fn wrong_length_hints_do_no_harm() {
-    // The same load. Guards against trust in hints that are ten times too small or too large.
-    for bias in [0.1, 10.0] {
-        let [(failed, worth), (failed_with, worth_with)] = compare(0.9, bias);
-        assert!(failed_with <= failed, "{failed_with} failed, {failed} before");
-        assert!(worth_with > worth - 0.005, "{worth_with} against {worth}");
+    // seconds and are then cut off by their deadline, and against trust in hints of the length that
+    // are ten times too small or too large.
+    let (failed, worth) = measure("before", 0.9, false, 1.0);
+    for (title, bias) in [("with", 1.0), ("with small hints", 0.1), ("with large hints", 10.0)] {
+        let (failed_with, worth_with) = measure(title, 0.9, true, bias);
+        assert!(3 * failed_with <= 2 * failed, "{title}: {failed_with} failed, {failed} before");
+        assert!(worth_with > worth + 0.01, "{title}: {worth_with} against {worth}");
     }
 }
 
@@ -132,7 +124,8 @@
 fn overload_is_served_as_before() {
     // The load: more than the engines can do. Guards against prompts that wait for an engine to
     // recover while all are strained.
-    let [(failed, worth), (failed_with, worth_with)] = compare(1.1, 1.0);
-    assert!(failed_with as f64 <= 1.15 * failed as f64, "{failed_with} failed, {failed} before");
-    assert!(worth_with > worth - 0.01, "{worth_with} against {worth}");
+    let (failed, worth) = measure("before", 1.1, false, 1.0);
+    let (failed_with, worth_with) = measure("with", 1.1, true, 1.0);
+    assert!(failed_with as f64 <= 1.1 * failed as f64, "{failed_with} failed, {failed} before");
+    assert!(worth_with > worth - 0.005, "{worth_with} against {worth}");
 }
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -189,9 +189,10 @@
         &mut self.permit
     }
 
-    /// Notes that the first byte of the response has arrived.
-    pub(crate) fn note_first_byte(&self) {
-        self.dispatcher.with_scheduler(|scheduler, now| scheduler.note_progress(self.ticket, now));
+    /// Notes that a piece of the response has arrived in which `events` events end.
+    pub(crate) fn note_progress(&self, events: u32) {
+        let ticket = self.ticket;
+        self.dispatcher.with_scheduler(|scheduler, now| scheduler.note_events(ticket, events, now));
         self.dispatcher.notify_change();
         if let Some(monitor) = &self.monitor {
             monitor.note_first_byte();
--- a/crates/proxy/src/event_boundary.rs
+++ b/crates/proxy/src/event_boundary.rs
@@ -9,6 +9,8 @@
     line: LineState,
     has_field: bool,
     has_event: bool,
+    /// Number of events that ended in the last piece.
+    events: u32,
 }
 
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
@@ -22,10 +24,12 @@
 impl EventBoundary {
     /// Reads the next piece, and returns `true` if an event ends in it.
     pub(crate) fn read(&mut self, piece: &[u8]) -> bool {
-        let mut has_event = false;
+        self.events = 0;
         for byte in piece {
             match (byte, self.line) {
-                (b'\n', LineState::Start) => has_event |= std::mem::take(&mut self.has_field),
+                (b'\n', LineState::Start) => {
+                    self.events += u32::from(std::mem::take(&mut self.has_field));
+                }
                 (b'\n', line) => {
                     self.has_field |= line == LineState::Field;
                     self.line = LineState::Start;
@@ -36,8 +40,13 @@
                 _ => {}
             }
         }
-        self.has_event |= has_event;
-        has_event
+        self.has_event |= self.events > 0;
+        self.events > 0
+    }
+
+    /// Returns the number of events that ended in the last piece.
+    pub(crate) fn events(&self) -> u32 {
+        self.events
     }
 
     /// Returns whether a complete event has been read.
--- a/crates/proxy/src/response.rs
+++ b/crates/proxy/src/response.rs
@@ -134,10 +134,13 @@
 
     fn note_chunk(&mut self, bytes: &[u8]) {
         let Some(ticket) = &self.ticket else { return };
-        ticket.note_first_byte();
-        if let BodyContent::Events(events) = &mut self.content
-            && events.read(bytes)
-        {
+        let BodyContent::Events(events) = &mut self.content else {
+            ticket.note_progress(1);
+            return;
+        };
+        let has_event = events.read(bytes);
+        ticket.note_progress(events.events());
+        if has_event {
             ticket.note_answer_begun();
         }
     }
