--- a/crates/proxy/examples/link_bytes.rs
+++ b/crates/proxy/examples/link_bytes.rs
@@ -92,12 +92,21 @@
         };
         let part = |(_, tokens)| PromptPart { id: score_of(random.below(16)), tokens };
         let sent = RequestUpdate::Sent {
+            holds_slot: false,
+            workspace: None,
+            answer: None,
             tokens: kind.tokens.map(|(tokens, _)| tokens),
             parts: kind.tokens.map(part).into_iter().collect(),
         };
         let begun = RequestUpdate::Begun {
+            pace: [0; 2],
             ago_us: 0,
-            load: Some(BackendReport { running: 24, waiting: 2, slots: 64 }),
+            load: Some(BackendReport {
+                running: 24,
+                waiting: 2,
+                slots: 64,
+                slowdown_percent: None,
+            }),
             limit: LimitUpdate { limit: None, ago_us: 0 },
         };
         let sent_at = at as u64;
--- a/crates/proxy/tests/compact_hints.rs
+++ b/crates/proxy/tests/compact_hints.rs
@@ -2,8 +2,8 @@
 
 use {
     gullglade_dispatch::{
-        BackendHint, BackendReport, LimitUpdate, PromptPart, RejectionLimit, RequestUpdate,
-        StatedLimit,
+        AnswerHint, BackendHint, BackendReport, LimitUpdate, PromptPart, RejectionLimit,
+        RequestUpdate, StatedLimit, WorkspaceUse,
     },
     gullglade_fleet::{RawVmCapacity, VmCapacity},
     gullglade_peer::MAX_NOTICE_BYTES,
@@ -26,14 +26,33 @@
 /// Returns hints with every update and extreme figures.
 fn all_updates() -> Vec<BackendHint> {
     let parts = vec![PromptPart { id: u64::MAX, tokens: 5_382 }, PromptPart { id: 0, tokens: 0 }];
-    let load = Some(BackendReport { running: 64, waiting: 3, slots: 64 });
+    let load =
+        Some(BackendReport { running: 64, waiting: 3, slots: 64, slowdown_percent: Some(250) });
     let limit = StatedLimit::try_from(12.5).ok();
     let rejections = RejectionLimit::try_from(9.0).ok();
     [
-        RequestUpdate::Sent { tokens: None, parts: Vec::new() },
-        RequestUpdate::Sent { tokens: Some(u32::MAX), parts },
-        RequestUpdate::Begun { ago_us: 7, load, limit: LimitUpdate { limit, ago_us: u32::MAX } },
+        RequestUpdate::Sent {
+            tokens: None,
+            parts: Vec::new(),
+            holds_slot: true,
+            workspace: None,
+            answer: None,
+        },
+        RequestUpdate::Sent {
+            tokens: Some(u32::MAX),
+            parts,
+            holds_slot: true,
+            workspace: Some(WorkspaceUse { workspace: u32::MAX, engine_ms: 120 }),
+            answer: Some(AnswerHint { tokens: 382, left_ms: 12_000 }),
+        },
         RequestUpdate::Begun {
+            ago_us: 7,
+            load,
+            limit: LimitUpdate { limit, ago_us: u32::MAX },
+            pace: [7, 9],
+        },
+        RequestUpdate::Begun {
+            pace: [0; 2],
             ago_us: 0,
             load: None,
             limit: LimitUpdate { limit: None, ago_us: 0 },
@@ -103,7 +122,18 @@
     let parts =
         |count| (0..count).map(|id| PromptPart { id: u64::MAX - id, tokens: 500 }).collect();
     let sent = |index: u64| {
-        hint(run(index % 70, 17), index, 9, RequestUpdate::Sent { tokens: None, parts: parts(9) })
+        hint(
+            run(index % 70, 17),
+            index,
+            9,
+            RequestUpdate::Sent {
+                tokens: None,
+                parts: parts(9),
+                holds_slot: true,
+                workspace: None,
+                answer: None,
+            },
+        )
     };
     let hints: Vec<_> = (0..100).map(sent).collect();
     let bodies = encode_notices(&hints, &known);
@@ -117,10 +147,17 @@
 fn hints_of_known_runs_are_small() {
     let known = RunDirectory::new((0..70).map(|index| run(index, 1_764_720_000_000)));
     let part = PromptPart { id: u64::MAX, tokens: 5_382 };
-    let load = Some(BackendReport { running: 24, waiting: 2, slots: 64 });
+    let load =
+        Some(BackendReport { running: 24, waiting: 2, slots: 64, slowdown_percent: Some(250) });
     let limit = LimitUpdate { limit: None, ago_us: 9_000 };
-    let begun = RequestUpdate::Begun { ago_us: 9_000, load, limit };
-    let sent = RequestUpdate::Sent { tokens: Some(6_610), parts: vec![part] };
+    let begun = RequestUpdate::Begun { ago_us: 9_000, load, limit, pace: [7, 9] };
+    let sent = RequestUpdate::Sent {
+        tokens: Some(6_610),
+        parts: vec![part],
+        holds_slot: true,
+        workspace: None,
+        answer: None,
+    };
     let run = run(3, 1_764_720_000_000);
     let pair = [hint(run.clone(), u64::MAX, 9_000, sent), hint(run, u64::MAX, 600_000, begun)];
     let bytes: usize = encode_notices(&pair, &known).iter().map(Vec::len).sum();
