proxy: bound answers that never end

A faulty backend server may send bytes without an end: in a head, a chunk extension, trailers, an event, comments, a plain body, or after a whole answer. Memory and time are bounded for each, the connection is closed, and the backend server counts as failing (Garbled, line request.garbled) instead of as crashed by the request. Comments no longer end the silence of a run or begin its answer. The search for the end of an event no longer costs the square of its length.

--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -453,6 +453,13 @@
         }
     }
 
+    /// Records that a backend server sent bytes that belong to no answer.
+    pub fn note_garbled(&mut self, run: &BackendRun, now: MonotonicTime) {
+        if let Some(backend) = backend_of_run(&mut self.backends, run) {
+            backend.health.note(WorkOutcome::Garbled, now);
+        }
+    }
+
     /// Returns whether the budget of `service` would grant a repeat, without taking it.
     pub fn peek_repeat(&mut self, service: &ServiceName, now: MonotonicTime) -> RepeatDecision {
         let share = self.share;
--- a/crates/http/src/client/connection.rs
+++ b/crates/http/src/client/connection.rs
@@ -31,6 +31,9 @@
 /// has no stable name.
 const IN_PROGRESS: i32 = 115;
 
+/// What `hyper` calls bytes that belong to no reply. It has no predicate for this error.
+const STRAY_BYTES: &str = "received unexpected message from connection";
+
 /// An open connection that no request uses. Dropped, it closes the socket at once, however many
 /// other tasks are to run before the one that drives it.
 pub(super) struct ClientConnection {
@@ -55,6 +58,22 @@
     pub(super) stated: Option<Duration>,
 }
 
+/// What becomes known about a connection after the end of a reply.
+#[derive(Clone)]
+pub(super) struct ReplyAftermath(Rc<SharedSocket>);
+
+impl ReplyAftermath {
+    /// Whether bytes that belong to no reply have arrived.
+    pub(super) fn has_stray_bytes(&self) -> bool {
+        self.0.has_stray_bytes.get()
+    }
+
+    /// Has `callback` called if such bytes arrive before the connection's next request.
+    pub(super) fn on_stray_bytes(&self, callback: Box<dyn FnOnce()>) {
+        self.0.on_stray_bytes.replace(Some(callback));
+    }
+}
+
 impl ConnectionLease {
     /// Keeps the connection for the next request: the reply was read to its end.
     pub(super) fn keep(self) {
@@ -77,19 +96,35 @@
         stream.set_nodelay(true).map_err(|e| connect_error(address, &e))?;
         let stream = stream.into_poll_io().map_err(|e| connect_error(address, &e))?;
         let stream = RefCell::new(Some(MonoioIo::new(stream)));
-        let socket = Rc::new(SharedSocket { stream, written: Cell::new(0) });
+        let socket = Rc::new(SharedSocket {
+            stream,
+            written: Cell::new(0),
+            has_stray_bytes: Cell::new(false),
+            on_stray_bytes: RefCell::new(None),
+        });
         let (sender, connection) = Builder::new()
             .max_buf_size(config.head_limit)
             .handshake(CountedStream(Rc::clone(&socket)))
             .await
             .map_err(|e| ClientError::Connect { address, reason: e.to_string() })?;
         let (cancel, cancelled) = oneshot::channel::<()>();
+        let driven = Rc::clone(&socket);
+        let connection = connection.map(move |outcome| driven.note_end(outcome));
         // Either outcome ends the connection; who waits for a reply is told by `hyper`. No `async`
         // block: it would keep room for the connection twice, see `OnceSignal::guard`.
         context.spawner.spawn(Box::pin(select(connection, cancelled).map(drop)));
         Ok(Self { sender, socket, _cancel: cancel })
     }
 
+    /// Forgets the callback of the reply before, as a request is about to be sent.
+    pub(super) fn begin_request(&self) {
+        self.socket.on_stray_bytes.take();
+    }
+
+    pub(super) fn aftermath(&self) -> ReplyAftermath {
+        ReplyAftermath(Rc::clone(&self.socket))
+    }
+
     /// Bytes written to the socket since the connection was opened.
     pub(super) fn written(&self) -> u64 {
         self.socket.written.get()
@@ -132,9 +167,24 @@
     /// `None` once it is closed.
     stream: RefCell<Option<MonoioIo<TcpStreamPoll>>>,
     written: Cell<u64>,
+    /// Whether bytes arrived that belong to no reply. They end the connection.
+    has_stray_bytes: Cell<bool>,
+    on_stray_bytes: RefCell<Option<Box<dyn FnOnce()>>>,
 }
 
 impl SharedSocket {
+    fn note_end(&self, outcome: Result<(), hyper::Error>) {
+        // The pool may still hold the connection, and the other side would go on sending.
+        self.stream.take();
+        if outcome.is_err_and(|error| error.to_string() == STRAY_BYTES) {
+            self.has_stray_bytes.set(true);
+            let callback = self.on_stray_bytes.take();
+            if let Some(callback) = callback {
+                callback();
+            }
+        }
+    }
+
     fn poll<T>(
         &self,
         operation: impl FnOnce(Pin<&mut MonoioIo<TcpStreamPoll>>) -> Poll<io::Result<T>>,
--- a/crates/http/src/client/error.rs
+++ b/crates/http/src/client/error.rs
@@ -65,6 +65,18 @@
         /// What broke it.
         reason: String,
     },
+    /// The reply breaks the protocol, or its head has more bytes or lines than allowed: the request
+    /// may have run.
+    #[snafu(display(
+        "the reply of {address} is not valid HTTP or its head is too long ({reason}); the request \
+         may have run, so repeat only what is idempotent, and check the server there"
+    ))]
+    Malformed {
+        /// The address.
+        address: SocketAddr,
+        /// What is wrong.
+        reason: String,
+    },
     /// No head of a reply in time: the request may have run or still run.
     #[snafu(display(
         "{address} did not answer within {limit:?}; it may have run, so repeat only what is \
@@ -96,7 +108,10 @@
             | Self::Invalid { .. }
             | Self::Unsent { .. }
             | Self::Revoked { .. } => true,
-            Self::Sent { .. } | Self::HeadTimeout { .. } | Self::Unframed { .. } => false,
+            Self::Sent { .. }
+            | Self::Malformed { .. }
+            | Self::HeadTimeout { .. }
+            | Self::Unframed { .. } => false,
         }
     }
 }
--- a/crates/http/src/client/pool.rs
+++ b/crates/http/src/client/pool.rs
@@ -192,6 +192,7 @@
         let limit = self.head_timeout(&request);
         let method = request.method().clone();
         let before = connection.written();
+        connection.begin_request();
         let pool = Rc::clone(&self.pool);
         let mut lease = ConnectionLease { connection, pool, address, stated: None };
         let sending = lease.connection.sender.send_request(request);
@@ -199,6 +200,9 @@
         let sent = lease.connection.written() > before;
         match outcome {
             Some(Ok(response)) => self.reply(method, response, lease),
+            Some(Err(e)) if sent && e.is_parse() => {
+                Err(ClientError::Malformed { address, reason: error_chain(&e) })
+            }
             Some(Err(e)) if sent => Err(ClientError::Sent { address, reason: error_chain(&e) }),
             Some(Err(e)) => Err(ClientError::Unsent { address, reason: error_chain(&e) }),
             None if sent => Err(ClientError::HeadTimeout { address, limit }),
@@ -229,9 +233,11 @@
         strip_hop_by_hop(&mut head.headers);
         let clock = Rc::clone(&self.pool.context.clock);
         let pause = self.pool.config.body_timeout;
+        let aftermath = lease.connection.aftermath();
         let body = ClientBody::from_wire(WireSource {
             incoming,
             lease: Some(lease),
+            aftermath,
             clock,
             pause,
             timer: None,
--- a/crates/http/src/client/reply.rs
+++ b/crates/http/src/client/reply.rs
@@ -1,7 +1,7 @@
 //! Replies in the hands of whoever sent the request.
 
 use {
-    super::connection::ConnectionLease,
+    super::connection::{ConnectionLease, ReplyAftermath},
     crate::{BodyError, LocalStream},
     bytes::{Bytes, BytesMut},
     futures::{Stream, StreamExt, future::poll_fn},
@@ -47,6 +47,7 @@
 pub(super) struct WireSource {
     pub(super) incoming: Incoming,
     pub(super) lease: Option<ConnectionLease>,
+    pub(super) aftermath: ReplyAftermath,
     pub(super) clock: Rc<dyn Clock>,
     pub(super) pause: Duration,
     /// Set for an earlier piece, so it is due too early for a later one and then set again: a
@@ -86,6 +87,23 @@
         piece
     }
 
+    /// Whether bytes that belong to no reply came with the end of this one. The connection is closed
+    /// then, and the sender does not follow the protocol, though the reply is whole.
+    pub fn has_stray_bytes(&self) -> bool {
+        match &self.source {
+            BodySource::Wire(wire) => wire.aftermath.has_stray_bytes(),
+            BodySource::Stream(_) => false,
+        }
+    }
+
+    /// Has `callback` called if such bytes arrive after the end of this reply and before the next
+    /// request on its connection.
+    pub fn on_stray_bytes(&self, callback: Box<dyn FnOnce()>) {
+        if let BodySource::Wire(wire) = &self.source {
+            wire.aftermath.on_stray_bytes(callback);
+        }
+    }
+
     /// The whole body, which must have at most `limit` bytes.
     pub async fn collect(mut self, limit: usize) -> Result<Bytes, BodyError> {
         let mut whole = BytesMut::new();
--- a/crates/proxy/src/event_boundary.rs
+++ b/crates/http/src/event_boundary.rs
@@ -9,6 +9,8 @@
     line: LineState,
     has_field: bool,
     has_event: bool,
+    /// Bytes since the last event.
+    pending: usize,
 }
 
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
@@ -23,9 +25,16 @@
     /// Reads the next piece, and returns `true` if an event ends in it.
     pub(crate) fn read(&mut self, piece: &[u8]) -> bool {
         let mut has_event = false;
+        let mut pending = self.pending;
         for byte in piece {
+            pending += 1;
             match (byte, self.line) {
-                (b'\n', LineState::Start) => has_event |= std::mem::take(&mut self.has_field),
+                (b'\n', LineState::Start) => {
+                    if std::mem::take(&mut self.has_field) {
+                        has_event = true;
+                        pending = 0;
+                    }
+                }
                 (b'\n', line) => {
                     self.has_field |= line == LineState::Field;
                     self.line = LineState::Start;
@@ -37,6 +46,7 @@
             }
         }
         self.has_event |= has_event;
+        self.pending = pending;
         has_event
     }
 
@@ -45,6 +55,11 @@
         self.has_event
     }
 
+    /// Returns the number of bytes since the last event. Comments count.
+    pub(crate) fn pending(&self) -> usize {
+        self.pending
+    }
+
     /// Returns whether the position is inside an event.
     pub(crate) fn is_inside_event(&self) -> bool {
         self.has_field || self.line != LineState::Start
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -14,7 +14,7 @@
         send_unless_revoked,
     },
     gullglade_traffic::TrafficWorkspace,
-    gullglade_units::BackendName,
+    gullglade_units::{BackendName, MonotonicTime},
     http::{Request, StatusCode, header::CONTENT_ENCODING},
     std::{net::SocketAddr, rc::Rc, time::Duration},
 };
@@ -55,6 +55,7 @@
         attempt: Attempt,
         mut ticket: DispatchTicket,
     ) -> AttemptOutcome {
+        let ends = ticket.now() + attempt.left;
         let request = match self.build_request(&attempt, ticket.permit().permit.clone()) {
             Ok(request) => request,
             Err(_invalid) => {
@@ -66,7 +67,7 @@
         };
         let revoked = &mut ticket.permit().revoked;
         match send_unless_revoked(&*self.client, attempt.address, request, revoked).await {
-            Ok(reply) => self.classify_reply(&attempt, reply, ticket),
+            Ok(reply) => self.classify_reply(&attempt, reply, ticket, ends),
             Err(error) => classify_error(&error, &attempt, ticket),
         }
     }
@@ -103,6 +104,7 @@
         attempt: &Attempt,
         reply: ClientReply,
         ticket: DispatchTicket,
+        ends: MonotonicTime,
     ) -> AttemptOutcome {
         let ClientReply { head, body } = reply;
         let metadata = self.dialect.read_response(head.status, &head.headers);
@@ -135,7 +137,7 @@
             return AttemptOutcome::Unknown(UnknownReason::Garbled);
         }
         let liveness = ticket.liveness();
-        let body = BackendBody::new(body, ticket, &head);
+        let body = BackendBody::new(body, ticket, &head, ends);
         AttemptOutcome::Response(Box::new(AttemptResponse {
             target: AttemptTarget::Local(attempt.backend.clone()),
             liveness,
@@ -183,6 +185,10 @@
             ticket.finish(WorkOutcome::Overdue { waited: attempt.left });
             AttemptOutcome::Unknown(UnknownReason::Overdue)
         }
+        ClientError::Malformed { .. } => {
+            ticket.finish(WorkOutcome::Garbled);
+            AttemptOutcome::Unknown(UnknownReason::Garbled)
+        }
         _ => {
             ticket.finish(WorkOutcome::Broken);
             AttemptOutcome::Unknown(UnknownReason::Broken)
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -221,6 +221,26 @@
         changes
     }
 
+    /// Returns the function to be called if the backend server sends bytes after a whole response
+    /// whose outcome has been reported.
+    pub(crate) fn stray_bytes_callback(&self) -> Option<Box<dyn FnOnce()>> {
+        // Not the monitor itself, which holds the request's body.
+        let report = self.monitor.as_ref()?.garbled_report();
+        let dispatcher = Rc::downgrade(&self.dispatcher);
+        Some(Box::new(move || {
+            let Some(dispatcher) = dispatcher.upgrade() else { return };
+            dispatcher.with_scheduler(|scheduler, now| {
+                scheduler.note_garbled(&report.run, now);
+                report.emit("stray_bytes", now);
+            });
+        }))
+    }
+
+    /// Returns the time of this process.
+    pub(crate) fn now(&self) -> MonotonicTime {
+        self.dispatcher.context.clock.now()
+    }
+
     /// Returns `true` if the place may still be used.
     pub(crate) fn may_be_used(&self) -> bool {
         self.dispatcher
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -595,6 +595,10 @@
         match self.frames.next_content().await {
             None => None,
             Some(Ok(ForwardFrame::Chunk(bytes))) => Some(Ok(bytes)),
+            Some(Ok(ForwardFrame::Unknown(UnknownReason::Garbled))) => {
+                let reason = "the backend server of the other region broke the protocol".to_owned();
+                Some(Err(BodyError::Malformed { reason }))
+            }
             Some(Ok(ForwardFrame::Unknown(reason))) => {
                 lost(format!("in the other region: {reason}"))
             }
--- a/crates/proxy/src/forward_server.rs
+++ b/crates/proxy/src/forward_server.rs
@@ -10,7 +10,7 @@
         outcome::{AttemptOutcome, AttemptTarget, NotRunReason, UnknownReason},
         proxy::Proxy,
         reservation::ReservationTable,
-        response::AttemptResponse,
+        response::{AttemptResponse, LateBytes},
         search::FoundPlace,
     },
     bytes::Bytes,
@@ -200,16 +200,24 @@
             at_work_silence_limit: None,
         };
         let clock = Rc::clone(&self.proxy.context().clock);
+        let mut late = LateBytes::default();
         loop {
             let next = self.report_while_waiting(&run, reply, body.next());
             let reason = match timeout(&*clock, execution.left(), next).await.transpose()? {
                 Some(Some(Ok(bytes))) => {
-                    execution.note_response_begun();
+                    // Comments do not begin the answer.
+                    if body.has_begun() {
+                        execution.note_response_begun();
+                    }
+                    late.note(bytes.len(), execution.left());
                     send_frame(reply, &ForwardFrame::Chunk(bytes)).await?;
-                    continue;
+                    if !late.is_exceeded() {
+                        continue;
+                    }
+                    UnknownReason::Overdue
                 }
                 Some(None) => return Ok(()),
-                Some(Some(Err(_))) => UnknownReason::Incomplete,
+                Some(Some(Err(error))) => UnknownReason::of_body(&error),
                 None => UnknownReason::Overdue,
             };
             return send_frame(reply, &ForwardFrame::Unknown(reason)).await;
--- a/crates/proxy/src/outcome.rs
+++ b/crates/proxy/src/outcome.rs
@@ -4,7 +4,7 @@
     crate::{BackendDialect, access::AccessDenial, response::AttemptResponse},
     gullglade_dispatch::RefusalReason,
     gullglade_event::FieldValue,
-    gullglade_http::{ApiError, ReplyBody, RunState},
+    gullglade_http::{ApiError, BodyError, ReplyBody, RunState},
     gullglade_poison::{ContentFingerprint, PartFingerprint},
     gullglade_units::{BackendName, RegionName},
     http::{Response, StatusCode, header::RETRY_AFTER},
@@ -59,6 +59,16 @@
     LostAway,
 }
 
+impl UnknownReason {
+    /// Returns the reason for a response whose body ended with `error`.
+    pub(crate) fn of_body(error: &BodyError) -> Self {
+        match error {
+            BodyError::Malformed { .. } => Self::Garbled,
+            _ => Self::Incomplete,
+        }
+    }
+}
+
 impl NotRunReason {
     /// Returns `true` if a backend server received the request and rejected it.
     pub(crate) fn reached_backend(self) -> bool {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -2,17 +2,18 @@
 
 use {
     crate::{
+        event_boundary::EventBoundary,
         execution::RequestExecution,
         handover::{OutputState, RunOutput},
         liveness::{RunLiveness, RunMonitor},
         outcome::{AttemptTarget, RequestError, UnknownReason},
         replacement::WaitOutcome,
-        response::{AttemptResponse, ResponseBody},
+        response::{AttemptResponse, LateBytes, MAX_EVENT_BYTES, ResponseBody},
     },
     bytes::{Bytes, BytesMut},
     futures::stream::unfold,
     gullglade_http::{BodyError, ReplyBody},
-    gullglade_units::timeout,
+    gullglade_units::{Clock, MonotonicTime, timeout},
     http::{HeaderMap, Response, StatusCode, header::CONTENT_LENGTH},
     std::{rc::Rc, time::Duration},
 };
@@ -84,9 +85,9 @@
                     return Ok(Some(RelayedReply { status, headers, body }));
                 }
                 WaitOutcome::Output(Some(Ok(bytes))) => buffered.extend_from_slice(&bytes),
-                WaitOutcome::Output(Some(Err(_))) => {
+                WaitOutcome::Output(Some(Err(error))) => {
                     drop(body);
-                    self.handle_unknown(UnknownReason::Incomplete)?;
+                    self.handle_unknown(UnknownReason::of_body(&error))?;
                     return Ok(None);
                 }
                 WaitOutcome::Replaced => return Ok(None),
@@ -108,7 +109,7 @@
         response: AttemptResponse,
     ) -> Result<Option<RelayedReply>, RequestError> {
         let AttemptResponse { target, liveness, status, headers, body } = response;
-        let mut events = EventReader::new(body, self.body_monitor(target, liveness));
+        let mut events = self.event_reader(target, liveness, body);
         match self.next_events(&mut events).await {
             EventStep::Events(first) => {
                 self.log.note_first_event();
@@ -127,6 +128,16 @@
         }
     }
 
+    fn event_reader(
+        &self,
+        target: AttemptTarget,
+        liveness: RunLiveness,
+        body: ResponseBody,
+    ) -> EventReader {
+        let clock = Rc::clone(&self.proxy.context().clock);
+        EventReader::new(body, self.body_monitor(target, liveness), clock)
+    }
+
     fn body_monitor(&self, target: AttemptTarget, liveness: RunLiveness) -> RunMonitor {
         let gap = self.item.route.gap_objective.unwrap_or_default() * GAP_FACTOR;
         let silence_limit = gap.max(MIN_GAP_LIMIT);
@@ -141,8 +152,18 @@
     /// Returns the next complete events. A run that ends without them is cancelled here.
     async fn next_events(&mut self, events: &mut EventReader) -> EventStep {
         let monitor = events.monitor.clone();
-        let step = match self.wait_or_replace(&monitor, events.next()).await {
-            WaitOutcome::Output(EventStep::Events(batch)) => self.accept_events(batch),
+        let began = events.silent_since.unwrap_or_else(|| self.now());
+        let step = match self.wait_or_replace_since(&monitor, began, events.next()).await {
+            WaitOutcome::Output(EventStep::Events(batch)) => {
+                events.late.note(batch.bytes.len(), self.left());
+                match events.late.is_exceeded() {
+                    true => {
+                        self.log.note_limit(self.reached_limit());
+                        EventStep::Broken(UnknownReason::Overdue)
+                    }
+                    false => self.accept_events(batch),
+                }
+            }
             WaitOutcome::Output(step) => step,
             WaitOutcome::Replaced => EventStep::Replaced,
             WaitOutcome::TimedOut => EventStep::Broken(UnknownReason::Overdue),
@@ -155,6 +176,9 @@
 
     /// Accepts events that continue after those that the caller has.
     fn accept_events(&mut self, batch: EventBatch) -> EventStep {
+        if !batch.has_event {
+            return EventStep::Events(batch);
+        }
         self.log.note_chunk();
         self.note_response_begun();
         if !batch.follows(self.last_event) {
@@ -196,7 +220,7 @@
             if response.is_event_stream() {
                 self.log.record_resumed(reason, self.last_event);
                 let AttemptResponse { target, liveness, body, .. } = response;
-                return Ok(EventReader::new(body, self.body_monitor(target, liveness)));
+                return Ok(self.event_reader(target, liveness, body));
             }
             drop(response);
             self.handle_unknown(UnknownReason::Garbled)?;
@@ -247,27 +271,84 @@
     first: Bytes,
     rest: ResponseBody,
 ) -> ReplyBody {
-    let state = (execution, Some(first), Some(rest));
-    ReplyBody::stream(unfold(state, move |(mut execution, mut first, rest)| async move {
-        if let Some(first) = first.take() {
-            return Some((Ok(first), (execution, None, rest)));
+    let began = execution.now();
+    let relay = LongRelay {
+        execution,
+        status,
+        first: Some(first),
+        rest: Some(rest),
+        late: LateBytes::default(),
+        began,
+        waited: Duration::ZERO,
+    };
+    // Boxed, since the stream moves its state with each chunk.
+    ReplyBody::stream(unfold(Box::new(relay), |mut relay| async move {
+        let chunk = relay.next().await?;
+        Some((chunk, relay))
+    }))
+}
+
+/// Relays a long response.
+struct LongRelay {
+    execution: RequestExecution,
+    status: StatusCode,
+    first: Option<Bytes>,
+    /// `None` after the end.
+    rest: Option<ResponseBody>,
+    late: LateBytes,
+    began: MonotonicTime,
+    /// Time spent waiting for the backend server; the remaining time was spent by the caller.
+    waited: Duration,
+}
+
+impl LongRelay {
+    async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
+        if let Some(first) = self.first.take() {
+            return Some(Ok(first));
         }
-        let mut rest = rest?;
-        let clock = Rc::clone(&execution.proxy.context().clock);
-        match timeout(&*clock, execution.left(), rest.next()).await {
-            Some(Some(chunk)) => Some((chunk, (execution, None, Some(rest)))),
+        let rest = self.rest.as_mut()?;
+        let clock = Rc::clone(&self.execution.proxy.context().clock);
+        let before = clock.now();
+        let next = timeout(&*clock, self.execution.left(), rest.next()).await;
+        self.waited += clock.now().since(before);
+        match next {
+            Some(Some(Ok(chunk))) => {
+                self.late.note(chunk.len(), self.execution.left());
+                match self.late.is_exceeded() {
+                    true => Some(self.time_out()),
+                    false => Some(Ok(chunk)),
+                }
+            }
+            Some(Some(Err(error))) => {
+                self.rest = None;
+                let reason = UnknownReason::of_body(&error);
+                self.execution.log.record_broke_off(reason, None, &self.execution.item);
+                Some(Err(error))
+            }
             Some(None) => {
-                execution.log.record_answered(status, &execution.item);
+                self.execution.log.record_answered(self.status, &self.execution.item);
+                self.rest = None;
                 None
             }
-            None => {
-                execution.log.note_limit(execution.total_limit);
-                execution.log.record_broke_off(UnknownReason::Overdue, None, &execution.item);
-                let reason = "the time limit of the request was reached".to_owned();
-                Some((Err(BodyError::Aborted { reason }), (execution, None, None)))
-            }
+            None => Some(self.time_out()),
         }
-    }))
+    }
+
+    /// Ends the response at the end of its request's time.
+    fn time_out(&mut self) -> Result<Bytes, BodyError> {
+        let Self { execution, began, waited, .. } = self;
+        // A caller that reads slowly keeps a body going that has an end.
+        let is_caller_slow = *waited * 2 < execution.now().since(*began);
+        if let Some(mut rest) = self.rest.take()
+            && is_caller_slow
+        {
+            rest.note_slow_caller();
+        }
+        execution.log.note_limit(execution.total_limit);
+        execution.log.record_broke_off(UnknownReason::Overdue, None, &execution.item);
+        let reason = "the time limit of the request was reached".to_owned();
+        Err(BodyError::Aborted { reason })
+    }
 }
 
 /// Relays events as they arrive.
@@ -305,6 +386,8 @@
     bytes: Bytes,
     first: Option<u64>,
     last: Option<u64>,
+    /// False if it consists of comments.
+    has_event: bool,
 }
 
 impl EventBatch {
@@ -341,15 +424,30 @@
     /// `None` once the run is cancelled.
     body: Option<ResponseBody>,
     buffer: BytesMut,
+    /// Length of the beginning of the buffer without an end of an event.
+    searched: usize,
     monitor: RunMonitor,
     /// State of the backend server when the run was cancelled: true if it was at work; `None` if
     /// unknown.
     was_at_work: Option<bool>,
+    clock: Rc<dyn Clock>,
+    /// Time of the first comment since the last event. Comments do not end the silence of a run.
+    silent_since: Option<MonotonicTime>,
+    late: LateBytes,
 }
 
 impl EventReader {
-    fn new(body: ResponseBody, monitor: RunMonitor) -> Self {
-        Self { body: Some(body), buffer: BytesMut::new(), monitor, was_at_work: None }
+    fn new(body: ResponseBody, monitor: RunMonitor, clock: Rc<dyn Clock>) -> Self {
+        Self {
+            body: Some(body),
+            buffer: BytesMut::new(),
+            searched: 0,
+            monitor,
+            was_at_work: None,
+            clock,
+            silent_since: None,
+            late: LateBytes::default(),
+        }
     }
 
     /// Cancels the run.
@@ -357,6 +455,7 @@
         self.was_at_work = Some(self.monitor.liveness.is_at_work());
         self.body = None;
         self.buffer.clear();
+        self.searched = 0;
     }
 
     async fn next(&mut self) -> EventStep {
@@ -367,26 +466,54 @@
             match body.next().await {
                 None if self.buffer.is_empty() => return EventStep::End,
                 None => return EventStep::Broken(UnknownReason::Incomplete),
-                Some(Err(_)) => return EventStep::Broken(UnknownReason::Incomplete),
+                Some(Err(error)) => return EventStep::Broken(UnknownReason::of_body(&error)),
                 Some(Ok(bytes)) => self.buffer.extend_from_slice(&bytes),
             }
-            if let Some(batch) = take_complete_events(&mut self.buffer) {
+            if let Some(batch) = take_complete_events(&mut self.buffer, &mut self.searched)
+                && !is_ignored(&batch, &mut self.silent_since, &self.monitor, &*self.clock)
+            {
                 return EventStep::Events(batch);
             }
+            // A body from another region may come from a gateway of a version without this bound.
+            if self.buffer.len() > MAX_EVENT_BYTES {
+                return EventStep::Broken(UnknownReason::Garbled);
+            }
         }
     }
 }
 
-fn take_complete_events(buffer: &mut BytesMut) -> Option<EventBatch> {
-    let end = complete_events_end(buffer)?;
+/// Returns whether the caller does not get `batch`: comments of a run that has been silent for
+/// longer than is allowed, since each batch for the caller would interrupt the search for another
+/// place.
+fn is_ignored(
+    batch: &EventBatch,
+    silent_since: &mut Option<MonotonicTime>,
+    monitor: &RunMonitor,
+    clock: &dyn Clock,
+) -> bool {
+    if batch.has_event {
+        *silent_since = None;
+        return false;
+    }
+    let now = clock.now();
+    now.since(*silent_since.get_or_insert(now)) >= monitor.silence_limit
+}
+
+/// Takes the complete events from the buffer. The first `searched` bytes are known to contain no end
+/// of an event; searching them again with each chunk would cost the square of an event's length.
+fn take_complete_events(buffer: &mut BytesMut, searched: &mut usize) -> Option<EventBatch> {
+    let end = complete_events_end(buffer, *searched);
+    *searched = buffer.len() - end.unwrap_or_default();
+    let end = end?;
     let bytes = buffer.split_to(end).freeze();
     let (first, last) = event_ids(&bytes);
-    Some(EventBatch { bytes, first, last })
+    let has_event = EventBoundary::default().read(&bytes);
+    Some(EventBatch { bytes, first, last, has_event })
 }
 
-/// Returns the offset after the last blank line.
-fn complete_events_end(bytes: &[u8]) -> Option<usize> {
-    (1..bytes.len()).rev().find_map(|at| {
+/// Returns the offset after the last blank line that ends after the first `searched` bytes.
+fn complete_events_end(bytes: &[u8], searched: usize) -> Option<usize> {
+    (searched.max(1)..bytes.len()).rev().find_map(|at| {
         let is_blank = bytes[at] == b'\n'
             && (bytes[at - 1] == b'\n'
                 || (at >= 2 && bytes[at - 1] == b'\r' && bytes[at - 2] == b'\n'));
--- a/crates/proxy/src/replacement.rs
+++ b/crates/proxy/src/replacement.rs
@@ -40,10 +40,20 @@
         &mut self,
         run: &RunMonitor,
         next: impl Future<Output = T>,
+    ) -> WaitOutcome<T> {
+        let now = self.now();
+        self.wait_or_replace_since(run, now, next).await
+    }
+
+    /// Waits for `next`, the next output of `run`, which has been silent since `began`.
+    pub(crate) async fn wait_or_replace_since<T: RunOutput>(
+        &mut self,
+        run: &RunMonitor,
+        began: MonotonicTime,
+        next: impl Future<Output = T>,
     ) -> WaitOutcome<T> {
         let mut next = pin!(next);
         let clock = Rc::clone(&self.proxy.context().clock);
-        let began = clock.now();
         let mut failed = FailedSearches::default();
         loop {
             match self.silent_run(run, began, &failed).next_action() {
--- a/crates/proxy/src/response.rs
+++ b/crates/proxy/src/response.rs
@@ -8,7 +8,13 @@
     bytes::Bytes,
     gullglade_dispatch::WorkOutcome,
     gullglade_http::{BodyError, ClientBody, UnframedBody},
-    http::{HeaderMap, StatusCode, header::CONTENT_TYPE, response::Parts},
+    gullglade_units::MonotonicTime,
+    http::{
+        HeaderMap, StatusCode,
+        header::{CONTENT_LENGTH, CONTENT_TYPE},
+        response::Parts,
+    },
+    std::time::Duration,
 };
 
 /// Media type of event streams.
@@ -42,6 +48,45 @@
     status.is_success() && kind.is_some_and(|kind| kind.starts_with(EVENT_STREAM))
 }
 
+/// Most bytes of an event, with the comments before it. Events of inference engines have a few
+/// hundred bytes to some kilobytes; a whole answer in one event, with token probabilities, stays
+/// below a mebibyte.
+pub(crate) const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Time after which bytes without a complete event, such as comments, are no sign of life if they
+/// still come. It is below the 2.4 s after which a silent run is replaced at the earliest while its
+/// backend server is at work, so that the run is counted when it is cancelled.
+const UNFINISHED_EVENT_LIMIT: Duration = Duration::from_secs(2);
+
+/// A body still goes on if bytes of it came within this time. Backend servers that send a comment
+/// every few seconds, to keep a connection open, are not meant.
+const RECENT: Duration = Duration::from_secs(1);
+
+/// Bytes that are relayed after the time of their request. What has arrived by then is relayed, even
+/// if the caller reads it late, but a body without an end always has more.
+#[derive(Default)]
+pub(crate) struct LateBytes(usize);
+
+/// Most of these bytes: what the buffers of a connection usually hold.
+const MAX_LATE_BYTES: usize = 1 << 20;
+
+impl LateBytes {
+    /// Counts `length` bytes if no time is left.
+    pub(crate) fn note(&mut self, length: usize, left: Duration) {
+        if left.is_zero() {
+            self.0 += length;
+        }
+    }
+
+    /// Returns `true` if no more bytes may be relayed.
+    pub(crate) fn is_exceeded(&self) -> bool {
+        self.0 > MAX_LATE_BYTES
+    }
+}
+
+/// A gateway in another region cancels a run at the end of its time by its own clock.
+const CANCEL_TOLERANCE: Duration = Duration::from_millis(100);
+
 /// Body of a response. Dropping it before its end cancels the work of the backend server.
 pub(crate) enum ResponseBody {
     Backend(Box<BackendBody>),
@@ -49,6 +94,24 @@
 }
 
 impl ResponseBody {
+    /// Notes that the caller reads slowly, so that the body may go on for that reason.
+    pub(crate) fn note_slow_caller(&mut self) {
+        if let Self::Backend(body) = self {
+            body.may_be_long = true;
+        }
+    }
+
+    /// Returns whether the answer has begun, which comments in a stream of events do not show.
+    pub(crate) fn has_begun(&self) -> bool {
+        match self {
+            Self::Backend(body) => match &body.content {
+                BodyContent::Events(events) => events.has_event(),
+                BodyContent::Plain | BodyContent::Error => true,
+            },
+            Self::Forward(_) => true,
+        }
+    }
+
     /// Returns the next chunk; `None` after the last chunk of a complete body.
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
         match self {
@@ -85,26 +148,57 @@
     content: BodyContent,
     /// True if the body ends with its connection, whether or not it is whole.
     is_unframed: bool,
+    /// True if the body may go on beyond the time of its request: it has a declared length, which
+    /// the client enforces, or the caller reads slowly.
+    may_be_long: bool,
+    /// End of the request's time.
+    ends: MonotonicTime,
     /// Outcome to report if the body is complete.
     complete_outcome: WorkOutcome,
+    last_byte: Option<MonotonicTime>,
+    /// Time of the first byte since the last event.
+    unfinished_since: Option<MonotonicTime>,
 }
 
 impl BackendBody {
-    /// Creates the body of a response with this head.
-    pub(crate) fn new(body: ClientBody, ticket: DispatchTicket, head: &Parts) -> Self {
+    /// Creates the body of a response with this head to a request whose time is over at `ends`.
+    pub(crate) fn new(
+        body: ClientBody,
+        ticket: DispatchTicket,
+        head: &Parts,
+        ends: MonotonicTime,
+    ) -> Self {
         let content = BodyContent::of(head.status, &head.headers);
         let is_unframed = head.extensions.get::<UnframedBody>().is_some();
+        let may_be_long = head.headers.contains_key(CONTENT_LENGTH);
         let complete_outcome = match head.status.is_server_error() {
             true => WorkOutcome::Failed,
             false => WorkOutcome::Answered,
         };
-        Self { body, ticket: Some(ticket), content, is_unframed, complete_outcome }
+        Self {
+            body,
+            ticket: Some(ticket),
+            content,
+            is_unframed,
+            may_be_long,
+            ends,
+            complete_outcome,
+            last_byte: None,
+            unfinished_since: None,
+        }
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
         let chunk = self.body.next().await;
         match &chunk {
-            Some(Ok(bytes)) => self.note_chunk(bytes),
+            Some(Ok(bytes)) => {
+                self.note_chunk(bytes);
+                if self.pending_event_bytes() > MAX_EVENT_BYTES {
+                    self.finish(WorkOutcome::Garbled);
+                    let reason = format!("{MAX_EVENT_BYTES} bytes without a complete event");
+                    return Some(Err(BodyError::Malformed { reason }));
+                }
+            }
             None if self.is_cut_short() => {
                 self.finish(WorkOutcome::Broken);
                 let reason = "the connection was closed before or inside an event".to_owned();
@@ -114,13 +208,48 @@
                 if let (BodyContent::Plain, Some(ticket)) = (&self.content, &self.ticket) {
                     ticket.note_answer_begun();
                 }
-                self.finish(self.complete_outcome);
+                match self.body.has_stray_bytes() {
+                    true => self.finish(WorkOutcome::Garbled),
+                    false => self.finish_complete(),
+                }
             }
+            Some(Err(BodyError::Malformed { .. })) => self.finish(WorkOutcome::Garbled),
             Some(Err(_)) => self.finish(WorkOutcome::Broken),
         }
         chunk
     }
 
+    /// Reports a complete response. Bytes that come after it are reported when they come.
+    fn finish_complete(&mut self) {
+        if let Some(callback) = self.ticket.as_ref().and_then(DispatchTicket::stray_bytes_callback)
+        {
+            self.body.on_stray_bytes(callback);
+        }
+        self.finish(self.complete_outcome);
+    }
+
+    fn pending_event_bytes(&self) -> usize {
+        match &self.content {
+            BodyContent::Events(events) => events.pending(),
+            BodyContent::Plain | BodyContent::Error => 0,
+        }
+    }
+
+    /// Returns whether a plain body goes on although the time of its request is over. A stream of
+    /// events may just be long.
+    fn has_no_end(&self, now: MonotonicTime) -> bool {
+        let is_plain = !matches!(self.content, BodyContent::Events(_));
+        let is_recent = self.last_byte.is_some_and(|at| now.since(at) < RECENT);
+        is_plain && is_recent && !self.may_be_long && now + CANCEL_TOLERANCE >= self.ends
+    }
+
+    /// Returns whether the backend server sends bytes, such as comments, in place of an event.
+    fn sends_no_event(&self, now: MonotonicTime) -> bool {
+        let is_recent = self.last_byte.is_some_and(|at| now.since(at) < RECENT);
+        is_recent
+            && self.unfinished_since.is_some_and(|since| now.since(since) >= UNFINISHED_EVENT_LIMIT)
+    }
+
     /// Returns whether the body ends where a whole one cannot. An unframed stream without an event
     /// is one whose backend server crashed as it began to answer.
     fn is_cut_short(&self) -> bool {
@@ -135,10 +264,15 @@
     fn note_chunk(&mut self, bytes: &[u8]) {
         let Some(ticket) = &self.ticket else { return };
         ticket.note_first_byte();
-        if let BodyContent::Events(events) = &mut self.content
-            && events.read(bytes)
-        {
-            ticket.note_answer_begun();
+        let now = ticket.now();
+        self.last_byte = Some(now);
+        if let BodyContent::Events(events) = &mut self.content {
+            if events.read(bytes) {
+                ticket.note_answer_begun();
+                self.unfinished_since = None;
+            } else {
+                self.unfinished_since.get_or_insert(now);
+            }
         }
     }
 
@@ -148,3 +282,12 @@
         }
     }
 }
+
+impl Drop for BackendBody {
+    fn drop(&mut self) {
+        let now = self.ticket.as_ref().map(DispatchTicket::now);
+        if now.is_some_and(|now| self.sends_no_event(now) || self.has_no_end(now)) {
+            self.finish(WorkOutcome::Garbled);
+        }
+    }
+}
--- a/crates/proxy/src/send_monitor.rs
+++ b/crates/proxy/src/send_monitor.rs
@@ -1,9 +1,9 @@
 //! Observes backend server instances through single sends.
 
 use {
-    crate::request_fingerprint::RequestFingerprint,
+    crate::{CallerRequestId, request_fingerprint::RequestFingerprint},
     gullglade_dispatch::{StatementChange, WorkOutcome},
-    gullglade_event::{EventDraft, EventSink},
+    gullglade_event::{EventDraft, EventSink, Level},
     gullglade_poison::SharedCrashTracker,
     gullglade_units::{BackendRun, MonotonicTime, rendezvous::score},
     std::{cell::Cell, rc::Rc},
@@ -21,6 +21,24 @@
     pub(crate) events: Rc<dyn EventSink>,
 }
 
+/// Report of a backend server that broke the protocol.
+pub(crate) struct GarbledReport {
+    pub(crate) run: BackendRun,
+    request: CallerRequestId,
+    sent: MonotonicTime,
+    events: Rc<dyn EventSink>,
+}
+
+impl GarbledReport {
+    /// Logs it; `place` is the part of the connection that was wrong.
+    pub(crate) fn emit(&self, place: &'static str, now: MonotonicTime) {
+        let event = EventDraft::new("request.garbled").level(Level::Warn);
+        let event = event.field("request", &self.request).field("backend", &self.run.backend);
+        let event = event.field("incarnation", self.run.incarnation).field("in", place);
+        self.events.emit(event.millis("sent_ms", now.since(self.sent)));
+    }
+}
+
 impl SendMonitor {
     /// Notes that the first byte of the response has arrived.
     pub(crate) fn note_first_byte(&self) {
@@ -57,6 +75,7 @@
     pub(crate) fn end(&self, outcome: WorkOutcome, now: MonotonicTime) {
         match outcome {
             WorkOutcome::Broken => self.cut_off(now),
+            WorkOutcome::Garbled => self.garbled_report().emit("answer", now),
             WorkOutcome::Answered | WorkOutcome::Failed if !self.crashes.is_empty() => {
                 self.crashes.record_answer(self.fingerprint.get(), self.answer_id());
             }
@@ -66,6 +85,16 @@
         }
     }
 
+    /// Returns the report for a backend server that breaks the protocol in or after its answer.
+    pub(crate) fn garbled_report(&self) -> GarbledReport {
+        GarbledReport {
+            request: self.fingerprint.request().id.clone(),
+            run: self.run.clone(),
+            sent: self.sent,
+            events: Rc::clone(&self.events),
+        }
+    }
+
     /// Returns a number that identifies the answer to this request.
     fn answer_id(&self) -> u64 {
         score(self.fingerprint.request().id.as_str(), "answer")
