gateway: bound answers that never end on the product's own interface

An event is bounded in bytes, comments and plain answers end shortly after the deadline, and bytes after a whole answer count against the backend server (line backend.garbled). The reader of event boundaries moves to the HTTP crate, since both interfaces use it.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,6 +4,7 @@
 use {
     crate::{
         attempt_guard::AttemptGuard,
+        bounded_body::BodyBounds,
         call::{CallPlan, ContentHeader},
         forward::{FORWARD_METHOD, ForwardReply, ForwardRequest},
         gateway::Gateway,
@@ -14,16 +15,17 @@
     gullglade_document::Priority,
     gullglade_event::{EventDraft, Invariant},
     gullglade_http::{
-        BodyError, ClientError, ClientReply, FreshConnection, HeadTimeout, LocalStream, RunState,
-        send_unless_revoked, strip_hop_by_hop,
+        BodyError, ClientError, ClientReply, EventBoundary, FreshConnection, HeadTimeout,
+        LocalStream, RunState, send_unless_revoked, strip_hop_by_hop,
     },
     gullglade_peer::{PeerError, PeerStream},
     gullglade_units::{BackendName, BackendRun, RegionName, RequestId, decode, encode, timeout},
     http::{
         HeaderMap, HeaderName, HeaderValue, Request, StatusCode,
-        header::{AUTHORIZATION, CONTENT_LENGTH, HOST},
+        header::{AUTHORIZATION, CONTENT_LENGTH, CONTENT_TYPE, HOST},
+        response::Parts,
     },
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// Header with the id of the request, set on the request to the backend server and on its reply.
@@ -143,10 +145,11 @@
             Some(RunState::NotRun) => RunState::NotRun,
             _ => RunState::Run,
         };
+        let bounds = self.body_bounds(plan, selected, &reply.head);
         Ok(AttemptAnswer {
             status: reply.head.status,
             headers: content_headers(reply.head.headers),
-            body: reply.body.into_stream(),
+            body: bounds.apply(reply.body),
             backend: selected.name().clone(),
             region: self.config.region.clone(),
             run,
@@ -154,6 +157,23 @@
         })
     }
 
+    fn body_bounds(&self, plan: &CallPlan, selected: &SelectedBackend, head: &Parts) -> BodyBounds {
+        let kind = head.headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
+        let is_stream = kind.is_some_and(|kind| kind.starts_with(b"text/event-stream"));
+        let (backends, events) = (Rc::clone(&self.backends), Rc::clone(&self.events));
+        let name = selected.name().clone();
+        BodyBounds {
+            events: (head.status.is_success() && is_stream).then(EventBoundary::default),
+            has_length: head.headers.contains_key(CONTENT_LENGTH),
+            deadline: plan.deadline,
+            clock: Rc::clone(&self.context.clock),
+            on_fault: Rc::new(move || {
+                backends.note_failure(&name);
+                events.emit(EventDraft::new("backend.garbled").field("backend", &name));
+            }),
+        }
+    }
+
     fn backend_request(&self, plan: &CallPlan) -> Result<Request<Bytes>, AttemptFailure> {
         let mut request = Request::new(plan.content.body.clone());
         *request.method_mut() = plan.content.method.clone();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod answer;
 mod attempt;
 mod attempt_guard;
+mod bounded_body;
 mod call;
 mod chat;
 mod claimed;
--- a/crates/gateway/src/relay/tests.rs
+++ b/crates/gateway/src/relay/tests.rs
@@ -155,6 +155,85 @@
     assert_eq!(gateway.client.runs.max.get(), 1, "{}", head.status);
 }
 
+/// Guards against a faulty backend server whose answer has no end: it fills the gateway's memory, or
+/// holds the request for as long as it goes on.
+#[test]
+fn answers_without_end_are_given_up() {
+    const EVENT: &str =
+        "data: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\n";
+    struct Case {
+        name: &'static str,
+        text: &'static str,
+        path: &'static str,
+        body: &'static str,
+        is_complete: bool,
+    }
+    let model = "/v1/chat/completions";
+    let event: &'static str = EVENT.repeat(100).leak();
+    let comments: &'static str = ": busy\n\n".repeat(1_000).leak();
+    for Case { name, text, path, body, is_complete } in [
+        Case { name: "an event", text: event, path: model, body: STREAMED_BODY, is_complete: true },
+        Case {
+            name: "comments",
+            text: comments,
+            path: model,
+            body: STREAMED_BODY,
+            is_complete: true,
+        },
+        Case {
+            name: "slow comments",
+            text: ":\n\n",
+            path: model,
+            body: STREAMED_BODY,
+            is_complete: false,
+        },
+        Case {
+            name: "a buffered answer",
+            text: event,
+            path: model,
+            body: BUFFERED_BODY,
+            is_complete: true,
+        },
+        Case {
+            name: "a slow buffered answer",
+            text: "{",
+            path: model,
+            body: BUFFERED_BODY,
+            is_complete: false,
+        },
+        Case {
+            name: "a plain answer",
+            text: event,
+            path: "/services/order-desk/list",
+            body: "{}",
+            is_complete: false,
+        },
+        Case {
+            name: "a slow plain answer",
+            text: "{",
+            path: "/services/order-desk/list",
+            body: "{}",
+            is_complete: false,
+        },
+    ] {
+        let document = format!("{DOCUMENT}[limits]\ndeadline_ms = 5000\n");
+        let gateway = TestGateway::warmed_up(&TestSetup {
+            document: &document,
+            behavior: BackendBehavior::Unending(text),
+            has_second_engine: true,
+            peers: PeerBehavior::Refuses(Duration::from_millis(1)),
+            ..TestSetup::default()
+        });
+        let began = gateway.context.clock.now();
+        let (head, answer) = gateway.post_without_key(path, body);
+        let took = gateway.context.clock.now().since(began);
+        let context = format!("{name}: {} after {took:?}", head.status);
+        assert_eq!(answer.is_some() && head.status == StatusCode::OK, is_complete, "{context}");
+        assert!(took < Duration::from_millis(7_500), "{context}");
+        assert_eq!(gateway.client.runs.current.get(), 0, "{context}: the run goes on");
+    }
+}
+
 /// Guards against a started answer that breaks off although the retry budget refills before the
 /// deadline.
 #[test]
--- a/crates/gateway/src/testing/fakes.rs
+++ b/crates/gateway/src/testing/fakes.rs
@@ -33,6 +33,8 @@
     Unfinished,
     /// Sends a complete answer, with a pause.
     Pauses(AnswerPause),
+    /// Sends this text again and again, a millisecond apart; answers of models are streams.
+    Unending(&'static str),
     /// Streams a token out of order and then nothing, without an end.
     OutOfOrder,
     /// Sends a complete answer with these headers, with a pause.
@@ -70,7 +72,7 @@
 /// Number of active runs, and its maximum.
 #[derive(Default)]
 pub(crate) struct RunCounter {
-    current: Cell<u32>,
+    pub(crate) current: Cell<u32>,
     pub(crate) max: Cell<u32>,
 }
 
@@ -191,6 +193,18 @@
         Ok(ClientReply { head, body: ClientBody::from_stream(body) })
     }
 
+    fn unending_body(&self, text: &'static str) -> ClientBody {
+        let run = ActiveRun::begin(&self.runs);
+        let clock = Rc::clone(&self.clock);
+        ClientBody::from_stream(stream::unfold(run, move |run| {
+            let pause = clock.sleep(Duration::from_millis(1));
+            async move {
+                pause.await;
+                Some((Ok(Bytes::from_static(text.as_bytes())), run))
+            }
+        }))
+    }
+
     fn out_of_order_reply(&self, request: &Request<Bytes>) -> ClientReply {
         let run = ActiveRun::begin(&self.runs);
         let (mut head, ()) = Response::new(()).into_parts();
@@ -288,6 +302,13 @@
             BackendBehavior::OutOfOrder => {
                 return Box::pin(std::future::ready(Ok(self.out_of_order_reply(&request))));
             }
+            BackendBehavior::Unending(text) => {
+                if is_streamed(request.body()) {
+                    let value = HeaderValue::from_static("text/event-stream");
+                    head.headers.insert(CONTENT_TYPE, value);
+                }
+                Ok(self.unending_body(text))
+            }
             BackendBehavior::Answers => Ok(ClientBody::from_bytes("{}")),
             BackendBehavior::BreaksOff => {
                 Ok(ClientBody::from_stream(stream::iter([Ok(Bytes::from("{")), Err(reset_error)])))
--- a/crates/http/src/event_boundary.rs
+++ b/crates/http/src/event_boundary.rs
@@ -1,11 +1,16 @@
 //! Finds the ends of events in the pieces of an event stream.
 
+/// Most bytes of an event, with the comments before it. Events of inference engines have a few
+/// hundred bytes to some kilobytes; a whole answer in one event, with token probabilities, stays
+/// below a mebibyte.
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Position in an event stream, which comes in pieces of any size.
 ///
 /// A blank line ends an event. An event needs a field: lines that begin with a colon are comments,
 /// which backend servers send to keep a connection open before they have anything to answer.
 #[derive(Default)]
-pub(crate) struct EventBoundary {
+pub struct EventBoundary {
     line: LineState,
     has_field: bool,
     has_event: bool,
@@ -23,7 +28,7 @@
 
 impl EventBoundary {
     /// Reads the next piece, and returns `true` if an event ends in it.
-    pub(crate) fn read(&mut self, piece: &[u8]) -> bool {
+    pub fn read(&mut self, piece: &[u8]) -> bool {
         let mut has_event = false;
         let mut pending = self.pending;
         for byte in piece {
@@ -51,17 +56,17 @@
     }
 
     /// Returns whether a complete event has been read.
-    pub(crate) fn has_event(&self) -> bool {
+    pub fn has_event(&self) -> bool {
         self.has_event
     }
 
     /// Returns the number of bytes since the last event. Comments count.
-    pub(crate) fn pending(&self) -> usize {
+    pub fn pending(&self) -> usize {
         self.pending
     }
 
     /// Returns whether the position is inside an event.
-    pub(crate) fn is_inside_event(&self) -> bool {
+    pub fn is_inside_event(&self) -> bool {
         self.has_field || self.line != LineState::Start
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -14,6 +14,7 @@
 mod api_error;
 mod body;
 mod client;
+mod event_boundary;
 mod headers;
 mod request;
 mod server;
@@ -24,6 +25,7 @@
     ClientBody, ClientConfig, ClientError, ClientReply, FreshConnection, HeadTimeout, HttpClient,
     KeptWithin, PooledClient, SendPermit, UnframedBody, send_unless_revoked,
 };
+pub use event_boundary::{EventBoundary, MAX_EVENT_BYTES};
 pub use headers::strip_hop_by_hop;
 pub use request::RequestBody;
 pub use server::{BindError, HttpServer, RequestHandler, ServerConfig, StopHandle};
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -19,7 +19,6 @@
 mod configuration_gate;
 mod dialect;
 mod dispatcher;
-mod event_boundary;
 mod events;
 mod execution;
 mod forward;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -2,17 +2,16 @@
 
 use {
     crate::{
-        event_boundary::EventBoundary,
         execution::RequestExecution,
         handover::{OutputState, RunOutput},
         liveness::{RunLiveness, RunMonitor},
         outcome::{AttemptTarget, RequestError, UnknownReason},
         replacement::WaitOutcome,
-        response::{AttemptResponse, LateBytes, MAX_EVENT_BYTES, ResponseBody},
+        response::{AttemptResponse, LateBytes, ResponseBody},
     },
     bytes::{Bytes, BytesMut},
     futures::stream::unfold,
-    gullglade_http::{BodyError, ReplyBody},
+    gullglade_http::{BodyError, EventBoundary, MAX_EVENT_BYTES, ReplyBody},
     gullglade_units::{Clock, MonotonicTime, timeout},
     http::{HeaderMap, Response, StatusCode, header::CONTENT_LENGTH},
     std::{rc::Rc, time::Duration},
--- a/crates/proxy/src/response.rs
+++ b/crates/proxy/src/response.rs
@@ -2,12 +2,12 @@
 
 use {
     crate::{
-        dispatcher::DispatchTicket, event_boundary::EventBoundary, forward::ForwardBody,
-        liveness::RunLiveness, outcome::AttemptTarget,
+        dispatcher::DispatchTicket, forward::ForwardBody, liveness::RunLiveness,
+        outcome::AttemptTarget,
     },
     bytes::Bytes,
     gullglade_dispatch::WorkOutcome,
-    gullglade_http::{BodyError, ClientBody, UnframedBody},
+    gullglade_http::{BodyError, ClientBody, EventBoundary, MAX_EVENT_BYTES, UnframedBody},
     gullglade_units::MonotonicTime,
     http::{
         HeaderMap, StatusCode,
@@ -48,11 +48,6 @@
     status.is_success() && kind.is_some_and(|kind| kind.starts_with(EVENT_STREAM))
 }
 
-/// Most bytes of an event, with the comments before it. Events of inference engines have a few
-/// hundred bytes to some kilobytes; a whole answer in one event, with token probabilities, stays
-/// below a mebibyte.
-pub(crate) const MAX_EVENT_BYTES: usize = 1 << 20;
-
 /// Time after which bytes without a complete event, such as comments, are no sign of life if they
 /// still come. It is below the 2.4 s after which a silent run is replaced at the earliest while its
 /// backend server is at work, so that the run is counted when it is cancelled.
