--- a/crates/proxy/src/event_boundary.rs
+++ b/crates/http/src/event_boundary.rs
@@ -1,16 +1,23 @@
 //! Finds the ends of events in the pieces of an event stream.
 
+/// Most bytes of an event, with the comments before it. Events of inference engines have a few
+/// hundred bytes to some kilobytes; a whole answer in one event, with token probabilities, stays
+/// below a mebibyte.
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Position in an event stream, which comes in pieces of any size.
 ///
 /// A blank line ends an event. An event needs a field: lines that begin with a colon are comments,
 /// which backend servers send to keep a connection open before they have anything to answer.
 #[derive(Default)]
-pub(crate) struct EventBoundary {
+pub struct EventBoundary {
     line: LineState,
     has_field: bool,
     has_event: bool,
     /// Number of events that ended in the last piece.
     events: u32,
+    /// Bytes since the last event.
+    pending: usize,
 }
 
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
@@ -23,12 +30,17 @@
 
 impl EventBoundary {
     /// Reads the next piece, and returns `true` if an event ends in it.
-    pub(crate) fn read(&mut self, piece: &[u8]) -> bool {
+    pub fn read(&mut self, piece: &[u8]) -> bool {
         self.events = 0;
+        let mut pending = self.pending;
         for byte in piece {
+            pending += 1;
             match (byte, self.line) {
                 (b'\n', LineState::Start) => {
-                    self.events += u32::from(std::mem::take(&mut self.has_field));
+                    if std::mem::take(&mut self.has_field) {
+                        self.events += 1;
+                        pending = 0;
+                    }
                 }
                 (b'\n', line) => {
                     self.has_field |= line == LineState::Field;
@@ -41,21 +53,27 @@
             }
         }
         self.has_event |= self.events > 0;
+        self.pending = pending;
         self.events > 0
     }
 
     /// Returns the number of events that ended in the last piece.
-    pub(crate) fn events(&self) -> u32 {
+    pub fn events(&self) -> u32 {
         self.events
     }
 
     /// Returns whether a complete event has been read.
-    pub(crate) fn has_event(&self) -> bool {
+    pub fn has_event(&self) -> bool {
         self.has_event
     }
 
+    /// Returns the number of bytes since the last event. Comments count.
+    pub fn pending(&self) -> usize {
+        self.pending
+    }
+
     /// Returns whether the position is inside an event.
-    pub(crate) fn is_inside_event(&self) -> bool {
+    pub fn is_inside_event(&self) -> bool {
         self.has_field || self.line != LineState::Start
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -20,7 +20,6 @@
 mod configuration_gate;
 mod dialect;
 mod dispatcher;
-mod event_boundary;
 mod events;
 mod execution;
 mod forward;
