--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -218,6 +218,7 @@
             self.retained.retain(backend.info.run(), backend.statements, now);
         }
         self.retained.expire(now);
+        self.answers.values_mut().for_each(ServiceAnswers::expire);
     }
 
     /// Replaces the gateways of this region that accept requests.
--- a/crates/dispatch/src/scheduler/end.rs
+++ b/crates/dispatch/src/scheduler/end.rs
@@ -60,6 +60,8 @@
     is_stated: bool,
     /// The medians of the known engines.
     usual: Option<StepTimes>,
+    /// The least time of a decode step, if the pace of each engine is known.
+    fastest_ms: Option<f64>,
     checked_at: Option<MonotonicTime>,
     /// By the name of the route.
     lengths: HashMap<String, AnswerLengths>,
@@ -83,6 +85,13 @@
     pub(super) others_ms: f64,
 }
 
+impl ServiceAnswers {
+    /// Has the medians computed again, since backend servers were replaced.
+    pub(super) fn expire(&mut self) {
+        self.checked_at = None;
+    }
+}
+
 impl Scheduler {
     /// Updates what the engines of a service have in common.
     pub(super) fn refresh_answers(&mut self, service: &ServiceName, now: MonotonicTime) {
@@ -98,6 +107,9 @@
         let times: Vec<StepTimes> =
             of_service.iter().filter_map(|b| b.answers.pace.times()).collect();
         answers.usual = StepTimes::median(&times).or(answers.usual);
+        let is_known = !times.is_empty() && times.len() == of_service.len();
+        let fastest_ms = times.iter().map(|times| times.decode_ms).min_by(f64::total_cmp);
+        answers.fastest_ms = fastest_ms.filter(|_| is_known);
         answers.is_stated = of_service.iter().any(|b| b.load.slowdown().is_some());
         answers.checked_at = Some(now);
         of_service.iter_mut().for_each(|backend| backend.load.expire_slowdown(now));
@@ -130,11 +142,9 @@
     /// it runs alone and is half as long as expected.
     pub(super) fn cannot_end(&self, item: &WorkItem, now: MonotonicTime) -> bool {
         let Some((length, ..)) = self.expected_length(item) else { return false };
-        let times = self.serving(&item.service).map(|b| b.answers.pace.times());
         // An engine whose pace is not known may be fast enough.
-        let known: Option<Vec<StepTimes>> = times.collect();
-        let fastest_ms = known.into_iter().flatten().map(|times| times.decode_ms);
-        let Some(fastest_ms) = fastest_ms.min_by(f64::total_cmp) else { return false };
+        let fastest_ms = self.answers.get(&item.service).and_then(|answers| answers.fastest_ms);
+        let Some(fastest_ms) = fastest_ms else { return false };
         let may_leave = item.may_forward && self.allowed_offers(item).next().is_some();
         let token_ms = if may_leave { fastest_ms / SPEED_ELSEWHERE } else { fastest_ms };
         let least_ms = length.median() * CERTAIN_LENGTH_SHARE * token_ms;
