Placement: weigh cached prefixes by engine time and memory, off by default

SchedulerSettings::weighs_cached_prefixes replaces the fixed weight of prefill in the placement cost by CacheValue::cost_ms.

Literals of SchedulerSettings in tests gain the field, with its default of false.

--- a/crates/dispatch/src/deployment.rs
+++ b/crates/dispatch/src/deployment.rs
@@ -27,6 +27,9 @@
     pub cold_rate_factor: f64,
     /// Additional requests per second for a cold backend server.
     pub cold_rate_slack: f64,
+    /// Whether the placement of prompts weighs the prefill that a cached prefix saves against the
+    /// load and the memory of each engine. Otherwise prefill has a fixed weight.
+    pub weighs_cached_prefixes: bool,
 }
 
 /// A backend server of this region.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 mod backoff;
 mod budget;
 mod cache;
+mod cache_value;
 mod caller_deadline;
 mod decay;
 mod decision;
--- a/crates/dispatch/src/priority.rs
+++ b/crates/dispatch/src/priority.rs
@@ -36,6 +36,11 @@
         *least = Some(least.map_or(item.route.objective, |l| l.min(item.route.objective)));
     }
 
+    /// Returns the shortest objective of all classes.
+    pub(crate) fn shortest(&self) -> Option<Duration> {
+        self.0.iter().flatten().min().copied()
+    }
+
     /// Returns whether requests of this priority can wait for `wait_ms`.
     fn tolerates(&self, priority: u8, wait_ms: f64) -> bool {
         let objective = self.0[priority_class(priority)];
--- a/crates/dispatch/src/scheduler/place.rs
+++ b/crates/dispatch/src/scheduler/place.rs
@@ -9,11 +9,13 @@
     },
     crate::{
         PromptCopy, PromptShape, RegionInfo, RejectionLimit, SchedulerSettings, WorkCost, WorkItem,
+        cache_value::{CacheValue, PlacementImpact},
         membership::{GatewayPosition, TRANSFER_DELAY},
         priority::{EffectivePriority, LatencyObjectives},
         rate::RateBound,
         rejection::KnownRoom,
     },
+    gullglade_traffic::EngineProfile,
     gullglade_units::{BackendName, MonotonicTime, RegionName, ServiceName, rendezvous},
     std::time::Duration,
 };
@@ -81,6 +83,9 @@
 /// The expected wait if all backend servers are cold and may not be sent to.
 const COLD_WAIT_MS: f64 = 300.0;
 
+/// The assumed shortest objective of a service that had no requests.
+const DEFAULT_OBJECTIVE: Duration = Duration::from_secs(1);
+
 /// The result of a placement attempt in this region.
 pub(crate) enum LocalChoice {
     Send {
@@ -171,8 +176,8 @@
         backed_off: &[&Backend],
         now: MonotonicTime,
     ) -> LocalChoice {
-        let shared = self.shared_parts(item, open);
         let objectives = self.objectives.get(&item.service).copied().unwrap_or_default();
+        let shared = self.shared_parts(item, open, &objectives, now);
         let mut best: Option<(Candidate, &BackendName)> = None;
         let mut wait_ms = f64::MAX;
         let mut held_wait_ms = f64::MAX;
@@ -207,13 +212,21 @@
     }
 
     /// Locates the shared parts of the prompt as far as they are known or can be guessed.
-    fn shared_parts<'a>(&self, item: &WorkItem, healthy: &[&'a Backend]) -> SharedParts<'a> {
+    fn shared_parts<'a>(
+        &self,
+        item: &WorkItem,
+        healthy: &[&'a Backend],
+        objectives: &LatencyObjectives,
+        now: MonotonicTime,
+    ) -> SharedParts<'a> {
         let likely_holder = likely_holder(item, healthy);
         let engine = self.services.get(&item.service).and_then(|service| service.engine);
         let source = item.prompt.as_ref().zip(engine);
         let source =
             source.and_then(|(s, engine)| CopySource::find(s, healthy, likely_holder, engine));
-        SharedParts { likely_holder, source }
+        let engine = engine.filter(|_| self.settings.weighs_cached_prefixes);
+        let value = engine.map(|engine| PrefixValue::new(engine, healthy, objectives, now));
+        SharedParts { likely_holder, source, value }
     }
 
     /// Returns whether a backend server has capacity for the request now.
@@ -408,6 +421,63 @@
     likely_holder: Option<&'a BackendName>,
     /// The engine from which they can be copied.
     source: Option<CopySource<'a>>,
+    /// The rule that weighs cached prefixes, if it is enabled.
+    value: Option<PrefixValue>,
+}
+
+/// The value of cached prefixes at the engines of a service.
+struct PrefixValue {
+    rule: CacheValue,
+    /// The memory of an engine in tokens.
+    memory_tokens: u64,
+}
+
+impl PrefixValue {
+    fn new(
+        engine: EngineProfile,
+        engines: &[&Backend],
+        objectives: &LatencyObjectives,
+        now: MonotonicTime,
+    ) -> Self {
+        let running: u32 = engines.iter().map(|backend| backend.load.total_requests(now)).sum();
+        let mean_running = f64::from(running) / engines.len().max(1) as f64;
+        let objective = objectives.shortest().unwrap_or(DEFAULT_OBJECTIVE);
+        let objective_ms = objective.as_secs_f64() * 1_000.0;
+        let rule = CacheValue { objective_ms, mean_running };
+        Self { rule, memory_tokens: engine.memory_tokens }
+    }
+
+    /// Returns the cost of a placement by `rule`, milliseconds.
+    fn cost_ms(
+        &self,
+        item: &WorkItem,
+        backend: &Backend,
+        work: ExpectedWork,
+        now: MonotonicTime,
+    ) -> f64 {
+        let Some(shape) = &item.prompt else { return work.expected_ms };
+        let needed = shape.prompt_tokens.saturating_sub(backend.cache.held_tokens(shape));
+        let evicted = backend.cache.evicted_tokens(shape, needed, self.memory_tokens, now);
+        let remaining = (item.arrived + item.route.objective).since(now);
+        self.rule.cost_ms(&PlacementImpact {
+            expected_ms: work.expected_ms,
+            remaining_ms: remaining.as_secs_f64() * 1_000.0,
+            prefill_ms: backend.load.prefill_ms(work.prefill_tokens),
+            ahead_ms: backend.load.ahead_ms(work.priority, now),
+            evicted_ms: evicted * backend.load.prefill_ms(1),
+            running: f64::from(backend.load.total_requests(now)),
+            slots: f64::from(backend.info.slots),
+        })
+    }
+}
+
+/// The expected work of a request at an engine.
+struct ExpectedWork {
+    priority: u8,
+    /// Time to first byte, milliseconds.
+    expected_ms: f64,
+    /// The tokens to process, without those that are copied.
+    prefill_tokens: u32,
 }
 
 /// A backend server that could get the request.
@@ -456,12 +526,25 @@
     } else {
         0.0
     };
-    let cost_ms = expected_ms
-        + peer_backoff_ms
-        + rejection_cost_ms
-        + PREFILL_WEIGHT * prefill_tokens.map_or(0.0, |tokens| backend.load.prefill_ms(tokens))
-        + CONCURRENCY_COST_MS * utilization
-        + failure_cost_ms * backend.health.failure_rate(now);
+    let failure_cost_ms = failure_cost_ms * backend.health.failure_rate(now);
+    let cost_ms = match (&shared.value, prefill_tokens) {
+        (Some(value), Some(tokens)) => {
+            let copying = copy.filter(|copy| copy.cost_tokens < copy.tokens);
+            let prefill_tokens = tokens.saturating_sub(copying.map_or(0, |copy| copy.cost_tokens));
+            let work = ExpectedWork { priority, expected_ms, prefill_tokens };
+            let placement_ms = value.cost_ms(item, backend, work, now);
+            placement_ms + peer_backoff_ms + rejection_cost_ms + failure_cost_ms
+        }
+        _ => {
+            expected_ms
+                + peer_backoff_ms
+                + rejection_cost_ms
+                + PREFILL_WEIGHT
+                    * prefill_tokens.map_or(0.0, |tokens| backend.load.prefill_ms(tokens))
+                + CONCURRENCY_COST_MS * utilization
+                + failure_cost_ms
+        }
+    };
     Candidate { cost_ms, estimate, copy }
 }
 
--- a/crates/dispatch/tests/deployment.rs
+++ b/crates/dispatch/tests/deployment.rs
@@ -69,6 +69,7 @@
         engine: engine(),
         seconds: 10,
         crash: None,
+        weighs_cached_prefixes: false,
         seed,
     }
 }
--- a/crates/dispatch/tests/support/deployment.rs
+++ b/crates/dispatch/tests/support/deployment.rs
@@ -92,6 +92,7 @@
     pub(crate) engine: EngineModel,
     pub(crate) seconds: u64,
     pub(crate) crash: Option<CrashModel>,
+    pub(crate) weighs_cached_prefixes: bool,
     pub(crate) seed: u64,
 }
 
@@ -127,6 +128,7 @@
             repeat_window: Duration::from_secs(10),
             cold_rate_factor: 1.5,
             cold_rate_slack: 3.0,
+            weighs_cached_prefixes: self.weighs_cached_prefixes,
         };
         let mut scheduler = Scheduler::new(settings);
         let pool = ServicePool {
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -100,6 +100,7 @@
         repeat_window: Duration::from_secs(10),
         cold_rate_factor: 1.5,
         cold_rate_slack: 3.0,
+        weighs_cached_prefixes: false,
     }
 }
 
--- a/crates/proxy/tests/replacement.rs
+++ b/crates/proxy/tests/replacement.rs
@@ -293,6 +293,7 @@
         repeat_window: Duration::from_secs(10),
         cold_rate_factor: 1.5,
         cold_rate_slack: 3.0,
+        weighs_cached_prefixes: false,
     });
     let pool = ServicePool {
         name: service.clone(),
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -504,6 +504,7 @@
         repeat_window: Duration::from_secs(10),
         cold_rate_factor: 1.5,
         cold_rate_slack: 3.0,
+        weighs_cached_prefixes: false,
     });
     let service = ServiceName::try_from("pool").expect("a name");
     let pool = gullglade_traffic::ServicePool {
