--- a/crates/dispatch/src/deployment.rs
+++ b/crates/dispatch/src/deployment.rs
@@ -31,6 +31,9 @@
     /// engines, and the shares of workspaces are those for callers that compete for too little
     /// capacity.
     pub overload_control: bool,
+    /// Whether the placement of prompts weighs the prefill that a cached prefix saves against the
+    /// load and the memory of each engine. Otherwise prefill has a fixed weight.
+    pub weighs_cached_prefixes: bool,
 }
 
 /// A backend server of this region.
--- a/crates/dispatch/tests/answer_end.rs
+++ b/crates/dispatch/tests/answer_end.rs
@@ -60,6 +60,7 @@
         per_second: per_second.iter().map(|rate| rate * load).collect(),
     };
     Deployment {
+        weighs_cached_prefixes: false,
         overload_control: false,
         workspaces: Vec::new(),
         loses_hints: false,
--- a/crates/dispatch/tests/deployment.rs
+++ b/crates/dispatch/tests/deployment.rs
@@ -73,6 +73,7 @@
         machines: None,
         seconds: 10,
         crash: None,
+        weighs_cached_prefixes: false,
         seed,
         loses_hints: false,
         overload_control: false,
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -112,6 +112,7 @@
     });
     let workspaces = shares.zip(USUAL_SHARES).enumerate();
     Deployment {
+        weighs_cached_prefixes: false,
         machines: None,
         regions: vec![RegionModel {
             name: "puget",
--- a/crates/dispatch/tests/support/deployment.rs
+++ b/crates/dispatch/tests/support/deployment.rs
@@ -144,6 +144,7 @@
     pub(crate) machines: Option<MachineModel>,
     pub(crate) seconds: u64,
     pub(crate) crash: Option<CrashModel>,
+    pub(crate) weighs_cached_prefixes: bool,
     pub(crate) seed: u64,
     /// Whether all hints between gateways are lost.
     pub(crate) loses_hints: bool,
@@ -187,6 +188,7 @@
             cold_rate_factor: 1.5,
             cold_rate_slack: 3.0,
             overload_control: self.overload_control,
+            weighs_cached_prefixes: self.weighs_cached_prefixes,
         };
         let mut scheduler = Scheduler::new(settings);
         let pool = ServicePool {
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -101,6 +101,7 @@
         cold_rate_factor: 1.5,
         cold_rate_slack: 3.0,
         overload_control: false,
+        weighs_cached_prefixes: false,
     }
 }
 
--- a/crates/proxy/tests/replacement.rs
+++ b/crates/proxy/tests/replacement.rs
@@ -294,6 +294,7 @@
         cold_rate_factor: 1.5,
         cold_rate_slack: 3.0,
         overload_control: false,
+        weighs_cached_prefixes: false,
     });
     let pool = ServicePool {
         name: service.clone(),
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -507,6 +507,7 @@
         cold_rate_factor: 1.5,
         cold_rate_slack: 3.0,
         overload_control: false,
+        weighs_cached_prefixes: false,
     });
     let service = ServiceName::try_from("pool").expect("a name");
     let pool = gullglade_traffic::ServicePool {
