--- a/crates/dispatch/tests/cache_value.rs
+++ b/crates/dispatch/tests/cache_value.rs
@@ -28,6 +28,7 @@
 /// Long streams of which each has one of `parts` shared parts.
 fn long(share: f64, parts: u64) -> KindModel {
     KindModel {
+        hints: None,
         route: stream_route(1, 1_200, 12_000, 600, &[], false),
         share,
         chain: vec![(parts, 5_382.0)],
@@ -40,6 +41,7 @@
 
 fn short(share: f64, parts: u64) -> KindModel {
     KindModel {
+        hints: None,
         route: stream_route(0, 800, 3_000, 600, &[], true),
         share,
         chain: vec![(parts, 568.0)],
@@ -61,6 +63,10 @@
     let region =
         RegionModel { name: "puget", gateways: 6, engines: 6, per_second: per_second.to_vec() };
     Deployment {
+        workspaces: Vec::new(),
+        machines: None,
+        loses_hints: false,
+        overload_control: false,
         regions: vec![region],
         kinds,
         engine,
