--- a/crates/dispatch/src/scheduler/end.rs
+++ b/crates/dispatch/src/scheduler/end.rs
@@ -39,7 +39,7 @@
 
 /// If a larger share of the engines is strained, the region is in overload. Waiting and placement on
 /// the few others, which hold no part of the prompt, would then cost more capacity than they save.
-const MAX_STRAINED_SHARE: f64 = 0.7;
+const MAX_STRAINED_SHARE: f64 = 0.5;
 
 /// The share of the expected length for which an answer is refused if not even that can end.
 /// Expected lengths are uncertain.
--- a/crates/dispatch/tests/answer_end.rs
+++ b/crates/dispatch/tests/answer_end.rs
@@ -80,8 +80,8 @@
     }
 }
 
-fn replay(load: f64, is_stated: bool, hint_bias: f64) -> Vec<Outcome> {
-    (1..5).map(|seed| peak(load, is_stated, hint_bias, seed).simulate()).collect()
+fn replay(seeds: u64, load: f64, is_stated: bool, hint_bias: f64) -> Vec<Outcome> {
+    (1..=seeds).map(|seed| peak(load, is_stated, hint_bias, seed).simulate()).collect()
 }
 
 fn show(title: &str, outcomes: &[Outcome]) {
@@ -98,8 +98,8 @@
 }
 
 /// Replays a load and returns its result.
-fn measure(title: &str, load: f64, is_stated: bool, hint_bias: f64) -> (usize, f64) {
-    let outcomes = replay(load, is_stated, hint_bias);
+fn measure(title: &str, seeds: u64, load: f64, is_stated: bool, hint_bias: f64) -> (usize, f64) {
+    let outcomes = replay(seeds, load, is_stated, hint_bias);
     show(title, &outcomes);
     let result = result(&outcomes);
     println!("load {load}, {title}: {result:?}");
@@ -112,9 +112,9 @@
     // Guards against long answers on engines that are slow or always in prefill, which run for
     // seconds and are then cut off by their deadline, and against trust in hints of the length that
     // are ten times too small or too large.
-    let (failed, worth) = measure("before", 0.9, false, 1.0);
+    let (failed, worth) = measure("before", 4, 0.9, false, 1.0);
     for (title, bias) in [("with", 1.0), ("with small hints", 0.1), ("with large hints", 10.0)] {
-        let (failed_with, worth_with) = measure(title, 0.9, true, bias);
+        let (failed_with, worth_with) = measure(title, 4, 0.9, true, bias);
         assert!(3 * failed_with <= 2 * failed, "{title}: {failed_with} failed, {failed} before");
         assert!(worth_with > worth + 0.01, "{title}: {worth_with} against {worth}");
     }
@@ -124,8 +124,9 @@
 fn overload_is_served_as_before() {
     // The load: more than the engines can do. Guards against prompts that wait for an engine to
     // recover while all are strained.
-    let (failed, worth) = measure("before", 1.1, false, 1.0);
-    let (failed_with, worth_with) = measure("with", 1.1, true, 1.0);
+    // Single seeds differ by a third either way.
+    let (failed, worth) = measure("before", 8, 1.1, false, 1.0);
+    let (failed_with, worth_with) = measure("with", 8, 1.1, true, 1.0);
     assert!(failed_with as f64 <= 1.1 * failed as f64, "{failed_with} failed, {failed} before");
     assert!(worth_with > worth - 0.005, "{worth_with} against {worth}");
 }
