http: bound unread replies in sum, and show the backpressure

Each connection holds little of a reply that its caller does not read, but thousands of them hold more than a small VM has.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -8,6 +8,7 @@
 mod head;
 mod limits;
 mod refusal;
+mod reply_buffers;
 mod scratch;
 mod stop;
 mod wire_body;
--- a/crates/http/src/server/accept.rs
+++ b/crates/http/src/server/accept.rs
@@ -6,6 +6,7 @@
         connection::ConnectionTask,
         limits::{ConnectionLimits, ConnectionSlot},
         refusal,
+        reply_buffers::ReplyBuffers,
         scratch::ScratchBuffer,
     },
     crate::ApiError,
@@ -58,6 +59,7 @@
     pub(crate) handler: Rc<dyn RequestHandler>,
     pub(crate) handle: StopHandle,
     pub(crate) scratch: ScratchBuffer,
+    pub(crate) buffers: Rc<ReplyBuffers>,
 }
 
 impl HttpServer {
@@ -76,12 +78,14 @@
             TcpListener::bind_with_config(address, &options).context(BindSnafu { address })?;
         let bound = listener.local_addr().context(BindSnafu { address })?;
         let handle = StopHandle::new();
+        let buffers = ReplyBuffers::new(config.unread_limit);
         let shared = Rc::new(ServerShared {
             config,
             context,
             handler,
             handle,
             scratch: ScratchBuffer::new(),
+            buffers,
         });
         Ok(Self { listener, address: bound, shared })
     }
@@ -91,6 +95,13 @@
         self.address
     }
 
+    /// A function that returns how many bytes of streamed replies the server holds because callers
+    /// have not read them.
+    pub fn unread_bytes(&self) -> impl Fn() -> usize + 'static {
+        let buffers = Rc::clone(&self.shared.buffers);
+        move || buffers.held()
+    }
+
     /// The handle that stops this server.
     pub fn stop_handle(&self) -> StopHandle {
         self.shared.handle.clone()
--- a/crates/http/src/server/config.rs
+++ b/crates/http/src/server/config.rs
@@ -12,6 +12,7 @@
     pub(crate) body_timeout: Duration,
     pub(crate) body_total_timeout: Duration,
     pub(crate) write_timeout: Duration,
+    pub(crate) unread_limit: usize,
     pub(crate) connection_limit: usize,
     pub(crate) per_address_limit: usize,
     pub(crate) linger_timeout: Duration,
@@ -28,6 +29,7 @@
             body_timeout: Duration::from_secs(15),
             body_total_timeout: Duration::from_secs(300),
             write_timeout: Duration::from_secs(60),
+            unread_limit: 32 << 20,
             connection_limit: 12_000,
             per_address_limit: 4_000,
             linger_timeout: Duration::from_secs(1),
@@ -87,6 +89,14 @@
         self
     }
 
+    /// The most bytes of streamed replies that the server holds in sum because callers have not
+    /// read them, apart from one piece for each connection. Default 32 MiB, a quarter of the
+    /// memory of a small VM; over it no more is taken from the producers of the replies.
+    pub fn unread_limit(mut self, bytes: usize) -> Self {
+        self.unread_limit = bytes;
+        self
+    }
+
     /// The most connections open at once. Default 12,000; over it: a short 503, then close.
     pub fn connection_limit(mut self, connections: usize) -> Self {
         self.connection_limit = connections;
--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -5,6 +5,7 @@
         accept::ServerShared,
         exchange::ExchangeState,
         guard::{GuardParts, GuardedStream},
+        reply_buffers::ReplyShare,
         wire_body::WireBody,
     },
     crate::{
@@ -49,8 +50,9 @@
         }
         let Ok(stream) = stream.into_poll_io() else { return };
         let exchange = Rc::new(ExchangeState::default());
-        let stream = self.guarded(MonoioIo::new(stream), &exchange);
-        let server = ExchangeServer { shared: self.shared, remote: self.remote, exchange };
+        let share = ReplyShare::new(&self.shared.buffers);
+        let stream = self.guarded(MonoioIo::new(stream), &exchange, &share);
+        let server = ExchangeServer { shared: self.shared, remote: self.remote, exchange, share };
         let server = Rc::new(server);
         let service = service_fn(|request| {
             // Taken here and not in the future: this runs as soon as the head is parsed, so a
@@ -77,6 +79,7 @@
         &self,
         stream: MonoioIo<TcpStreamPoll>,
         exchange: &Rc<ExchangeState>,
+        share: &Rc<ReplyShare>,
     ) -> GuardedStream<MonoioIo<TcpStreamPoll>> {
         let parts = GuardParts {
             config: self.shared.config.clone(),
@@ -84,6 +87,7 @@
             scratch: self.shared.scratch.clone(),
             stop: self.shared.handle.stop.clone(),
             exchange: Rc::clone(exchange),
+            share: Rc::clone(share),
         };
         match &self.refusal {
             None => GuardedStream::new(stream, parts),
@@ -97,6 +101,7 @@
     shared: Rc<ServerShared>,
     remote: SocketAddr,
     exchange: Rc<ExchangeState>,
+    share: Rc<ReplyShare>,
 }
 
 impl ExchangeServer {
@@ -135,7 +140,10 @@
         if self.exchange.is_last() || self.shared.handle.retiring() {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        response.map(|body| WireBody::new(body, Rc::clone(&self.exchange)))
+        response.map(|body| {
+            let (exchange, share) = (Rc::clone(&self.exchange), Rc::clone(&self.share));
+            WireBody::new(body, exchange, share)
+        })
     }
 
     fn read_bounds(&self) -> ReadBounds {
--- a/crates/http/src/server/guard.rs
+++ b/crates/http/src/server/guard.rs
@@ -10,6 +10,7 @@
         exchange::ExchangeState,
         head::{BodyFraming, check_head},
         refusal,
+        reply_buffers::ReplyShare,
         scratch::ScratchBuffer,
         stop::OnceSignal,
     },
@@ -45,6 +46,7 @@
     pub(crate) scratch: ScratchBuffer,
     pub(crate) stop: OnceSignal,
     pub(crate) exchange: Rc<ExchangeState>,
+    pub(crate) share: Rc<ReplyShare>,
 }
 
 /// A socket whose reads are checked and whose waits are bounded.
@@ -263,6 +265,12 @@
         Poll::Ready(io::Error::new(io::ErrorKind::TimedOut, "the caller reads nothing"))
     }
 
+    fn count_written(&self, outcome: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(length)) = outcome {
+            self.parts.share.note_written(*length);
+        }
+    }
+
     /// Bounds a write that waits; a write that went on ends the bound.
     fn bound_write<T>(
         &mut self,
@@ -351,6 +359,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let outcome = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.count_written(&outcome);
         self.bound_write(outcome, context)
     }
 
@@ -360,6 +369,7 @@
         pieces: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let outcome = Pin::new(&mut self.stream).poll_write_vectored(context, pieces);
+        self.count_written(&outcome);
         self.bound_write(outcome, context)
     }
 
--- a/crates/http/src/server/wire_body.rs
+++ b/crates/http/src/server/wire_body.rs
@@ -1,7 +1,7 @@
 //! The body of a reply as `hyper` takes it.
 
 use {
-    super::exchange::ExchangeState,
+    super::{exchange::ExchangeState, reply_buffers::ReplyShare},
     crate::{BodyError, ReplyBody},
     bytes::Bytes,
     hyper::body::{Body, Frame, SizeHint},
@@ -16,11 +16,12 @@
 pub(crate) struct WireBody {
     body: ReplyBody,
     exchange: Rc<ExchangeState>,
+    share: Rc<ReplyShare>,
 }
 
 impl WireBody {
-    pub(crate) fn new(body: ReplyBody, exchange: Rc<ExchangeState>) -> Self {
-        Self { body, exchange }
+    pub(crate) fn new(body: ReplyBody, exchange: Rc<ExchangeState>, share: Rc<ReplyShare>) -> Self {
+        Self { body, exchange, share }
     }
 }
 
@@ -38,10 +39,18 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let piece = match &mut self.body {
+        let Self { body, share, .. } = &mut *self;
+        let piece = match body {
             ReplyBody::Full(bytes) if bytes.is_empty() => None,
             ReplyBody::Full(bytes) => Some(Ok(std::mem::take(bytes))),
-            ReplyBody::Stream(stream) => ready!(stream.as_mut().poll_next(context)),
+            ReplyBody::Stream(_) if !share.may_take(context) => return Poll::Pending,
+            ReplyBody::Stream(stream) => {
+                let piece = ready!(stream.as_mut().poll_next(context));
+                if let Some(Ok(bytes)) = &piece {
+                    share.take(bytes.len());
+                }
+                piece
+            }
         };
         Poll::Ready(piece.map(|result| result.map(Frame::data)))
     }
--- a/crates/http/tests/http/main.rs
+++ b/crates/http/tests/http/main.rs
@@ -10,3 +10,4 @@
 mod refusal;
 mod stop;
 mod stream;
+mod unread;
--- a/crates/proxy/tests/unending.rs
+++ b/crates/proxy/tests/unending.rs
@@ -5,11 +5,14 @@
 use {
     bytes::Bytes,
     gullglade_event::MemorySink,
-    gullglade_http::{ClientConfig, ClientError, ClientReply, HttpClient, PooledClient},
-    gullglade_proxy::CallerRequest,
+    gullglade_http::{
+        ClientConfig, ClientError, ClientReply, HttpClient, HttpServer, PooledClient, ReplyBody,
+        RequestBody, RequestHandler, ServerConfig,
+    },
+    gullglade_proxy::{CallerRequest, Proxy},
     gullglade_traffic::RequestKind,
     gullglade_units::{LocalFuture, ProcessContext, SystemSpawner},
-    http::Request,
+    http::{Request, Response},
     monoio::{LegacyDriver, RuntimeBuilder},
     std::{
         io::{ErrorKind, Read, Write},
@@ -45,6 +48,10 @@
 /// to 10 MB of them.
 const ACCEPTED_BYTES: usize = 16 << 20;
 
+/// Bytes that the sockets and buffers on both sides of a gateway may hold for a caller who does not
+/// read.
+const UNREAD_BYTES: usize = 32 << 20;
+
 /// The head of an answer that belongs to the request; what follows states the framing.
 const SIGNED: &str = "HTTP/1.1 200 OK\r\nid: call-1\r\nsigned: yes\r\n";
 const EVENTS: &str = "content-type: text/event-stream\r\n";
@@ -320,19 +327,24 @@
     events: Rc<MemorySink>,
 }
 
-/// Runs a request of `case`; the virtual time of the test bed follows the real time.
-async fn run(case: &UnendingCase, backends: (u8, u8), address: SocketAddr) -> UnendingResult {
+/// Creates a test bed whose backend servers have this address.
+fn bed(case: &UnendingCase, backends: (u8, u8), address: SocketAddr) -> TestBed {
     let clients = move |_: usize, context: &ProcessContext| {
         let context = ProcessContext { spawner: Rc::new(SystemSpawner), ..context.clone() };
         let client = PooledClient::new(ClientConfig::new().take_unframed(), context);
         Rc::new(RedirectedClient { client, address }) as Rc<dyn HttpClient>
     };
-    let bed = TestBed::new(&BedSettings {
+    TestBed::new(&BedSettings {
         backends,
         timeout: Duration::from_secs(10),
         overrides: Overrides { clients: Some(Rc::new(clients)), ..Overrides::default() },
         ..BedSettings::of(case.kind)
-    });
+    })
+}
+
+/// Runs a request of `case`; the virtual time of the test bed follows the real time.
+async fn run(case: &UnendingCase, backends: (u8, u8), address: SocketAddr) -> UnendingResult {
+    let bed = bed(case, backends, address);
     let request = CallerRequest { caller_timeout: Some(case.deadline), ..bed.request() };
     let proxy = bed.gateway(0).clone();
     let task = monoio::spawn(async move { fetch(&proxy, request).await });
@@ -408,3 +420,61 @@
     let failures = failures.into_inner().expect("failures");
     assert!(failures.is_empty(), "{} failures:\n{}", failures.len(), failures.join("\n"));
 }
+
+/// A caller's server that serves `request` at a proxy.
+struct ProxyHandler {
+    proxy: Proxy,
+    request: CallerRequest,
+}
+
+impl RequestHandler for ProxyHandler {
+    fn handle<'a>(
+        &'a self,
+        _request: Request<RequestBody>,
+        _remote: SocketAddr,
+    ) -> LocalFuture<'a, Response<ReplyBody>> {
+        Box::pin(self.proxy.serve(self.request.clone()))
+    }
+}
+
+/// Guards against a gateway that takes in a whole answer for a caller who does not read it: it must
+/// stop reading from the backend server, and give up the run after some seconds.
+#[test]
+fn unread_answer_holds_its_backend_server_back() {
+    const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+    let chunked = "transfer-encoding: chunked\r\n\r\n";
+    let piece = chunk(&"x".repeat(8 << 10));
+    let event = chunk(&format!("data: {}\n\n", "x".repeat(8 << 10)));
+    for case in [
+        UnendingCase::new("plain", RequestKind::Idempotent, &[SIGNED, chunked], &piece),
+        UnendingCase::new("events", ONCE_ONLY, &[SIGNED, EVENTS, chunked], &event),
+    ] {
+        let server = UnendingServer::start(&case);
+        let mut runtime =
+            RuntimeBuilder::<LegacyDriver>::new().enable_timer().build().expect("a runtime");
+        let record = runtime.block_on(async {
+            let bed = bed(&case, (2, 0), server.address);
+            let handler = ProxyHandler { proxy: bed.gateway(0).clone(), request: bed.request() };
+            let config = ServerConfig::new().write_timeout(WRITE_TIMEOUT);
+            let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+            let context = ProcessContext::system();
+            let callers = HttpServer::bind(any_port, config, context, Rc::new(handler));
+            let callers = callers.expect("a server");
+            let mut caller = TcpStream::connect(callers.local_addr()).expect("a connection");
+            monoio::spawn(callers.run());
+            caller.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").expect("sent");
+            let (began, start) = (Instant::now(), bed.world.now());
+            loop {
+                bed.world.run_for((start + began.elapsed()).since(bed.world.now()));
+                monoio::time::sleep(Duration::from_millis(1)).await;
+                if let Ok(record) = server.record.try_recv() {
+                    return record;
+                }
+                assert!(began.elapsed() < MAX_TIME, "{}: no end", case.name);
+            }
+        });
+        assert!(record.is_closed, "{}: {record:?}", case.name);
+        assert!(record.written < UNREAD_BYTES, "{}: {record:?}", case.name);
+        assert!(record.lasted < 2 * WRITE_TIMEOUT, "{}: {record:?}", case.name);
+    }
+}
