--- a/crates/http/src/event_boundary.rs
+++ b/crates/http/src/event_boundary.rs
@@ -35,10 +35,9 @@
             pending += 1;
             match (byte, self.line) {
                 (b'\n', LineState::Start) => {
-                    if std::mem::take(&mut self.has_field) {
-                        has_event = true;
-                        pending = 0;
-                    }
+                    let is_event = std::mem::take(&mut self.has_field);
+                    has_event |= is_event;
+                    pending = if is_event { 0 } else { pending };
                 }
                 (b'\n', line) => {
                     self.has_field |= line == LineState::Field;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -112,7 +112,7 @@
         match self.next_events(&mut events).await {
             EventStep::Events(first) => {
                 self.log.note_first_event();
-                let body = RelayedBody::Events { first: Some(first), events };
+                let body = RelayedBody::Events { first: Some(first), events: Box::new(events) };
                 Ok(Some(RelayedReply { status, headers, body }))
             }
             EventStep::End => {
@@ -237,7 +237,7 @@
 enum RelayedBody {
     Complete(Bytes),
     Long { first: Bytes, rest: ResponseBody },
-    Events { first: Option<EventBatch>, events: EventReader },
+    Events { first: Option<EventBatch>, events: Box<EventReader> },
 }
 
 impl RelayedReply {
@@ -249,7 +249,7 @@
                 ReplyBody::full(bytes)
             }
             RelayedBody::Long { first, rest } => long_body(execution, status, first, rest),
-            RelayedBody::Events { first, events } => event_body(execution, status, first, events),
+            RelayedBody::Events { first, events } => event_body(execution, status, first, *events),
         };
         let is_stream = matches!(body, ReplyBody::Stream(_));
         let mut response = Response::new(body);
