--- a/crates/http/src/event_boundary.rs
+++ b/crates/http/src/event_boundary.rs
@@ -37,10 +37,9 @@
             pending += 1;
             match (byte, self.line) {
                 (b'\n', LineState::Start) => {
-                    if std::mem::take(&mut self.has_field) {
-                        self.events += 1;
-                        pending = 0;
-                    }
+                    let is_event = std::mem::take(&mut self.has_field);
+                    self.events += u32::from(is_event);
+                    pending = if is_event { 0 } else { pending };
                 }
                 (b'\n', line) => {
                     self.has_field |= line == LineState::Field;
