--- a/crates/dispatch/src/overload/limits.rs
+++ b/crates/dispatch/src/overload/limits.rs
@@ -25,7 +25,7 @@
 const RESERVED_SHARE: f64 = 0.4;
 
 /// The number of values of [`PlacementLimits::group`].
-pub(crate) const LIMIT_GROUPS: usize = 4;
+pub(crate) const LIMIT_GROUPS: usize = 8;
 
 /// The inflow of prefill work, as a share of an engine's time, from which on less urgent routes send
 /// it no prompt. Decode and the prompts of urgent routes have the rest: an engine in prefill without
@@ -33,8 +33,9 @@
 /// none is left for urgent requests.
 const MAX_PREFILL_INFLOW: f64 = 0.6;
 
-/// The same for requests that are exempt from the reserve: the prefill that the engine can do at all.
-const MAX_EXEMPT_INFLOW: f64 = 1.0;
+/// The same for requests of workspaces that lack capacity because of others, which may use the
+/// reserved slots.
+const MAX_EXEMPT_INFLOW: f64 = 0.75;
 
 /// The limits on what a request may use of an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -44,8 +45,8 @@
     pub(crate) backlog_ms: Option<f64>,
     /// Whether a share of the slots is reserved for more urgent routes.
     pub(crate) is_reserved: bool,
-    /// Whether a more urgent route is in use.
-    pub(crate) is_less_urgent: bool,
+    /// Whether the prefill of engines is reserved for more urgent routes.
+    pub(crate) is_inflow_limited: bool,
     /// The priority to send with instead of that of the route, for a workspace that has no priority
     /// of its own and used more than its share.
     pub(crate) priority: Option<u8>,
@@ -82,20 +83,22 @@
         Self {
             backlog_ms: activity.shortest_objective(now).map(backlog_ms),
             is_reserved: is_less_urgent && !is_exempt,
-            is_less_urgent,
+            is_inflow_limited: is_less_urgent && !activity.is_starved(priority),
             priority: is_yielding.then(|| activity.least_urgent(now)).flatten(),
         }
     }
 
     /// Returns an index of the limits by which requests of equal priority differ.
     pub(crate) fn group(&self) -> usize {
-        usize::from(self.is_reserved) + 2 * usize::from(self.priority.is_some())
+        usize::from(self.is_reserved)
+            + 2 * usize::from(self.priority.is_some())
+            + 4 * usize::from(self.is_inflow_limited)
     }
 
     /// Returns whether an engine with this inflow of prefill work takes the request.
     pub(crate) fn allows_inflow(&self, inflow_share: f64) -> bool {
         let limit = if self.is_reserved { MAX_PREFILL_INFLOW } else { MAX_EXEMPT_INFLOW };
-        !self.is_less_urgent || inflow_share < limit
+        !self.is_inflow_limited || inflow_share < limit
     }
 
     /// Returns the number of the `slots` of an engine that the request may use.
--- a/crates/dispatch/src/overload/shares.rs
+++ b/crates/dispatch/src/overload/shares.rs
@@ -21,7 +21,7 @@
 /// workspaces differ: at 1.25 a load by all of them counted as greed of some, and less was served
 /// (0.76 instead of 0.79 of the value at twice the capacity). At 2 a workspace at six times its rate
 /// took eleven points from the others.
-const TOLERANCE: f64 = 1.5;
+const TOLERANCE: f64 = 1.6;
 
 /// Use below this is never above a share, milliseconds: about one long prompt.
 const MIN_USE_MS: f64 = 100.0;
