--- a/crates/dispatch/src/cache_value.rs
+++ b/crates/dispatch/src/cache_value.rs
@@ -23,9 +23,8 @@
 /// pauses are then far shorter than callers accept.
 const MIN_URGENCY: f64 = 0.2;
 
-/// The weight of a repeated prefill, in addition to the requests that it delays. With 0, 20 and 40
-/// the prefill of 1.89, 1.62 and 1.53 million shared tokens was repeated in a replay of three
-/// regions at their peaks.
+/// The weight of a repeated prefill, in addition to the requests that it delays. With a lower weight
+/// each short queue moves a shared part to another engine, which prefills it again.
 const REPEAT_WEIGHT: f64 = 40.0;
 
 /// The cost of each millisecond beyond the objective, as that of a repeated prefill: a holder that
--- a/crates/dispatch/src/overload/limits.rs
+++ b/crates/dispatch/src/overload/limits.rs
@@ -1,10 +1,10 @@
-//! What a request may use of an engine: the prefill backlog ahead of it, and the slots.
+//! What a request may use of an engine: the prefill backlog ahead of it, the inflow of prefill, and
+//! the slots.
 //!
 //! The load pattern: long, less urgent streams hold their slots for seconds, and their prompts take
 //! a tenth of a second of prefill each. An urgent request that arrives then either waits for longer
-//! than its objective, or preempts a long stream whose prompt is prefilled again later (5,054 times
-//! on one day). Engines preempt only when their slots or their memory are full, so slots that are
-//! kept free prevent it.
+//! than its objective, or preempts a long stream whose prompt is prefilled again later. Engines
+//! preempt only when their slots or their memory are full, so slots that are kept free prevent it.
 
 use {
     super::routes::RouteActivity, crate::WorkItem, gullglade_units::MonotonicTime,
@@ -20,8 +20,8 @@
 /// is the backlog without overload control.
 const BACKLOG_BOUNDS_MS: (f64, f64) = (50.0, 500.0);
 
-/// The share of an engine's slots that less urgent routes leave free. In trials a quarter was a
-/// little worse, and none clearly worse.
+/// The share of an engine's slots that less urgent routes leave free. It covers the urgent requests
+/// that run, and those that other gateways send before they learn of each other's sends.
 const RESERVED_SHARE: f64 = 0.4;
 
 /// The number of values of [`PlacementLimits::group`].
--- a/crates/dispatch/src/overload/order.rs
+++ b/crates/dispatch/src/overload/order.rs
@@ -2,9 +2,7 @@
 //!
 //! The load pattern: more requests wait than can be served in time, and some of them are late
 //! whatever is decided. A slot that goes to a late request makes a timely one late too, so that at
-//! twice the capacity hardly any request was in time. In a replay of a sixth of a deployment's
-//! peak, 0.59 of the value was served with this order and the limits of [`super::limits`], and 0.23
-//! by priority alone.
+//! twice the capacity hardly any request is in time.
 
 use {
     super::routes::RouteActivity,
--- a/crates/dispatch/src/overload/shares.rs
+++ b/crates/dispatch/src/overload/shares.rs
@@ -18,9 +18,8 @@
 const USE_HALF_LIFE: Duration = Duration::from_secs(3);
 
 /// A workspace is above its share from this multiple of it. Random arrivals make the use of equal
-/// workspaces differ: at 1.25 a load by all of them counted as greed of some, and less was served
-/// (0.76 instead of 0.79 of the value at twice the capacity). At 2 a workspace at six times its rate
-/// took eleven points from the others.
+/// workspaces differ by a quarter. At twice its share, a workspace already takes a tenth of the
+/// requests in time from the others.
 const TOLERANCE: f64 = 1.6;
 
 /// Use below this is never above a share, milliseconds: about one long prompt.
--- a/crates/dispatch/src/scheduler/end.rs
+++ b/crates/dispatch/src/scheduler/end.rs
@@ -25,8 +25,7 @@
 const MISSED_END_OBJECTIVES: f64 = 4.0;
 
 /// The weight of answers that run at an engine against the new one. They have used an engine for
-/// some time, which is lost with them. In the replay of a peak 48 long streams did not end with this
-/// weight and 54 with a weight of 1.
+/// some time, which is lost with them.
 const RUNNING_ANSWER_WEIGHT: f64 = 3.0;
 
 /// An engine with more prefill work ahead than this, of all priorities, is strained: it would be in
