Placement: the collection of cached-prefix costs gets a module of its own

Cause: place.rs (625 lines) chose backend servers and also gathered the inputs of the cached-prefix rule; end.rs had a second copy of load::as_millis; four doc comments told 'how' instead of what the item is. Change: scheduler/prefix_value.rs, one as_millis, reworded comments. No rule, bound or expectation is touched.

--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -69,7 +69,7 @@
     pub waiting: u32,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
-    /// How long work takes on its machine at the moment, in percent of the usual time.
+    /// The time that work takes on its machine at the moment, in percent of the usual time.
     pub slowdown_percent: Option<u32>,
 }
 
@@ -420,6 +420,7 @@
     usize::from(priority).min(PRIORITY_CLASSES - 1)
 }
 
-fn as_millis(duration: Duration) -> f64 {
+/// Returns fractional milliseconds.
+pub(crate) fn as_millis(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1_000.0
 }
--- a/crates/dispatch/src/overload/limits.rs
+++ b/crates/dispatch/src/overload/limits.rs
@@ -52,7 +52,7 @@
     pub(crate) priority: Option<u8>,
 }
 
-/// How the recent use of a workspace compares to its share.
+/// The recent use of a workspace, compared to its share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ShareStanding {
     /// Nobody lacks capacity because of another workspace.
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -17,6 +17,7 @@
 mod end;
 mod paths;
 mod place;
+mod prefix_value;
 mod prompt_copy;
 mod scan;
 
--- a/crates/dispatch/src/scheduler/end.rs
+++ b/crates/dispatch/src/scheduler/end.rs
@@ -9,6 +9,7 @@
     crate::{
         AnswerHint, PromptShape, TicketId, WorkCost, WorkItem, WorkOutcome,
         answer_end::{AnswerLengths, EnginePace, EngineState, LengthEstimate, RequestedAnswer},
+        load::as_millis,
         pace::StepTimes,
     },
     gullglade_traffic::{EngineProfile, TrafficRoute},
@@ -16,7 +17,7 @@
     std::{collections::HashMap, time::Duration},
 };
 
-/// How often the usual times of a service are computed.
+/// The interval at which the usual times of a service are computed.
 const MEDIAN_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The cost of an answer that does not end in time, as a multiple of the objective of its route. A
@@ -147,7 +148,7 @@
         let may_leave = item.may_forward && self.allowed_offers(item).next().is_some();
         let token_ms = if may_leave { fastest_ms / SPEED_ELSEWHERE } else { fastest_ms };
         let least_ms = length.median() * CERTAIN_LENGTH_SHARE * token_ms;
-        least_ms > millis(item.deadline.since(now))
+        least_ms > as_millis(item.deadline.since(now))
     }
 
     /// Records that a request was sent, and returns what other gateways are told of its answer.
@@ -240,8 +241,8 @@
         let Some(pace) = engine_pace(backend, self.usual, now) else {
             return EndCost::default();
         };
-        let stake_ms = MISSED_END_OBJECTIVES * millis(item.route.objective);
-        let left_ms = millis(item.deadline.since(now)) - candidate.estimate.expected_ms;
+        let stake_ms = MISSED_END_OBJECTIVES * as_millis(item.route.objective);
+        let left_ms = as_millis(item.deadline.since(now)) - candidate.estimate.expected_ms;
         let missed = match left_ms > 0.0 {
             true => self.length.exceeds_after(0.0, pace.tokens_in(left_ms, 0.0)),
             false => 1.0,
@@ -250,7 +251,7 @@
         let pause_ms = pace.prefill_ms * f64::from(tokens_per_event);
         let pauses = item.route.gap_objective.map_or(0.0, |gap| {
             // Likely once the mean pause during prefill reaches the objective.
-            let ratio = pause_ms / millis(gap).max(1.0);
+            let ratio = pause_ms / as_millis(gap).max(1.0);
             pace.prefill_share * ratio.powi(4) / (1.0 + ratio.powi(4))
         });
         let prefill_ms = candidate.work.tokens.map_or(0.0, |tokens| {
@@ -322,10 +323,6 @@
     backend.load.stated_requests(now) as usize
 }
 
-fn millis(duration: Duration) -> f64 {
-    duration.as_secs_f64() * 1_000.0
-}
-
 /// Returns whether further prompts would keep the engine in prefill without pause.
 fn is_strained(backend: &Backend, now: MonotonicTime) -> bool {
     backend.load.ahead_ms(u8::MAX, now) > STRAINED_BACKLOG_MS
--- a/crates/dispatch/src/scheduler/place.rs
+++ b/crates/dispatch/src/scheduler/place.rs
@@ -4,20 +4,19 @@
     super::{
         Backend, Scheduler,
         end::{CandidateChoice, EndCost},
+        prefix_value::{ExpectedWork, PrefixValue},
         prompt_copy::CopySource,
         scan::{AllFull, ServiceScan},
         work_cost,
     },
     crate::{
         PromptCopy, PromptShape, RegionInfo, RejectionLimit, SchedulerSettings, WorkCost, WorkItem,
-        cache_value::{CacheValue, PlacementImpact},
         membership::{GatewayPosition, TRANSFER_DELAY},
         overload::limits::PlacementLimits,
         priority::{EffectivePriority, LatencyObjectives},
         rate::RateBound,
         rejection::KnownRoom,
     },
-    gullglade_traffic::EngineProfile,
     gullglade_units::{BackendName, MonotonicTime, RegionName, ServiceName, rendezvous},
     std::time::Duration,
 };
@@ -85,9 +84,6 @@
 /// The expected wait if all backend servers are cold and may not be sent to.
 const COLD_WAIT_MS: f64 = 300.0;
 
-/// The assumed shortest objective of a service that had no requests.
-const DEFAULT_OBJECTIVE: Duration = Duration::from_secs(1);
-
 /// The result of a placement attempt in this region.
 pub(crate) enum LocalChoice {
     Send {
@@ -441,63 +437,6 @@
     value: Option<PrefixValue>,
 }
 
-/// The value of cached prefixes at the engines of a service.
-struct PrefixValue {
-    rule: CacheValue,
-    /// The memory of an engine in tokens.
-    memory_tokens: u64,
-}
-
-impl PrefixValue {
-    fn new(
-        engine: EngineProfile,
-        engines: &[&Backend],
-        objectives: &LatencyObjectives,
-        now: MonotonicTime,
-    ) -> Self {
-        let running: u32 = engines.iter().map(|backend| backend.load.total_requests(now)).sum();
-        let mean_running = f64::from(running) / engines.len().max(1) as f64;
-        let objective = objectives.shortest().unwrap_or(DEFAULT_OBJECTIVE);
-        let objective_ms = objective.as_secs_f64() * 1_000.0;
-        let rule = CacheValue { objective_ms, mean_running };
-        Self { rule, memory_tokens: engine.memory_tokens }
-    }
-
-    /// Returns the cost of a placement by `rule`, milliseconds.
-    fn cost_ms(
-        &self,
-        item: &WorkItem,
-        backend: &Backend,
-        work: ExpectedWork,
-        now: MonotonicTime,
-    ) -> f64 {
-        let Some(shape) = &item.prompt else { return work.expected_ms };
-        let needed = shape.prompt_tokens.saturating_sub(backend.cache.held_tokens(shape));
-        let evicted = backend.cache.evicted_tokens(shape, needed, self.memory_tokens, now);
-        let remaining = (item.arrived + item.route.objective).since(now);
-        let repeated = work.prefill_tokens.saturating_sub(shape.unshared_tokens());
-        self.rule.cost_ms(&PlacementImpact {
-            expected_ms: work.expected_ms,
-            remaining_ms: remaining.as_secs_f64() * 1_000.0,
-            prefill_ms: backend.load.prefill_ms(work.prefill_tokens),
-            repeated_ms: backend.load.prefill_ms(repeated),
-            ahead_ms: backend.load.ahead_ms(work.priority, now),
-            evicted_ms: evicted * backend.load.prefill_ms(1),
-            running: f64::from(backend.load.total_requests(now)),
-            slots: f64::from(backend.info.slots),
-        })
-    }
-}
-
-/// The expected work of a request at an engine.
-struct ExpectedWork {
-    priority: u8,
-    /// Time to first byte, milliseconds.
-    expected_ms: f64,
-    /// The tokens to process, without those that are copied.
-    prefill_tokens: u32,
-}
-
 /// A backend server that could get the request.
 pub(super) struct Candidate {
     /// The cost by which candidates are compared, milliseconds.
