--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,157 +1,131 @@
-"""Requests of the largest allowed size come at once, and gateways exceed their memory."""
+"""An evacuation order that the operator has replaced by a newer one is applied late."""
 
 import os
 import sys
+import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib"))
 
 from harness import *  # noqa: E402,F403
 
+CUT_S = 2.0
 ZONES = {"east-a": "east", "east-b": "east"}
-HOST, PATH, SERVICE = "desk.example", "/order/", "desk"
-MAX_BODY = 4194304
-LARGE = 200
-LARGE_PER_S = 80
-UPLOAD_BYTES_PER_S = 700_000
-DEADLINE_MS = 10_000
+HOST, PATH, SERVICE = "desk.example", "/status/", "desk"
 
 CONFIG = {
     "version": 3,
-    "routes": [{"name": "order", "host": HOST, "pathPrefix": PATH, "kind": "unsafe",
-                "timeoutMs": DEADLINE_MS, "targetLatencyMs": 300, "priority": 2,
-                "service": SERVICE, "maxAttempts": 1, "sticky": False, "resumable": False,
-                "homeRegions": []}],
+    "routes": [{"name": "status", "host": HOST, "pathPrefix": PATH, "kind": "safe",
+                "timeoutMs": 2500, "targetLatencyMs": 300, "priority": 0, "service": SERVICE,
+                "maxAttempts": 2, "sticky": False, "resumable": False, "homeRegions": []}],
     "services": [{"name": SERVICE, "healthPath": "/health", "maxConns": 110, "protocol": "h1",
                   "tls": False, "coldStartS": 0.0, "coldPerS": 0.0}],
-    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": MAX_BODY, "headerTimeoutMs": 3000,
+    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
                "idleTimeoutMs": 15000},
 }
 
 
-class KeptCaller(threading.Thread):
-    """Sends small unsafe requests one after another on a kept connection."""
-
-    def __init__(self, record, fronts, stopping):
-        super().__init__(daemon=True)
-        self.record, self.fronts, self.stopping = record, fronts, stopping
-        self.lost = []
-        self.answered = 0
-
-    def run(self):
-        connection, used = None, 0
-        while not self.stopping.wait(random.uniform(0.1, 0.3)):
-            if connection is None:
-                self.front = random.choice(self.fronts)
-                connection, used = http.client.HTTPConnection(self.front, FRONT_PORT, timeout=11), 0
-            request = f"{random.getrandbits(64):016x}"
-            headers = {"Host": HOST, "X-Request-Id": request, "X-Deadline-Ms": "5000"}
-            at = self.record.now()
-            try:
-                connection.request("POST", PATH + "1", b"x" * 600, headers)
-                answer = connection.getresponse()
-                answer.read()
-                self.answered += 1
-                used += 1
-                self.record.note(f"client: {request} sent to {self.front} at {at:.3f} is answered "
-                                 f"{answer.status}")
-                if answer.getheader("Connection", "").lower() == "close":
-                    connection.close()
-                    connection = None
-            except (OSError, http.client.HTTPException) as error:
-                self.record.note(f"client: {request} sent to {self.front} at {at:.3f} on a "
-                                 f"connection used {used} times gets no answer: {error!r}")
-                if used and not isinstance(error, ConnectionRefusedError):
-                    self.lost.append(request)
-                connection.close()
-                connection = None
-
-
-def upload(record, front, size, statuses):
-    """Sends one request with a body of `size` bytes over an access link of 5.6 Mbit/s."""
-    request = f"{random.getrandbits(64):016x}"
-    head = (f"POST {PATH}2 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request}\r\n"
-            f"X-Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: {size}\r\n\r\n").encode()
-    at, piece = record.now(), 1 << 16
-    try:
-        with socket.create_connection((front, FRONT_PORT), timeout=12) as connection:
-            connection.sendall(head)
-            for offset in range(0, size, piece):
-                connection.sendall(b"x" * min(piece, size - offset))
-                time.sleep(min(piece, size - offset) / UPLOAD_BYTES_PER_S)
-            status = connection.makefile("rb").readline().decode().strip() or "no answer"
-    except OSError as error:
-        status = repr(error)
-    record.note(f"client: {request} of {size} bytes sent to {front} from {at:.3f}: {status}")
-    statuses.append(status)
+def start_core(block, workspace, processes):
+    """Starts three core machines. The second and the third are reached over links that can be
+    cut, so one of these has to lead: the first, which founds the log and leads first, is
+    restarted once before anything is configured."""
+    seeds = [f"{block}.11", f"{block}.22", f"{block}.23"]
+    own = [f"{block}.11", f"{block}.32", f"{block}.33"]
+    names = ["core-east-a-1", "core-east-b-2", "core-east-a-3"]
+    listen = {"control": CONTROL_PORT, "directory": DIRECTORY_PORT}
+    controls = []
+    for name, ip in zip(names, own):
+        zone = "east-b" if "-b-" in name else "east-a"
+        text = settings(name, ip, zone, "east", seeds, ZONES, listen, disk=True)
+        controls.append(Process(name, "control", workspace, text))
+    links = [None] + [PeerLink(seed, ip) for seed, ip in zip(seeds[1:], own[1:])]
+    for control in controls:
+        processes.append(control)
+        control.start()
+    wait_for_leader(controls, names)
+    time.sleep(1.5)
+    controls[0].restart(signal.SIGTERM, pause=3.0)
+    leader = names.index(wait_for_leader(controls, names[1:]))
+    time.sleep(2.0)
+    return seeds, own, names, controls, links, leader
+
+
+def wait_for_leader(controls, names):
+    deadline = time.monotonic() + 8
+    while time.monotonic() < deadline:
+        leader = leader_of(controls)
+        if leader in names:
+            return leader
+        time.sleep(0.1)
+    raise Unrunnable(f"none of {names} leads")
 
 
 def case(record, workspace, trouble, processes):
     block = free_block()
-    seeds = [f"{block}.11", f"{block}.12", f"{block}.13"]
-    listen = {"control": CONTROL_PORT, "directory": DIRECTORY_PORT}
-    for index, ip in enumerate(seeds):
-        zone = ["east-a", "east-b", "east-a"][index]
-        name = f"core-{zone}-{index + 1}"
-        control = Process(name, "control", workspace,
-                          settings(name, ip, zone, "east", seeds, ZONES, listen, disk=True))
-        processes.append(control)
-        control.start()
-    time.sleep(3)
-    Operator(record, seeds).order("PUT", "/config", json.dumps(CONFIG))
-    fronts, gateways = [f"{block}.61", f"{block}.62"], []
+    core = start_core(block, workspace, processes)
+    seeds, own, names, controls, links, leader = core
+    follower = 3 - leader
+    record.note(f"{names[leader]} leads; {names[follower]} and {names[0]} follow")
+    operator = Operator(record, own)
+    operator.order("PUT", "/config", json.dumps(CONFIG))
+
+    fronts = [f"{block}.61", f"{block}.62"]
     for index, ip in enumerate(fronts):
         zone = ["east-a", "east-b"][index]
-        name = f"edge-{zone}-{index + 1}"
-        text = settings(name, ip, zone, "east", seeds, ZONES,
-                        {"front": FRONT_PORT, "ready": READY_PORT})
-        gateways.append(Process(name, "gateway", workspace, text))
-        processes.append(gateways[-1])
-        gateways[-1].start()
-    engines = [Engine(record, f"{block}.{63 + index}", zone, SERVICE, seeds, work_s=0.1)
-               for index, zone in enumerate(("east-a", "east-b", "east-a"))]
+        listen = {"front": FRONT_PORT, "ready": READY_PORT}
+        text = settings(f"edge-{zone}-{index + 1}", ip, zone, "east", seeds, ZONES, listen)
+        gateway = Process(f"edge-{zone}-{index + 1}", "gateway", workspace, text)
+        processes.append(gateway)
+        gateway.start()
+    engines = [Engine(record, f"{block}.63", "east-a", SERVICE, own),
+               Engine(record, f"{block}.64", "east-b", SERVICE, own)]
+    time.sleep(3)
+    clients = Clients(record, fronts, HOST, PATH + "1", per_s=60)
     time.sleep(3)
-    status, _, answer = call(seeds[0], DIRECTORY_PORT, "GET",
-                             f"/resolve?name={HOST}&region=east&zone=east-a")
-    named = [address.split(":")[0] for address in json.loads(answer)["addresses"]]
-    if status != 200 or sorted(named) != sorted(fronts):
-        raise Unrunnable(f"the directory answers {answer!r}")
-    watch = MemoryWatch(record, gateways)
-    stopping = threading.Event()
-    callers = [KeptCaller(record, named, stopping) for _ in range(32)]
-    for caller in callers:
-        caller.start()
-    time.sleep(STABILITY_S + 2)
-    if watch.kills or any(caller.lost for caller in callers):
-        raise Unrunnable("a gateway failed before the burst")
-
-    size = MAX_BODY if trouble else 600
-    record.note(f"{LARGE} clients begin to send a request of {size} bytes each, {LARGE_PER_S} a second")
-    uploads, statuses = [], []
-    for _ in range(LARGE):
-        uploads.append(threading.Thread(target=upload, daemon=True,
-                                        args=(record, random.choice(named), size, statuses)))
-        uploads[-1].start()
-        time.sleep(1.0 / LARGE_PER_S)
-    for thread in uploads:
-        thread.join()
-    time.sleep(2)
-    stopping.set()
-    for caller in callers:
-        caller.join()
-    watch.stop()
-    runs = {request for engine in engines for _, request in engine.runs}
-    lost = [request for caller in callers for request in caller.lost]
-    passed_on = [request for request in lost if request in runs]
-    record.note(f"peak memory of a gateway {watch.peak_kb} KiB; kills {watch.kills}; "
-                f"{sum(c.answered for c in callers)} small requests answered, {len(lost)} lost, "
-                f"{len(passed_on)} of them passed on to an engine")
-    print(f"peak {watch.peak_kb} KiB, {len(watch.kills)} kills, {len(passed_on)} small requests lost, "
-          f"{sum(1 for s in statuses if ' 200 ' in s)} of {LARGE} large ones answered 200")
-    if watch.kills and len(passed_on) > 3:
-        return [f"LOST: {len(passed_on)} requests on kept connections were passed on to sound "
-                f"engines and never answered; {len(watch.kills)} times a gateway ended over its memory"]
-    return []
+    if not all(engine.runs for engine in engines):
+        raise Unrunnable("not every engine got requests before the first order")
+
+    operator.order("POST", "/evacuations/east-b")
+    time.sleep(6.5)
+    evacuated = [at for at, _ in engines[1].runs if at > record.now() - 1]
+    if evacuated:
+        raise Unrunnable("the first evacuation was not obeyed")
+
+    # The follower is partitioned from the other core machines for CUT_S.
+    cut_at = record.now()
+    if trouble:
+        record.note(f"{names[follower]} is cut off from the other core machines")
+        links[leader].cut([names[follower]])
+        links[follower].cut([names[leader], names[0]])
+    time.sleep(0.1)
+    # The operator takes the evacuation back, and then evacuates the zone again.
+    operator.order("DELETE", "/evacuations/east-b", first=own[follower])
+    acknowledged = operator.order("POST", "/evacuations/east-b", first=own[0])
+    record.note("the operator has its acknowledgement that east-b is evacuated")
+    time.sleep(max(0.0, cut_at + CUT_S - record.now()))
+    if trouble and acknowledged > cut_at + CUT_S - 0.05:
+        raise Unrunnable("the orders were not acknowledged during the cut")
+    if trouble:
+        record.note(f"{names[follower]} is joined again")
+    for link in links[1:]:
+        link.join()
+    joined = record.now()
+
+    time.sleep(STABILITY_S + 1 + EVACUATE_S + 4)
+    clients.stop()
+    # Gateways ran and were connected all the while; the core is stable STABILITY_S after the
+    # join. One second more is given.
+    judged = max(acknowledged + EVACUATE_S, joined + STABILITY_S) + 1.0
+    late = [(at, request) for at, request in engines[1].runs if at > judged]
+    late = [(at, request) for at, request in late if clients.sent.get(request, (0,))[0] > judged]
+    ok = sum(1 for at, status in clients.statuses if at > judged and status == 200)
+    record.note(f"after {judged:.3f}: {ok} requests answered 200, {len(late)} of them run in east-b")
+    if ok < 20:
+        raise Unrunnable("too few requests were served at the end")
+    if not late:
+        return []
+    return [f"EVAC: {len(late)} requests reach the engine in east-b from {late[0][0] - acknowledged:.1f} s "
+            f"to {late[-1][0] - acknowledged:.1f} s after the evacuation was acknowledged"]
 
 
 run_case(HERE, case)
