--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -7,7 +7,6 @@
 import http.client
 import json
 import os
-import queue
 import random
 import re
 import shutil
@@ -425,72 +424,6 @@
         self.listener.close()
 
 
-class RegionLink:
-    """The link to the peer port of one core machine, with the usual delay between regions. It loses
-    nothing and limits no bandwidth."""
-
-    def __init__(self, ip, target, region, region_of, one_way_s=0.055):
-        self.target, self.region, self.region_of = target, region, region_of
-        self.one_way_s = one_way_s
-        self.listener = socket.create_server((ip, PEER_PORT), backlog=64)
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        while True:
-            try:
-                inward, _ = self.listener.accept()
-            except OSError:
-                return
-            threading.Thread(target=self.relay, args=(inward,), daemon=True).start()
-
-    def relay(self, inward):
-        try:
-            outward = socket.create_connection((self.target, PEER_PORT), timeout=2)
-        except OSError:
-            inward.close()
-            return
-        outward.settimeout(None)
-        for side in (inward, outward):
-            side.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        # The dialer names its machine in its first bytes.
-        peer = {"name": None, "head": b"", "delay": self.one_way_s}
-        for source, sink, is_inward in ((inward, outward, True), (outward, inward, False)):
-            pieces = queue.SimpleQueue()
-            threading.Thread(target=self.receive, args=(source, pieces, peer, is_inward),
-                             daemon=True).start()
-            threading.Thread(target=self.deliver, args=(pieces, sink), daemon=True).start()
-
-    def receive(self, source, pieces, peer, is_inward):
-        try:
-            while data := source.recv(65536):
-                if is_inward and peer["name"] is None:
-                    peer["head"] += data
-                    found = re.search(rb"(core|edge)-[a-z]+-[a-z]-\d", peer["head"])
-                    if found:
-                        peer["name"] = found.group().decode()
-                        if self.region_of.get(peer["name"]) == self.region:
-                            peer["delay"] = 0.0005
-                pieces.put((time.monotonic() + peer["delay"], data))
-        except OSError:
-            pass
-        pieces.put((time.monotonic() + peer["delay"], b""))
-
-    def deliver(self, pieces, sink):
-        while True:
-            due, data = pieces.get()
-            time.sleep(max(0.0, due - time.monotonic()))
-            try:
-                if not data:
-                    sink.shutdown(socket.SHUT_WR)
-                    return
-                sink.sendall(data)
-            except OSError:
-                return
-
-    def stop(self):
-        self.listener.close()
-
-
 def leader_of(controls):
     """The core machine that was elected last, as the log lines say."""
     latest = None
