Log why the outcome of a send without a response was believed

`request.exchange_failed` has the cause, the status, the request that the reply states, the number of the connection, how many requests that had carried, its age, the bytes written and the time to the head of the reply; or the client's error and whether it is certain that nothing was sent. The client gives these figures as an extension of the reply (`ExchangeTrace`). No decision changed: the checks of a reply have the same order, but the reason is a value now, so that it can be logged.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -6,6 +6,7 @@
 mod permit;
 mod pool;
 mod reply;
+mod trace;
 
 use {
     bytes::Bytes,
@@ -20,6 +21,7 @@
     permit::{SendPermit, send_unless_revoked},
     pool::PooledClient,
     reply::{ClientBody, ClientReply, UnframedBody},
+    trace::ExchangeTrace,
 };
 
 /// Sends requests to backend servers and other VMs.
--- a/crates/http/src/client/connection.rs
+++ b/crates/http/src/client/connection.rs
@@ -1,10 +1,10 @@
 //! One connection of the client: connecting, driving, and lending it to a request.
 
 use {
-    super::{ClientConfig, ClientError, pool::ConnectionPool},
+    super::{ClientConfig, ClientError, ExchangeTrace, pool::ConnectionPool},
     bytes::Bytes,
     futures::{FutureExt, channel::oneshot, future::select},
-    gullglade_units::{ProcessContext, timeout},
+    gullglade_units::{MonotonicTime, ProcessContext, timeout},
     http_body_util::Full,
     hyper::{
         client::conn::http1::{Builder, SendRequest},
@@ -38,6 +38,9 @@
 /// other tasks are to run before the one that drives it.
 pub(super) struct ClientConnection {
     pub(super) sender: SendRequest<Full<Bytes>>,
+    number: u64,
+    opened: MonotonicTime,
+    carried: u32,
     socket: Rc<SharedSocket>,
     /// Dropped, it ends the task that drives the connection.
     _cancel: oneshot::Sender<()>,
@@ -82,9 +85,10 @@
 }
 
 impl ClientConnection {
-    /// Connects to `address` within the time allowed.
+    /// Connects to `address` within the time allowed. `number` identifies the connection in traces.
     pub(super) async fn open(
         address: SocketAddr,
+        number: u64,
         config: &ClientConfig,
         context: &ProcessContext,
     ) -> Result<Self, ClientError> {
@@ -113,12 +117,23 @@
         // Either outcome ends the connection; who waits for a reply is told by `hyper`. No `async`
         // block: it would keep room for the connection twice, see `OnceSignal::guard`.
         context.spawner.spawn(Box::pin(select(connection, cancelled).map(drop)));
-        Ok(Self { sender, socket, _cancel: cancel })
+        let opened = context.clock.now();
+        Ok(Self { sender, number, opened, carried: 0, socket, _cancel: cancel })
     }
 
-    /// Forgets the callback of the reply before, as a request is about to be sent.
-    pub(super) fn begin_request(&self) {
+    /// Forgets the callback of the reply before, as a request is about to be sent at `now`. Returns
+    /// the trace of the exchange as far as it is known.
+    pub(super) fn begin_request(&mut self, now: MonotonicTime) -> ExchangeTrace {
         self.socket.on_stray_bytes.take();
+        let carried = self.carried;
+        self.carried += 1;
+        ExchangeTrace {
+            connection: self.number,
+            carried,
+            connection_age: now.since(self.opened),
+            written: 0,
+            reply_after: Duration::ZERO,
+        }
     }
 
     pub(super) fn aftermath(&self) -> ReplyAftermath {
--- a/crates/http/src/client/pool.rs
+++ b/crates/http/src/client/pool.rs
@@ -34,6 +34,8 @@
     retired: RefCell<HashSet<SocketAddr>>,
     /// Whether a task closes idle connections in time.
     sweeping: Cell<bool>,
+    /// Number of connections opened so far.
+    opened: Cell<u64>,
 }
 
 struct IdleConnection {
@@ -44,6 +46,13 @@
 }
 
 impl ConnectionPool {
+    /// Opens a connection to `address`.
+    async fn open(&self, address: SocketAddr) -> Result<ClientConnection, ClientError> {
+        let number = self.opened.get();
+        self.opened.set(number + 1);
+        ClientConnection::open(address, number, &self.config, &self.context).await
+    }
+
     /// Keeps `connection` for the next request to `address`.
     pub(super) fn keep(
         self: &Rc<Self>,
@@ -148,6 +157,7 @@
             idle: RefCell::default(),
             retired: RefCell::default(),
             sweeping: Cell::new(false),
+            opened: Cell::new(0),
         };
         Self { pool: Rc::new(pool) }
     }
@@ -175,15 +185,14 @@
                 outcome => return outcome,
             }
         }
-        let connection =
-            ClientConnection::open(address, &self.pool.config, &self.pool.context).await?;
+        let connection = self.pool.open(address).await?;
         self.exchange(address, connection, request).await
     }
 
     async fn exchange(
         &self,
         address: SocketAddr,
-        connection: ClientConnection,
+        mut connection: ClientConnection,
         request: Request<Full<Bytes>>,
     ) -> Result<ClientReply, ClientError> {
         if request.extensions().get::<SendPermit>().is_some_and(|permit| !permit.begin()) {
@@ -191,15 +200,21 @@
         }
         let limit = self.head_timeout(&request);
         let method = request.method().clone();
-        let before = connection.written();
-        connection.begin_request();
+        let clock = &*self.pool.context.clock;
+        let (before, began) = (connection.written(), clock.now());
+        let mut trace = connection.begin_request(began);
         let pool = Rc::clone(&self.pool);
         let mut lease = ConnectionLease { connection, pool, address, stated: None };
         let sending = lease.connection.sender.send_request(request);
-        let outcome = timeout(&*self.pool.context.clock, limit, sending).await;
-        let sent = lease.connection.written() > before;
+        let outcome = timeout(clock, limit, sending).await;
+        trace.written = lease.connection.written() - before;
+        trace.reply_after = clock.now().since(began);
+        let sent = trace.written > 0;
         match outcome {
-            Some(Ok(response)) => self.reply(method, response, lease),
+            Some(Ok(mut response)) => {
+                response.extensions_mut().insert(trace);
+                self.reply(method, response, lease)
+            }
             Some(Err(e)) if sent && e.is_parse() => {
                 Err(ClientError::Malformed { address, reason: error_chain(&e) })
             }
@@ -257,8 +272,7 @@
 
     fn connect<'a>(&'a self, address: SocketAddr) -> LocalFuture<'a, Result<(), ClientError>> {
         Box::pin(async move {
-            let ConnectionPool { config, context, .. } = &*self.pool;
-            let mut connection = ClientConnection::open(address, config, context).await?;
+            let mut connection = self.pool.open(address).await?;
             // Only a connection that its task drives can be kept.
             connection
                 .sender
--- /dev/null
+++ b/crates/http/src/client/trace.rs
@@ -0,0 +1,18 @@
+//! Where and when a reply arrived, for logs.
+
+use std::time::Duration;
+
+/// Extension of the head of a reply that came over a connection: which one, and when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ExchangeTrace {
+    /// Number of the connection, unique within its client.
+    pub connection: u64,
+    /// Number of requests that the connection had carried before this one.
+    pub carried: u32,
+    /// Age of the connection when the request was sent.
+    pub connection_age: Duration,
+    /// Bytes that the operating system had taken for sending since then.
+    pub written: u64,
+    /// Time from sending the request to the head of the reply.
+    pub reply_after: Duration,
+}
--- a/crates/http/tests/http/kept.rs
+++ b/crates/http/tests/http/kept.rs
@@ -4,7 +4,8 @@
     crate::common::{any_port, manual_context, run},
     bytes::Bytes,
     gullglade_http::{
-        ClientConfig, ClientError, HttpClient, KeptWithin, PooledClient, UnframedBody,
+        ClientConfig, ClientError, ExchangeTrace, HttpClient, KeptWithin, PooledClient,
+        UnframedBody,
     },
     gullglade_units::ProcessContext,
     http::Request,
@@ -140,3 +141,23 @@
         assert!(error.nothing_sent(), "{error}");
     });
 }
+
+#[test]
+fn replies_state_their_connection_and_how_many_requests_it_carried() {
+    run(async {
+        let (address, _) = answering("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+        let (context, clock) = manual_context();
+        let client = PooledClient::new(ClientConfig::new(), context);
+        for (connection, carried, within) in [(0, 0, 1_000), (0, 1, 1_000), (1, 0, 30)] {
+            let mut request = get();
+            request.extensions_mut().insert(KeptWithin(Duration::from_millis(within)));
+            let reply = client.send(address, request).await.unwrap();
+            let trace = *reply.head.extensions.get::<ExchangeTrace>().expect("a trace");
+            assert_eq!((trace.connection, trace.carried), (connection, carried));
+            assert!(trace.written > 0, "{trace:?}");
+            assert_eq!(trace.connection_age, Duration::from_millis(60) * carried);
+            reply.body.collect(10).await.unwrap();
+            clock.advance(Duration::from_millis(60));
+        }
+    });
+}
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -4,6 +4,7 @@
     crate::{
         BackendDialect, CallerRequest, RequestMetadata, ResponseMetadata,
         dispatcher::DispatchTicket,
+        exchange_log::{DiscardReason, ExchangeLog},
         outcome::{AttemptOutcome, AttemptTarget, NotRunReason, UnknownReason},
         response::{AttemptResponse, BackendBody, ResponseBody},
         unread_headers::UnreadHeaderReporter,
@@ -15,7 +16,7 @@
     },
     gullglade_traffic::TrafficWorkspace,
     gullglade_units::{BackendName, MonotonicTime},
-    http::{Request, StatusCode, header::CONTENT_ENCODING},
+    http::{Request, StatusCode, header::CONTENT_ENCODING, response::Parts},
     std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
@@ -29,6 +30,7 @@
     pub(crate) client: Rc<dyn HttpClient>,
     pub(crate) dialect: Rc<dyn BackendDialect>,
     pub(crate) unread_headers: UnreadHeaderReporter,
+    pub(crate) log: ExchangeLog,
 }
 
 /// An attempt: one send of a request to a backend server.
@@ -68,7 +70,10 @@
         let revoked = &mut ticket.permit().revoked;
         match send_unless_revoked(&*self.client, attempt.address, request, revoked).await {
             Ok(reply) => self.classify_reply(&attempt, reply, ticket, ends),
-            Err(error) => classify_error(&error, &attempt, ticket),
+            Err(error) => {
+                self.log.record_error(&attempt, &error);
+                classify_error(&error, &attempt, ticket)
+            }
         }
     }
 
@@ -115,26 +120,11 @@
         {
             self.client.retire(attempt.address);
         }
-        if !self.is_reply_to(&attempt.request, &metadata, head.status) {
-            ticket.finish(WorkOutcome::Garbled);
-            return AttemptOutcome::Unknown(UnknownReason::Garbled);
-        }
-        if metadata.is_other_instance {
-            ticket.finish(WorkOutcome::Misdirected);
-            return AttemptOutcome::NotRun(NotRunReason::Misdirected, None);
-        }
-        if metadata.is_not_run {
-            ticket.finish(WorkOutcome::Shed);
-            return AttemptOutcome::NotRun(NotRunReason::Shed, None);
-        }
-        let is_encoded = head.headers.contains_key(CONTENT_ENCODING);
-        if head.status.is_success() && (!metadata.statements.is_signed || is_encoded) {
-            ticket.finish(WorkOutcome::Garbled);
-            return AttemptOutcome::Unknown(UnknownReason::Garbled);
-        }
-        if !metadata.statements.is_signed && implies_not_run(head.status) {
-            ticket.finish(WorkOutcome::Failed);
-            return AttemptOutcome::Unknown(UnknownReason::Garbled);
+        if let Some(reason) = self.discard_reason(&attempt.request, &metadata, &head) {
+            self.log.record_discarded(attempt, &head, &metadata, reason);
+            let (work, outcome) = discarded_outcome(reason);
+            ticket.finish(work);
+            return outcome;
         }
         let liveness = ticket.liveness();
         let body = BackendBody::new(body, ticket, &head, ends);
@@ -147,6 +137,30 @@
         }))
     }
 
+    /// Returns the reason why a response with this head is not relayed, if there is one.
+    fn discard_reason(
+        &self,
+        request: &CallerRequest,
+        metadata: &ResponseMetadata,
+        head: &Parts,
+    ) -> Option<DiscardReason> {
+        let is_encoded = head.headers.contains_key(CONTENT_ENCODING);
+        let is_signed = metadata.statements.is_signed;
+        if !self.is_reply_to(request, metadata, head.status) {
+            Some(DiscardReason::OtherRequest)
+        } else if metadata.is_other_instance {
+            Some(DiscardReason::OtherInstance)
+        } else if metadata.is_not_run {
+            Some(DiscardReason::NotRun)
+        } else if head.status.is_success() && (!is_signed || is_encoded) {
+            Some(DiscardReason::Unverified)
+        } else if !is_signed && implies_not_run(head.status) {
+            Some(DiscardReason::Misleading)
+        } else {
+            None
+        }
+    }
+
     /// Returns `true` if the response belongs to this request. A backend server may send a late
     /// response to another request in its place, which must not reach the caller.
     fn is_reply_to(
@@ -162,6 +176,21 @@
     }
 }
 
+/// Returns the outcomes of a send whose response is not relayed, for the scheduler and for the
+/// request.
+fn discarded_outcome(reason: DiscardReason) -> (WorkOutcome, AttemptOutcome) {
+    let not_run = |reason| AttemptOutcome::NotRun(reason, None);
+    let garbled = AttemptOutcome::Unknown(UnknownReason::Garbled);
+    match reason {
+        DiscardReason::OtherInstance => {
+            (WorkOutcome::Misdirected, not_run(NotRunReason::Misdirected))
+        }
+        DiscardReason::NotRun => (WorkOutcome::Shed, not_run(NotRunReason::Shed)),
+        DiscardReason::OtherRequest | DiscardReason::Unverified => (WorkOutcome::Garbled, garbled),
+        DiscardReason::Misleading => (WorkOutcome::Failed, garbled),
+    }
+}
+
 /// Returns `true` if callers take this status as a guarantee that the request did not run.
 pub(crate) fn implies_not_run(status: StatusCode) -> bool {
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -21,6 +21,7 @@
 mod dialect;
 mod dispatcher;
 mod events;
+mod exchange_log;
 mod execution;
 mod forward;
 mod forward_message;
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -7,6 +7,7 @@
         attempt::AttemptSender,
         compact_hints::KnownRuns,
         configuration_gate::ConfigurationGate,
+        exchange_log::ExchangeLog,
         execution::RequestExecution,
         forward::Forwarder,
         gateway_choice::ForwardCounts,
@@ -131,6 +132,7 @@
             client: Rc::clone(&parts.client),
             dialect: Rc::clone(&parts.dialect),
             unread_headers: UnreadHeaderReporter::new(Rc::clone(&parts.events)),
+            log: ExchangeLog::new(Rc::clone(&parts.events)),
         };
         let forwarder = Forwarder {
             transport: Rc::clone(&parts.transport),
