Never send a request on a connection that has carried it before

Cause: a reply is assigned to its request by the id that it states, and all sends of one request have the same id. A rejected request goes back to the same backend server where that is the only one of its place, on the connection that was used last. A second copy of the rejection, late on that connection, had the right id: "not run" was believed of the send that was running. Believed at the last send the caller was told 503; believed before another send the request ran twice. Class: an identifier that is narrower in use than what it has to tell apart (requests, not sends).

Why it works: the id still tells requests apart, and sends of one request never share a connection, so a second reply to an earlier send cannot come where the reply to a later one is expected. The pool remembers the ids, so it holds for repeats, resumed streams and sends on behalf of other gateways alike, on both faces (crates/gateway sent repeats of idempotent requests on kept connections).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,8 +15,8 @@
     gullglade_document::Priority,
     gullglade_event::{EventDraft, Invariant},
     gullglade_http::{
-        BodyError, ClientError, ClientReply, EventBoundary, FreshConnection, HeadTimeout,
-        LocalStream, RunState, send_unless_revoked, strip_hop_by_hop,
+        BodyError, ClientError, ClientReply, CorrelationKey, EventBoundary, FreshConnection,
+        HeadTimeout, LocalStream, RunState, send_unless_revoked, strip_hop_by_hop,
     },
     gullglade_peer::{PeerError, PeerStream},
     gullglade_units::{BackendName, BackendRun, RegionName, RequestId, decode, encode, timeout},
@@ -191,6 +191,7 @@
             }
         }
         let id = id_value(plan.id);
+        let key = CorrelationKey::of(id.as_bytes());
         headers.insert(REQUEST_HEADER, id.clone());
         headers.insert(ENGINE_REQUEST_HEADER, id);
         headers.insert(PRIORITY_HEADER, HeaderValue::from(engine_priority(plan)));
@@ -199,6 +200,7 @@
         }
         let remaining = self.remaining(plan);
         request.extensions_mut().insert(HeadTimeout(remaining));
+        request.extensions_mut().insert(key);
         if !plan.is_idempotent() {
             request.extensions_mut().insert(FreshConnection);
         }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod connection;
+mod correlation;
 mod error;
 mod permit;
 mod pool;
@@ -17,6 +18,7 @@
 
 pub use {
     config::ClientConfig,
+    correlation::CorrelationKey,
     error::ClientError,
     permit::{SendPermit, send_unless_revoked},
     pool::PooledClient,
@@ -30,8 +32,8 @@
     ///
     /// Of the URI only path and query are used. Hop-by-hop headers are not sent; `host` is set
     /// to `address` where the request has none. Dropping the future, or the reply's body before
-    /// its end, closes the connection at once. [`HeadTimeout`], [`KeptWithin`], [`FreshConnection`]
-    /// and [`SendPermit`] among the request's extensions change how it is sent.
+    /// its end, closes the connection at once. [`HeadTimeout`], [`KeptWithin`], [`FreshConnection`],
+    /// [`CorrelationKey`] and [`SendPermit`] among the request's extensions change how it is sent.
     fn send<'a>(
         &'a self,
         address: SocketAddr,
--- a/crates/http/src/client/connection.rs
+++ b/crates/http/src/client/connection.rs
@@ -1,7 +1,10 @@
 //! One connection of the client: connecting, driving, and lending it to a request.
 
 use {
-    super::{ClientConfig, ClientError, ExchangeTrace, pool::ConnectionPool},
+    super::{
+        ClientConfig, ClientError, CorrelationKey, ExchangeTrace, correlation::CarriedKeys,
+        pool::ConnectionPool,
+    },
     bytes::Bytes,
     futures::{FutureExt, channel::oneshot, future::select},
     gullglade_units::{MonotonicTime, ProcessContext, timeout},
@@ -41,6 +44,7 @@
     number: u64,
     opened: MonotonicTime,
     carried: u32,
+    pub(super) carried_keys: CarriedKeys,
     socket: Rc<SharedSocket>,
     /// Dropped, it ends the task that drives the connection.
     _cancel: oneshot::Sender<()>,
@@ -118,13 +122,28 @@
         // block: it would keep room for the connection twice, see `OnceSignal::guard`.
         context.spawner.spawn(Box::pin(select(connection, cancelled).map(drop)));
         let opened = context.clock.now();
-        Ok(Self { sender, number, opened, carried: 0, socket, _cancel: cancel })
+        Ok(Self {
+            sender,
+            number,
+            opened,
+            carried: 0,
+            carried_keys: CarriedKeys::default(),
+            socket,
+            _cancel: cancel,
+        })
     }
 
-    /// Forgets the callback of the reply before, as a request is about to be sent at `now`. Returns
-    /// the trace of the exchange as far as it is known.
-    pub(super) fn begin_request(&mut self, now: MonotonicTime) -> ExchangeTrace {
+    /// Forgets the callback of the reply before, as a request with `key` is about to be sent at
+    /// `now`. Returns the trace of the exchange as far as it is known.
+    pub(super) fn begin_request(
+        &mut self,
+        key: Option<CorrelationKey>,
+        now: MonotonicTime,
+    ) -> ExchangeTrace {
         self.socket.on_stray_bytes.take();
+        if let Some(key) = key {
+            self.carried_keys.add(key);
+        }
         let carried = self.carried;
         self.carried += 1;
         ExchangeTrace {
--- a/crates/http/src/client/pool.rs
+++ b/crates/http/src/client/pool.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        ClientConfig, ClientError, ClientReply, FreshConnection, HeadTimeout, HttpClient,
-        KeptWithin, SendPermit,
+        ClientConfig, ClientError, ClientReply, CorrelationKey, FreshConnection, HeadTimeout,
+        HttpClient, KeptWithin, SendPermit,
         connection::{ClientConnection, ConnectionLease},
         reply::{ClientBody, UnframedBody, WireSource},
     },
@@ -45,6 +45,26 @@
     limit: Duration,
 }
 
+/// What a request demands of a kept connection.
+#[derive(Clone, Copy)]
+struct ReuseConditions {
+    within: Option<KeptWithin>,
+    key: Option<CorrelationKey>,
+}
+
+impl ReuseConditions {
+    fn of<B>(request: &Request<B>) -> Self {
+        let extensions = request.extensions();
+        Self { within: extensions.get().copied(), key: extensions.get().copied() }
+    }
+
+    fn are_met(self, kept: &IdleConnection, now: MonotonicTime) -> bool {
+        let is_fresh = self.within.is_none_or(|within| now.since(kept.since) <= within.0);
+        let has_carried = |key| kept.connection.carried_keys.contains(key);
+        is_fresh && !self.key.is_some_and(has_carried)
+    }
+}
+
 impl ConnectionPool {
     /// Opens a connection to `address`.
     async fn open(&self, address: SocketAddr) -> Result<ClientConnection, ClientError> {
@@ -62,7 +82,8 @@
     ) {
         let limit = self.idle_limit_of(stated);
         let is_retired = self.retired.borrow().contains(&address);
-        if is_retired || !connection.sender.is_ready() || limit.is_zero() {
+        let is_usable = connection.sender.is_ready() && !connection.carried_keys.is_full();
+        if is_retired || !is_usable || limit.is_zero() {
             return;
         }
         let since = self.context.clock.now();
@@ -97,25 +118,18 @@
         !idle.is_empty()
     }
 
-    /// The connection to `address` that was used last, if one is still open.
-    /// Those idle for longer than `within` stay for other requests.
-    fn take(&self, address: SocketAddr, within: Option<Duration>) -> Option<ClientConnection> {
+    /// The connection to `address` that was used last among those that are open and meet the
+    /// `conditions`. The others stay for other requests.
+    fn take(&self, address: SocketAddr, conditions: ReuseConditions) -> Option<ClientConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         let now = self.context.clock.now();
-        while let Some(kept) = connections.pop() {
-            let is_stale = within.is_some_and(|within| now.since(kept.since) > within);
-            match self.usable(&kept) {
-                true if is_stale => {
-                    connections.push(kept);
-                    return None;
-                }
-                true => return Some(kept.connection),
-                false => {}
-            }
+        let is_fit = |kept: &IdleConnection| self.usable(kept) && conditions.are_met(kept, now);
+        let taken = connections.iter().rposition(is_fit).map(|at| connections.remove(at));
+        if connections.is_empty() {
+            idle.remove(&address);
         }
-        idle.remove(&address);
-        None
+        Some(taken?.connection)
     }
 
     fn usable(&self, kept: &IdleConnection) -> bool {
@@ -175,8 +189,8 @@
         let request = outgoing(address, request)?;
         self.pool.retired.borrow_mut().remove(&address);
         let fresh = request.extensions().get::<FreshConnection>().is_some();
-        let within = request.extensions().get::<KeptWithin>().map(|within| within.0);
-        let kept = if fresh { None } else { self.pool.take(address, within) };
+        let conditions = ReuseConditions::of(&request);
+        let kept = if fresh { None } else { self.pool.take(address, conditions) };
         if let Some(connection) = kept {
             match self.exchange(address, connection, request.clone()).await {
                 // The kept connection had been closed meanwhile and nothing was sent: a new one
@@ -202,7 +216,8 @@
         let method = request.method().clone();
         let clock = &*self.pool.context.clock;
         let (before, began) = (connection.written(), clock.now());
-        let mut trace = connection.begin_request(began);
+        let key = request.extensions().get().copied();
+        let mut trace = connection.begin_request(key, began);
         let pool = Rc::clone(&self.pool);
         let mut lease = ConnectionLease { connection, pool, address, stated: None };
         let sending = lease.connection.sender.send_request(request);
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -22,8 +22,8 @@
 pub use api_error::{ApiError, RunState};
 pub use body::{BodyError, LocalStream, ReplyBody};
 pub use client::{
-    ClientBody, ClientConfig, ClientError, ClientReply, ExchangeTrace, FreshConnection,
-    HeadTimeout, HttpClient, KeptWithin, PooledClient, SendPermit, UnframedBody,
+    ClientBody, ClientConfig, ClientError, ClientReply, CorrelationKey, ExchangeTrace,
+    FreshConnection, HeadTimeout, HttpClient, KeptWithin, PooledClient, SendPermit, UnframedBody,
     send_unless_revoked,
 };
 pub use event_boundary::{EventBoundary, MAX_EVENT_BYTES};
--- a/crates/http/tests/http/kept.rs
+++ b/crates/http/tests/http/kept.rs
@@ -4,8 +4,8 @@
     crate::common::{any_port, manual_context, run},
     bytes::Bytes,
     gullglade_http::{
-        ClientConfig, ClientError, ExchangeTrace, HttpClient, KeptWithin, PooledClient,
-        UnframedBody,
+        ClientConfig, ClientError, CorrelationKey, ExchangeTrace, HttpClient, KeptWithin,
+        PooledClient, UnframedBody,
     },
     gullglade_units::ProcessContext,
     http::Request,
@@ -161,3 +161,71 @@
         }
     });
 }
+
+/// Guards against a late second reply to a request that is taken for the reply to a later send of the
+/// same request.
+#[test]
+fn sends_of_one_request_never_share_a_connection() {
+    struct Case {
+        what: &'static str,
+        /// Ids of requests that are sent one after the other.
+        ids: Vec<Option<&'static str>>,
+        connections: usize,
+    }
+    let cases = [
+        Case { what: "one id", ids: vec![Some("a"); 3], connections: 3 },
+        Case { what: "different ids", ids: vec![Some("a"), Some("b"), Some("c")], connections: 1 },
+        Case { what: "no ids", ids: vec![None; 3], connections: 1 },
+        Case {
+            what: "an id again, with others between",
+            ids: vec![Some("a"), Some("b"), Some("c"), Some("a"), Some("b")],
+            connections: 2,
+        },
+    ];
+    run(async {
+        for Case { what, ids, connections } in cases {
+            let (address, opened) = answering("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+            let client = PooledClient::new(ClientConfig::new(), ProcessContext::system());
+            for id in ids {
+                let mut request = get();
+                request.extensions_mut().extend(keyed(id));
+                let reply = client.send(address, request).await.unwrap();
+                assert_eq!(reply.body.collect(10).await.unwrap(), "ok");
+            }
+            assert_eq!(opened.get(), connections, "{what}");
+        }
+    });
+}
+
+/// Guards against a connection that forgets the requests that it carried.
+#[test]
+fn connections_are_closed_before_they_forget_a_request() {
+    run(async {
+        let (address, opened) = answering("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+        let client = PooledClient::new(ClientConfig::new(), ProcessContext::system());
+        let send = async |id: &str| {
+            let mut request = get();
+            request.extensions_mut().extend(keyed(Some(id)));
+            let reply = client.send(address, request).await.unwrap();
+            let trace = *reply.head.extensions.get::<ExchangeTrace>().expect("a trace");
+            reply.body.collect(10).await.unwrap();
+            trace.connection
+        };
+        let first = send("a").await;
+        let mut number = 0;
+        while send(&number.to_string()).await == first {
+            number += 1;
+            assert!(number < 10_000, "a connection is never closed");
+        }
+        assert_eq!(opened.get(), 2);
+        assert_ne!(send("a").await, first);
+    });
+}
+
+fn keyed(id: Option<&str>) -> http::Extensions {
+    let mut extensions = http::Extensions::new();
+    if let Some(id) = id {
+        extensions.insert(CorrelationKey::of(id.as_bytes()));
+    }
+    extensions
+}
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -11,7 +11,7 @@
     },
     gullglade_dispatch::{StatementChange, WorkOutcome},
     gullglade_http::{
-        ClientError, ClientReply, HeadTimeout, HttpClient, KeptWithin, SendPermit,
+        ClientError, ClientReply, CorrelationKey, HeadTimeout, HttpClient, KeptWithin, SendPermit,
         send_unless_revoked,
     },
     gullglade_traffic::TrafficWorkspace,
@@ -94,6 +94,7 @@
             .method(attempt.request.method.clone())
             .uri(attempt.request.target.as_str())
             .extension(HeadTimeout(attempt.left))
+            .extension(CorrelationKey::of(attempt.request.id.as_str().as_bytes()))
             .extension(permit)
             .body(attempt.request.body.clone())?;
         *request.headers_mut() = self.dialect.request_headers(&attempt.request.headers, &metadata);
