A reply without a request id counts only on a connection without an earlier request

Cause: a reply that is no success was taken for the reply to the request that waits even where it states no id. On a connection that has carried other requests it may be a late reply to one of them, and where it says "not run" that was believed of a send that runs.

Evidence: tests that failed before: a rejection, a 421 and an error without an id on a used connection were believed (proxy, 200 after a second send where 502 is due), and a refusal on the product's own face told "not-run" where it is unknown.

Why it works: the first reply on a connection can belong to no earlier request. The stand-in engine now states the id in its refusals, too, as the stand-in service did.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,8 +15,8 @@
     gullglade_document::Priority,
     gullglade_event::{EventDraft, Invariant},
     gullglade_http::{
-        BodyError, ClientError, ClientReply, CorrelationKey, EventBoundary, FreshConnection,
-        HeadTimeout, LocalStream, RunState, send_unless_revoked, strip_hop_by_hop,
+        BodyError, ClientError, ClientReply, CorrelationKey, EventBoundary, ExchangeTrace,
+        FreshConnection, HeadTimeout, LocalStream, RunState, send_unless_revoked, strip_hop_by_hop,
     },
     gullglade_peer::{PeerError, PeerStream},
     gullglade_units::{BackendName, BackendRun, RegionName, RequestId, decode, encode, timeout},
@@ -245,7 +245,13 @@
         let refused =
             status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS;
         if refused && reported_run_state(headers) == Some(RunState::NotRun) {
-            return Err(not_run("the backend server refused the request"));
+            // It may be a late reply to an earlier request.
+            let is_verified = headers.contains_key(REQUEST_HEADER)
+                || !ExchangeTrace::has_earlier_requests(&reply.head);
+            return Err(match is_verified {
+                true => not_run("the backend server refused the request"),
+                false => unknown("a refusal without a request id came on a used connection"),
+            });
         }
         if status.is_server_error() && plan.is_idempotent() {
             return Err(unknown("the backend server replied with a server error"));
--- a/crates/gateway/src/statements/tests.rs
+++ b/crates/gateway/src/statements/tests.rs
@@ -214,6 +214,38 @@
         assert_eq!(gateway.client.sends.get(), sends, "{name}");
     }
 }
+struct RejectionCase {
+    name: &'static str,
+    headers: &'static [HeaderPair],
+    /// Number of requests that the connection carried before.
+    carried: u32,
+    run: &'static str,
+}
+
+/// Guards against a late rejection of another request that states no id and is taken for the reply
+/// to this one.
+#[test]
+fn trusts_rejections_without_an_id_only_on_new_connections() {
+    let case = |name, headers, carried, run| RejectionCase { name, headers, carried, run };
+    let cases = [
+        case("new connection", &[NOT_RUN], 0, "not-run"),
+        case("used connection", &[NOT_RUN], 1, "unknown"),
+        case("another id", &[NOT_RUN, ("gullglade-request", "another")], 0, "unknown"),
+    ];
+    let local_only = DOCUMENT.replace(r#"["puget", "columbia", "inland"]"#, r#"["columbia"]"#);
+    for RejectionCase { name, headers, carried, run } in cases {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        let gateway = TestGateway::warmed_up(&TestSetup {
+            document: &local_only,
+            behavior: BackendBehavior::Rejects(u32::MAX, status, headers),
+            ..TestSetup::default()
+        });
+        gateway.client.carried.set(carried);
+        let (head, body) = gateway.world.run_until(gateway.send(CHAT, CHAT_BODY));
+        assert_eq!(head.headers["gullglade-run"], run, "{name}: {body:?}");
+    }
+}
+
 struct LeavingCase {
     value: &'static str,
     is_leaving: bool,
--- a/crates/gateway/src/testing/fakes.rs
+++ b/crates/gateway/src/testing/fakes.rs
@@ -10,7 +10,8 @@
     bytes::Bytes,
     futures::{Stream, StreamExt, stream},
     gullglade_http::{
-        BodyError, ClientBody, ClientError, ClientReply, HeadTimeout, HttpClient, SendPermit,
+        BodyError, ClientBody, ClientError, ClientReply, ExchangeTrace, HeadTimeout, HttpClient,
+        SendPermit,
     },
     gullglade_peer::{PeerError, PeerStream, PeerTransport},
     gullglade_units::{BackendName, Clock, LocalFuture, MonotonicTime, decode, encode, timeout},
@@ -99,6 +100,8 @@
     pub(crate) runs: Rc<RunCounter>,
     /// Arrival times of the requests at the first engine.
     pub(crate) arrivals: RefCell<Vec<MonotonicTime>>,
+    /// Number of requests that the connections of rejections carried before.
+    pub(crate) carried: Cell<u32>,
     has_sent_first_reply: Cell<bool>,
     behavior: BackendBehavior,
     clock: Rc<dyn Clock>,
@@ -110,6 +113,7 @@
             sends: Cell::new(0),
             runs: Rc::default(),
             arrivals: RefCell::default(),
+            carried: Cell::default(),
             has_sent_first_reply: Cell::new(false),
             behavior,
             clock: Rc::clone(clock),
@@ -287,6 +291,13 @@
             BackendBehavior::Rejects(_, status, stated) => {
                 head.status = status;
                 insert_headers(&mut head.headers, stated);
+                head.extensions.insert(ExchangeTrace {
+                    connection: 0,
+                    carried: self.carried.get(),
+                    connection_age: Duration::ZERO,
+                    written: 1,
+                    reply_after: Duration::ZERO,
+                });
                 Ok(ClientBody::from_bytes("{}"))
             }
             BackendBehavior::AcceptsLate(status, stated, after) => {
--- a/crates/http/src/client/trace.rs
+++ b/crates/http/src/client/trace.rs
@@ -1,6 +1,6 @@
 //! Where and when a reply arrived, for logs.
 
-use std::time::Duration;
+use {http::response::Parts, std::time::Duration};
 
 /// Extension of the head of a reply that came over a connection: which one, and when.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -16,3 +16,11 @@
     /// Time from sending the request to the head of the reply.
     pub reply_after: Duration,
 }
+
+impl ExchangeTrace {
+    /// Returns true if the reply with this head came on a connection that had carried other
+    /// requests. It may then be a late reply to one of them, unless its id says otherwise.
+    pub fn has_earlier_requests(head: &Parts) -> bool {
+        head.extensions.get::<Self>().is_some_and(|trace| trace.carried > 0)
+    }
+}
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -11,8 +11,8 @@
     },
     gullglade_dispatch::{StatementChange, WorkOutcome},
     gullglade_http::{
-        ClientError, ClientReply, CorrelationKey, HeadTimeout, HttpClient, KeptWithin, SendPermit,
-        send_unless_revoked,
+        ClientError, ClientReply, CorrelationKey, ExchangeTrace, HeadTimeout, HttpClient,
+        KeptWithin, SendPermit, send_unless_revoked,
     },
     gullglade_traffic::TrafficWorkspace,
     gullglade_units::{BackendName, MonotonicTime},
@@ -147,7 +147,7 @@
     ) -> Option<DiscardReason> {
         let is_encoded = head.headers.contains_key(CONTENT_ENCODING);
         let is_signed = metadata.statements.is_signed;
-        if !self.is_reply_to(request, metadata, head.status) {
+        if !self.is_reply_to(request, metadata, head) {
             Some(DiscardReason::OtherRequest)
         } else if metadata.is_other_instance {
             Some(DiscardReason::OtherInstance)
@@ -163,16 +163,17 @@
     }
 
     /// Returns `true` if the response belongs to this request. A backend server may send a late
-    /// response to another request in its place, which must not reach the caller.
+    /// response to another request in its place, which must not reach the caller. Without an id that
+    /// is excluded only on a connection that has carried no other request.
     fn is_reply_to(
         &self,
         request: &CallerRequest,
         metadata: &ResponseMetadata,
-        status: StatusCode,
+        head: &Parts,
     ) -> bool {
         match &metadata.request_id {
             Some(repeated) => self.dialect.is_same_id(&request.id, repeated),
-            None => !status.is_success(),
+            None => !head.status.is_success() && !ExchangeTrace::has_earlier_requests(head),
         }
     }
 }
--- a/crates/proxy/tests/execution.rs
+++ b/crates/proxy/tests/execution.rs
@@ -185,6 +185,41 @@
     }
 }
 
+/// Guards against a late reply to another request that states no id and is taken for the reply to
+/// this one.
+#[test]
+fn replies_without_an_id_count_only_on_connections_without_an_earlier_request() {
+    struct Case {
+        what: &'static str,
+        response: ScriptedResponse,
+        status: u16,
+        sends: usize,
+    }
+    let rejection = || ScriptedResponse::signed(503, &[]).header("not-run", "1").without("id");
+    let misdirected = || ScriptedResponse::signed(421, &[]).header("other-run", "1").without("id");
+    let failure = || ScriptedResponse::signed(500, &["sorry"]).without("id");
+    let cases = [
+        Case { what: "rejection", response: rejection(), status: 200, sends: 2 },
+        Case { what: "late rejection", response: rejection().carried(1), status: 502, sends: 1 },
+        Case { what: "421", response: misdirected(), status: 200, sends: 2 },
+        Case { what: "late 421", response: misdirected().carried(1), status: 502, sends: 1 },
+        Case { what: "error", response: failure(), status: 500, sends: 1 },
+        Case { what: "late error", response: failure().carried(1), status: 502, sends: 1 },
+        Case {
+            what: "rejection with its id on a used connection",
+            response: rejection().header("id", "call-1").carried(1),
+            status: 200,
+            sends: 2,
+        },
+    ];
+    for Case { what, response, status, sends } in cases {
+        let bed = TestBed::new(&BedSettings::of(ONCE));
+        bed.script(0, &[BackendAction::Answer(response), self::response(200, "good")]);
+        assert_eq!(bed.serve(bed.request()).status, status, "{what}");
+        assert_eq!(bed.backends(0).arrivals.borrow().len(), sends, "{what}");
+    }
+}
+
 #[test]
 fn request_is_sent_unchanged() {
     let bed = TestBed::new(&BedSettings::of(ONCE));
--- a/crates/proxy/tests/support/servers.rs
+++ b/crates/proxy/tests/support/servers.rs
@@ -5,7 +5,8 @@
     futures::stream,
     gullglade_dispatch::BackendStatements,
     gullglade_http::{
-        BodyError, ClientBody, ClientError, ClientReply, HttpClient, SendPermit, UnframedBody,
+        BodyError, ClientBody, ClientError, ClientReply, ExchangeTrace, HttpClient, SendPermit,
+        UnframedBody,
     },
     gullglade_proxy::{BackendDialect, RequestMetadata, ResponseMetadata},
     gullglade_units::{Clock, LocalFuture, MonotonicTime, ProcessContext},
@@ -49,6 +50,8 @@
     pub(crate) is_incomplete: bool,
     /// The body ends with its connection.
     pub(crate) is_unframed: bool,
+    /// Number of requests that its connection carried before.
+    pub(crate) carried: u32,
 }
 
 impl ScriptedResponse {
@@ -62,6 +65,7 @@
             pause: None,
             is_incomplete: false,
             is_unframed: false,
+            carried: 0,
         }
     }
 
@@ -98,6 +102,12 @@
         self
     }
 
+    /// Sets the number of requests that its connection carried before.
+    pub(crate) fn carried(mut self, carried: u32) -> Self {
+        self.carried = carried;
+        self
+    }
+
     pub(crate) fn events(chunks: &[&'static str]) -> Self {
         Self::signed(200, chunks).header("content-type", "text/event-stream")
     }
@@ -216,6 +226,13 @@
         if script.is_unframed {
             response.extensions_mut().insert(UnframedBody);
         }
+        response.extensions_mut().insert(ExchangeTrace {
+            connection: 0,
+            carried: script.carried,
+            connection_age: Duration::ZERO,
+            written: 1,
+            reply_after: script.after,
+        });
         let mut chunks: Vec<Result<Bytes, BodyError>> =
             script.chunks.iter().map(|chunk| Ok(Bytes::from_static(chunk.as_bytes()))).collect();
         if script.is_incomplete {
--- a/crates/stub/src/engine/handler.rs
+++ b/crates/stub/src/engine/handler.rs
@@ -85,8 +85,12 @@
         _remote: SocketAddr,
     ) -> LocalFuture<'a, FaceReply> {
         Box::pin(async move {
+            let id = request.headers().get(REQUEST_HEADER).cloned();
             let reply = self.answer(request).await;
             let mut reply = reply.unwrap_or_else(ApiError::into_response);
+            if let Some(id) = id {
+                reply.headers_mut().entry(REQUEST_HEADER).or_insert(id);
+            }
             self.add_load(&mut reply);
             reply
         })
