Send non-repeatable requests on new connections to servers that reply out of place

What callers saw: orders ended in 502, outcome unknown, where a late second reply to another request came on the kept connection: true, but an order is lost to its caller.

Cause: nothing was remembered of a server that had sent a second reply before, so the next order met the next one.

Why it works: a new connection has carried no other request, so no late reply can come on it. The mark is set by stray bytes and by a reply to another request, holds for 10 s, and concerns only requests that may run once at most, so a server that keeps to the protocol costs no connection more.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -49,6 +49,11 @@
     /// Closes the connections to `address` that no request uses, and those in use once their
     /// request has ended, until the next request goes there. For a client that keeps none, nothing.
     fn retire(&self, _address: SocketAddr) {}
+
+    /// Notes that the server at `address` sent a reply to another request than the one that waited.
+    /// For some time, requests with [`KeptWithin`] go there on new connections only, on which no
+    /// earlier request can have a reply. For a client that keeps none, nothing.
+    fn note_misplaced_reply(&self, _address: SocketAddr) {}
 }
 
 /// Request extension: the time from sending to the head of the reply, in place of the client's.
@@ -58,7 +63,8 @@
 /// Request extension: sends on a kept connection only if that was used within this time, and on a
 /// new one otherwise.
 ///
-/// The longer a connection is idle, the likelier the other side is about to close it.
+/// The longer a connection is idle, the likelier the other side is about to close it. If the server
+/// has lately sent bytes out of place, such a request goes on a new connection.
 #[derive(Clone, Copy, Debug)]
 pub struct KeptWithin(pub Duration);
 
--- a/crates/http/src/client/connection.rs
+++ b/crates/http/src/client/connection.rs
@@ -2,12 +2,11 @@
 
 use {
     super::{
-        ClientConfig, ClientError, CorrelationKey, ExchangeTrace, correlation::CarriedKeys,
-        pool::ConnectionPool,
+        ClientError, CorrelationKey, ExchangeTrace, correlation::CarriedKeys, pool::ConnectionPool,
     },
     bytes::Bytes,
     futures::{FutureExt, channel::oneshot, future::select},
-    gullglade_units::{MonotonicTime, ProcessContext, timeout},
+    gullglade_units::{MonotonicTime, timeout},
     http_body_util::Full,
     hyper::{
         client::conn::http1::{Builder, SendRequest},
@@ -24,7 +23,7 @@
         io,
         net::SocketAddr,
         pin::Pin,
-        rc::Rc,
+        rc::{Rc, Weak},
         task::{Context, Poll},
         time::Duration,
     },
@@ -91,11 +90,11 @@
 impl ClientConnection {
     /// Connects to `address` within the time allowed. `number` identifies the connection in traces.
     pub(super) async fn open(
+        pool: &Rc<ConnectionPool>,
         address: SocketAddr,
         number: u64,
-        config: &ClientConfig,
-        context: &ProcessContext,
     ) -> Result<Self, ClientError> {
+        let ConnectionPool { config, context, .. } = &**pool;
         let limit = config.connect_timeout;
         let stream = timeout(&*context.clock, limit, connect(address, config.silence_timeout))
             .await
@@ -109,6 +108,8 @@
             written: Cell::new(0),
             has_stray_bytes: Cell::new(false),
             on_stray_bytes: RefCell::new(None),
+            pool: Rc::downgrade(pool),
+            address,
         });
         let (sender, connection) = Builder::new()
             .max_buf_size(config.head_limit)
@@ -204,6 +205,8 @@
     /// Whether bytes arrived that belong to no reply. They end the connection.
     has_stray_bytes: Cell<bool>,
     on_stray_bytes: RefCell<Option<Box<dyn FnOnce()>>>,
+    pool: Weak<ConnectionPool>,
+    address: SocketAddr,
 }
 
 impl SharedSocket {
@@ -212,6 +215,9 @@
         self.stream.take();
         if outcome.is_err_and(|error| error.to_string() == STRAY_BYTES) {
             self.has_stray_bytes.set(true);
+            if let Some(pool) = self.pool.upgrade() {
+                pool.note_misplaced_reply(self.address);
+            }
             let callback = self.on_stray_bytes.take();
             if let Some(callback) = callback {
                 callback();
--- a/crates/http/src/client/pool.rs
+++ b/crates/http/src/client/pool.rs
@@ -25,13 +25,18 @@
     },
 };
 
+/// Time for which a server that sent bytes out of place is expected to do so again.
+const MISPLACED_REPLY_MEMORY: Duration = Duration::from_secs(10);
+
 /// Connections that no request uses, by address.
 pub(super) struct ConnectionPool {
-    config: ClientConfig,
-    context: ProcessContext,
+    pub(super) config: ClientConfig,
+    pub(super) context: ProcessContext,
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
     /// Addresses whose connections are not kept.
     retired: RefCell<HashSet<SocketAddr>>,
+    /// Servers that sent bytes out of place, and until when they may do so again.
+    misplacing: RefCell<HashMap<SocketAddr, MonotonicTime>>,
     /// Whether a task closes idle connections in time.
     sweeping: Cell<bool>,
     /// Number of connections opened so far.
@@ -67,10 +72,23 @@
 
 impl ConnectionPool {
     /// Opens a connection to `address`.
-    async fn open(&self, address: SocketAddr) -> Result<ClientConnection, ClientError> {
+    async fn open(self: &Rc<Self>, address: SocketAddr) -> Result<ClientConnection, ClientError> {
         let number = self.opened.get();
         self.opened.set(number + 1);
-        ClientConnection::open(address, number, &self.config, &self.context).await
+        ClientConnection::open(self, address, number).await
+    }
+
+    /// Notes that the server at `address` sent bytes out of place.
+    pub(super) fn note_misplaced_reply(&self, address: SocketAddr) {
+        let now = self.context.clock.now();
+        let mut misplacing = self.misplacing.borrow_mut();
+        misplacing.retain(|_, until| *until > now);
+        misplacing.insert(address, now + MISPLACED_REPLY_MEMORY);
+    }
+
+    fn is_misplacing(&self, address: SocketAddr) -> bool {
+        let misplacing = self.misplacing.borrow();
+        misplacing.get(&address).is_some_and(|until| *until > self.context.clock.now())
     }
 
     /// Keeps `connection` for the next request to `address`.
@@ -121,6 +139,9 @@
     /// The connection to `address` that was used last among those that are open and meet the
     /// `conditions`. The others stay for other requests.
     fn take(&self, address: SocketAddr, conditions: ReuseConditions) -> Option<ClientConnection> {
+        if conditions.within.is_some() && self.is_misplacing(address) {
+            return None;
+        }
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         let now = self.context.clock.now();
@@ -170,6 +191,7 @@
             context,
             idle: RefCell::default(),
             retired: RefCell::default(),
+            misplacing: RefCell::default(),
             sweeping: Cell::new(false),
             opened: Cell::new(0),
         };
@@ -303,6 +325,10 @@
         self.pool.retired.borrow_mut().insert(address);
         self.pool.idle.borrow_mut().remove(&address);
     }
+
+    fn note_misplaced_reply(&self, address: SocketAddr) {
+        self.pool.note_misplaced_reply(address);
+    }
 }
 
 /// The time that a `keep-alive` header states.
--- a/crates/http/tests/http/kept.rs
+++ b/crates/http/tests/http/kept.rs
@@ -222,6 +222,62 @@
     });
 }
 
+/// Guards against non-repeatable requests that are lost to late replies on kept connections.
+#[test]
+fn servers_that_reply_out_of_place_get_non_repeatable_requests_on_new_connections() {
+    const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    const TWICE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n";
+    struct Case {
+        what: &'static str,
+        reply: &'static str,
+        is_noted: bool,
+        is_repeatable: bool,
+        /// Time until the second request is sent.
+        pause: Duration,
+        is_reused: bool,
+    }
+    let case = |what, reply, is_noted, is_repeatable, pause, is_reused| Case {
+        what,
+        reply,
+        is_noted,
+        is_repeatable,
+        pause: Duration::from_millis(pause),
+        is_reused,
+    };
+    let cases = [
+        case("sound", OK, false, false, 1, true),
+        case("another request's reply", OK, true, false, 1, false),
+        case("another request's reply, repeatable", OK, true, true, 1, true),
+        case("another request's reply, long ago", OK, true, false, 20_000, true),
+        case("bytes after a reply", TWICE, false, false, 1, false),
+    ];
+    run(async {
+        for Case { what, reply, is_noted, is_repeatable, pause, is_reused } in cases {
+            let (address, opened) = answering(reply);
+            let (context, clock) = manual_context();
+            let client = PooledClient::new(ClientConfig::new(), context);
+            let send = async || {
+                let mut request = get();
+                if !is_repeatable {
+                    request.extensions_mut().insert(KeptWithin(Duration::from_secs(1)));
+                }
+                client.send(address, request).await.unwrap().body.collect(10).await.unwrap();
+            };
+            send().await;
+            if is_noted {
+                client.note_misplaced_reply(address);
+            }
+            // Lets the task of the connection read what came after the reply.
+            monoio::time::sleep(Duration::from_millis(20)).await;
+            clock.advance(pause);
+            client.connect(address).await.unwrap();
+            let before = opened.get();
+            send().await;
+            assert_eq!(opened.get() == before, is_reused, "{what}");
+        }
+    });
+}
+
 fn keyed(id: Option<&str>) -> http::Extensions {
     let mut extensions = http::Extensions::new();
     if let Some(id) = id {
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -123,6 +123,9 @@
         }
         if let Some(reason) = self.discard_reason(&attempt.request, &metadata, &head) {
             self.log.record_discarded(attempt, &head, &metadata, reason);
+            if matches!(reason, DiscardReason::OtherRequest) {
+                self.client.note_misplaced_reply(attempt.address);
+            }
             let (work, outcome) = discarded_outcome(reason);
             ticket.finish(work);
             return outcome;
