Divide the limits of backend servers among all gateways that may send

Cause: the rate of a cold engine was divided among the ready gateways. A stopping one is no longer ready, goes on sending for most of its grace period, and takes a share; gateways that stop together did not count each other, so the last one took the whole. The list now has those that stop, too. It serves cold rates, stated limits and rejection limits alike.

--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -229,7 +229,7 @@
         self.answers.values_mut().for_each(ServiceAnswers::expire);
     }
 
-    /// Replaces the gateways of this region that accept requests.
+    /// Replaces the gateways of this region that may send requests to backend servers.
     pub fn set_gateways(
         &mut self,
         own_region: impl IntoIterator<Item = VmName>,
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -215,6 +215,14 @@
         self.gateways(now).filter(|g| is_ready(g) && g.profile.region == *region).collect()
     }
 
+    /// Returns the gateways of `region` that may send requests to backend servers, among which the
+    /// limits of backend servers are divided: the ready ones, and those that are stopping, as they
+    /// still send what they have accepted.
+    pub fn sending_gateways(&self, region: &RegionName, now: MonotonicTime) -> Vec<GatewayRow> {
+        let may_send = |g: &GatewayRow| g.phase != GatewayPhase::Starting && !g.is_silent;
+        self.gateways(now).filter(|g| may_send(g) && g.profile.region == *region).collect()
+    }
+
     /// Returns up to `limit` other ready gateways of the region of `own`. In a large region they
     /// are selected by rendezvous hashing, so the selection is stable while they are ready: a
     /// gateway that is notified of a sent request must also be notified of its first byte.
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -4,8 +4,8 @@
     bytes::Bytes,
     gullglade_fleet::{
         BackendObservation, BackendRecord, DepartedRun, FleetRegistry, FleetSettings, FleetView,
-        GatewayAnnouncement, GatewayObservation, GatewayPhase, GatewayProfile, RawVmCapacity,
-        ServiceOffer, ServingState, SyncReply, TrafficSnapshot, VmCapacity,
+        GatewayAnnouncement, GatewayObservation, GatewayPhase, GatewayProfile, GatewayRow,
+        RawVmCapacity, ServiceOffer, ServingState, SyncReply, TrafficSnapshot, VmCapacity,
     },
     gullglade_poison::CrashUpdate,
     gullglade_traffic::{
@@ -488,6 +488,40 @@
     assert_eq!(view.ready_gateways(&region("puget"), at(2_100)).len(), 1);
 }
 
+/// Guards against limits of backend servers that are exceeded by gateways that stop together: each
+/// still sends, and must be counted by the others.
+#[test]
+fn gateways_that_stop_count_among_those_that_send() {
+    struct Case {
+        phase: GatewayPhase,
+        is_silent: bool,
+        is_ready: bool,
+        is_sending: bool,
+    }
+    let case =
+        |phase, is_silent, is_ready, is_sending| Case { phase, is_silent, is_ready, is_sending };
+    let cases = [
+        case(GatewayPhase::Starting, false, false, false),
+        case(GatewayPhase::Ready, false, true, true),
+        case(GatewayPhase::Stopping, false, false, true),
+        case(GatewayPhase::Ready, true, false, false),
+        case(GatewayPhase::Stopping, true, false, false),
+    ];
+    for Case { phase, is_silent, is_ready, is_sending } in cases {
+        let mut view = view();
+        let profile = gateway_announcement("a", "puget", phase).profile;
+        let gateways = vec![GatewayObservation { profile, phase, is_silent }];
+        view.merge(address(1), true, SyncReply { gateways, ..reply() }, boot(0), at(0))
+            .expect("merged");
+        let listed = |rows: Vec<GatewayRow>| !rows.is_empty();
+        let what = format!("{phase}, silent: {is_silent}");
+        let puget = region("puget");
+        assert_eq!(listed(view.ready_gateways(&puget, at(10))), is_ready, "{what}");
+        assert_eq!(listed(view.sending_gateways(&puget, at(10))), is_sending, "{what}");
+        assert!(view.sending_gateways(&region("inland"), at(10)).is_empty(), "{what}");
+    }
+}
+
 /// A report of a control process on a backend server.
 enum Report {
     Announced { control: u8, incarnation: u64, sequence: u64, state: ServingState },
--- a/crates/node/src/proxy_node.rs
+++ b/crates/node/src/proxy_node.rs
@@ -374,7 +374,11 @@
         let is_local_region = |row: &BackendRow| row.record.region == *region;
         Self {
             backends: view.backends(now).filter(is_local_region).map(backend_info).collect(),
-            gateways: view.ready_gateways(region, now).into_iter().map(|g| g.profile.vm).collect(),
+            gateways: view
+                .sending_gateways(region, now)
+                .into_iter()
+                .map(|g| g.profile.vm)
+                .collect(),
             is_confirmed: view.confirmed().is_some() && view.traffic().is_some(),
         }
     }
