--- a/crates/gateway/src/statements/tests.rs
+++ b/crates/gateway/src/statements/tests.rs
@@ -214,6 +214,7 @@
         assert_eq!(gateway.client.sends.get(), sends, "{name}");
     }
 }
+
 struct RejectionCase {
     name: &'static str,
     headers: &'static [HeaderPair],
--- a/crates/http/tests/http/kept.rs
+++ b/crates/http/tests/http/kept.rs
@@ -226,7 +226,8 @@
 #[test]
 fn servers_that_reply_out_of_place_get_non_repeatable_requests_on_new_connections() {
     const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
-    const TWICE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n";
+    const TWICE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok\
+                         HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n";
     struct Case {
         what: &'static str,
         reply: &'static str,
