--- a/crates/http/src/client/reply.rs
+++ b/crates/http/src/client/reply.rs
@@ -40,7 +40,7 @@
 }
 
 enum BodySource {
-    Wire(WireSource),
+    Wire(Box<WireSource>),
     Stream(LocalStream),
 }
 
@@ -71,7 +71,7 @@
         if source.incoming.is_end_stream() {
             source.finish();
         }
-        Self { source: BodySource::Wire(source), ended: false }
+        Self { source: BodySource::Wire(Box::new(source)), ended: false }
     }
 
     /// The next piece; `None` after the last one of a whole body.
--- a/crates/http/src/client/trace.rs
+++ b/crates/http/src/client/trace.rs
@@ -11,7 +11,7 @@
     pub carried: u32,
     /// Age of the connection when the request was sent.
     pub connection_age: Duration,
-    /// Bytes that the operating system had taken for sending since then.
+    /// Bytes of the request that the operating system had taken when the reply came.
     pub written: u64,
     /// Time from sending the request to the head of the reply.
     pub reply_after: Duration,
