Test that gateways that stop together keep the limits of a backend server

The new test runs a scheduler and a fleet view for each of 3 to 30 gateways over one backend server. Gateways stop, go on sending, end, start again, lose power and lose the control processes for a while; all sends count in one window. The inputs of the schedulers are read as the gateway process reads them: `SchedulerInputs` has a module of its own for this, unchanged but for its parameter. Cold rates and stated limits are checked.

With the code as it is all cases hold.

--- a/crates/node/src/proxy_node.rs
+++ b/crates/node/src/proxy_node.rs
@@ -5,12 +5,13 @@
         StartError,
         core::{CoreSettings, NodeCore, http_server},
         error::NoticeStart,
+        scheduler_inputs::SchedulerInputs,
     },
-    gullglade_dispatch::{BackendInfo, FirstByteTimes, RegionInfo, Scheduler, SchedulerSettings},
+    gullglade_dispatch::{FirstByteTimes, RegionInfo, Scheduler, SchedulerSettings},
     gullglade_event::{EventDraft, EventSink, MetricSet},
     gullglade_fleet::{
-        BackendRow, FleetFollower, FollowerParts, GatewayPhase, GatewayProfile, RegionOffer,
-        ServiceOffer, ServingState, VmCapacity,
+        FleetFollower, FollowerParts, GatewayPhase, GatewayProfile, RegionOffer, ServiceOffer,
+        VmCapacity,
     },
     gullglade_http::{ClientConfig, PooledClient, RequestHandler, ServerConfig, StopHandle},
     gullglade_peer::{NoticeSocket, PeerPool, PeerStopHandle},
@@ -18,7 +19,7 @@
     gullglade_proxy::{BackendDialect, Dispatcher, ForwardServer, Proxy, ProxyParts},
     gullglade_quota::QuotaTolerance,
     gullglade_traffic::TrafficFormat,
-    gullglade_units::{MonotonicTime, ProcessContext, RegionName, VmName, timeout},
+    gullglade_units::{MonotonicTime, ProcessContext, RegionName, timeout},
     snafu::ResultExt,
     std::{cell::RefCell, collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration},
 };
@@ -198,7 +199,9 @@
 
     fn refresh(&self) {
         let now = self.context.clock.now();
-        let inputs = self.fleet.read(|view| SchedulerInputs::read(view, &self.settings, now));
+        let inputs = self
+            .fleet
+            .read(|view| SchedulerInputs::read(view, &self.settings.core.identity.region, now));
         self.dispatcher.update_scheduler(|scheduler, now| {
             if let Some(traffic) = self.fleet.traffic() {
                 let services = traffic.config.services().cloned();
@@ -356,45 +359,3 @@
         first_byte: FirstByteTimes::from_millis(&offer.first_byte_ms),
     }
 }
-
-/// Scheduler inputs read from the fleet state.
-struct SchedulerInputs {
-    backends: Vec<BackendInfo>,
-    gateways: Vec<VmName>,
-    is_confirmed: bool,
-}
-
-impl SchedulerInputs {
-    fn read(
-        view: &gullglade_fleet::FleetView,
-        settings: &ProxyNodeSettings,
-        now: MonotonicTime,
-    ) -> Self {
-        let region = &settings.core.identity.region;
-        let is_local_region = |row: &BackendRow| row.record.region == *region;
-        Self {
-            backends: view.backends(now).filter(is_local_region).map(backend_info).collect(),
-            gateways: view
-                .sending_gateways(region, now)
-                .into_iter()
-                .map(|g| g.profile.vm)
-                .collect(),
-            is_confirmed: view.confirmed().is_some() && view.traffic().is_some(),
-        }
-    }
-}
-
-fn backend_info(row: BackendRow) -> BackendInfo {
-    let BackendRow { record, cold_until, is_silent, received: _ } = row;
-    BackendInfo {
-        is_serving: record.state == ServingState::Serving,
-        name: record.name,
-        incarnation: record.incarnation,
-        service: record.service,
-        address: record.address,
-        domain: record.domain,
-        slots: record.slots,
-        is_silent,
-        cold_until,
-    }
-}
