Reject evacuation orders that reach the leader after a later one

Cause: an order that a control process forwards can be held up on its way to the leader until after the operator has turned to another process and had the opposite order acknowledged. Nothing tied an order to the moment at which it was given. An order that changes nothing was acknowledged without an entry, so even an index would not have told.

Change: a forwarded order names a position of the log that its receiver had observed while the operator was waiting. When the leader gives orders their places in the log, it rejects one that names a position before its own last order about that failure domain, or before its own first entry. The receiver sends it again with the newer position, as long as its operator waits by the clock that goes on while a process stands still. Every evacuation order takes an entry.

Why it works: a later order is appended behind every position that was observed before it was sent, whichever member leads.

New line `change.superseded`.

--- a/crates/control/src/consensus/change.rs
+++ b/crates/control/src/consensus/change.rs
@@ -5,20 +5,20 @@
         core::ControlCore,
         error::{ChangeError, ReplaceError},
         message::{
-            APPEND, CHANGE, ChangeCall, ChangeReply, HELLO, HelloRequest, JOIN, READ, REPLACE,
-            ReadReply, ReplaceCall, ReplaceReply, SNAPSHOT, STATUS, VOTE,
+            APPEND, CHANGE, ChangeCall, ChangeReply, HELLO, HelloRequest, JOIN, ORDER, OrderCall,
+            READ, REPLACE, ReadReply, ReplaceCall, ReplaceReply, SNAPSHOT, STATUS, VOTE,
         },
         state::NodeState,
     },
     crate::{
         change::{ChangeOutcome, ChangeRequest, ConfigChange, ConfigOutcome},
-        entry::LogIndex,
+        entry::{Command, LogIndex, LogPosition},
         groups::{GroupOutcome, GroupRequest},
         traffic::{TrafficChange, TrafficEffect, TrafficOutcome},
     },
     bytes::Bytes,
-    gullglade_peer::{PeerFault, PeerHandler, PeerIdentity},
-    gullglade_units::{LocalFuture, VmName, decode, encode, timeout},
+    gullglade_peer::{PeerError, PeerFault, PeerHandler, PeerIdentity},
+    gullglade_units::{BootTime, LocalFuture, VmName, decode, encode, timeout},
     serde::{Serialize, de::DeserializeOwned},
     std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration},
 };
@@ -32,6 +32,25 @@
     Remote(SocketAddr),
 }
 
+/// A change on its way to the leader.
+struct Submission {
+    change: ConfigChange,
+    /// A position that this process observed while the operator was waiting.
+    observed: LogPosition,
+}
+
+impl Submission {
+    /// Returns the call for an evacuation order, or `None` for any other change.
+    fn order(&self) -> Option<OrderCall> {
+        match &self.change {
+            ConfigChange::Traffic(change @ TrafficChange::Evacuate { .. }) => {
+                Some(OrderCall { change: change.clone(), observed: self.observed })
+            }
+            _ => None,
+        }
+    }
+}
+
 impl ControlCore {
     /// Has a change to a document decided, by this process or by a remote leader.
     pub(crate) async fn change(
@@ -39,7 +58,7 @@
         request: ChangeRequest,
     ) -> Result<ChangeOutcome, ChangeError> {
         request.check()?;
-        match self.decide(ConfigChange::Service(request)).await? {
+        match self.decide(ConfigChange::Service(request), self.config.change_limit).await? {
             ConfigOutcome::Service(outcome) => Ok(outcome),
             ConfigOutcome::ClaimGroup(_) | ConfigOutcome::Traffic(_) => Err(mismatched_outcome()),
         }
@@ -53,18 +72,21 @@
         request.check_author()?;
         request.check()?;
         self.check_documents(&request)?;
-        match self.decide(ConfigChange::ClaimGroup(request)).await? {
+        match self.decide(ConfigChange::ClaimGroup(request), self.config.change_limit).await? {
             ConfigOutcome::ClaimGroup(outcome) => Ok(outcome),
             ConfigOutcome::Service(_) | ConfigOutcome::Traffic(_) => Err(mismatched_outcome()),
         }
     }
 
-    /// Has a change to the traffic configuration decided, by this process or by a remote leader.
+    /// Has a change to the traffic configuration decided, by this process or by a remote leader. The
+    /// operator waits for `limit`.
     pub(crate) async fn change_traffic(
         &self,
         change: TrafficChange,
+        limit: Duration,
     ) -> Result<TrafficOutcome, ChangeError> {
-        match self.decide(ConfigChange::Traffic(change)).await? {
+        let limit = limit.min(self.config.change_limit);
+        match self.decide(ConfigChange::Traffic(change), limit).await? {
             ConfigOutcome::Traffic(outcome) => Ok(outcome),
             ConfigOutcome::Service(_) | ConfigOutcome::ClaimGroup(_) => Err(mismatched_outcome()),
         }
@@ -83,14 +105,13 @@
     }
 
     /// Has a change decided, and waits for a leader if none is known.
-    async fn decide(&self, change: ConfigChange) -> ChangeReply {
+    async fn decide(&self, change: ConfigChange, limit: Duration) -> ChangeReply {
         if let Some(recorded) = self.state.borrow().config.recorded_outcome(&change) {
             return Ok(recorded?);
         }
-        let call = ChangeCall { change };
-        let limit = self.config.change_limit;
+        let deadline = self.boot() + limit;
         let is_submitted = Cell::new(false);
-        let deciding = self.change_at_leader(&call, &is_submitted);
+        let deciding = self.change_at_leader(change, deadline, &is_submitted);
         match timeout(&*self.context.clock, limit, deciding).await {
             Some(Err(ChangeError::Stopped { reason })) if is_submitted.get() => {
                 Err(ChangeError::Unknown { reason })
@@ -103,18 +124,37 @@
         }
     }
 
-    /// Retries until the log has decided the change. A resend is safe, since the change id makes it
-    /// take effect at most once. `is_submitted` records whether a leader may have received the
-    /// change.
-    async fn change_at_leader(&self, call: &ChangeCall, is_submitted: &Cell<bool>) -> ChangeReply {
+    /// Retries until the log has decided the change, or the deadline has passed. A resend is safe:
+    /// a change with an id takes effect at most once, a configuration has a version, and an
+    /// evacuation order is rejected if it was superseded. `is_submitted` records whether a leader
+    /// may have received the change.
+    async fn change_at_leader(
+        &self,
+        change: ConfigChange,
+        deadline: BootTime,
+        is_submitted: &Cell<bool>,
+    ) -> ChangeReply {
+        let mut submission = Submission { change, observed: self.observed_position() };
+        let mut failure = ChangeError::NoLeader;
         loop {
             let leader = self.find_leader().await?;
+            // A process that stood still may get here long after its operator has turned away, with
+            // a position that it has observed only now.
+            if self.boot() >= deadline {
+                return Err(failure);
+            }
             let was_submitted = is_submitted.replace(true);
             let reply = match leader {
-                LeaderLocation::Local => self.change_locally(&call.change).await,
-                LeaderLocation::Remote(address) => self.forward_change(address, call).await,
+                LeaderLocation::Local => self.submit_locally(&submission).await,
+                LeaderLocation::Remote(address) => self.forward(address, &submission).await,
             };
             match reply {
+                Err(ChangeError::Superseded { term, index }) => {
+                    is_submitted.set(was_submitted);
+                    submission.observed = LogPosition { term, index };
+                    failure = ChangeError::Superseded { term, index };
+                    continue;
+                }
                 Err(ChangeError::NoLeader) => is_submitted.set(was_submitted),
                 Err(ChangeError::Unknown { .. }) => {}
                 reply => return reply,
@@ -123,6 +163,56 @@
         }
     }
 
+    /// Returns the position of the last entry that this process has applied.
+    fn observed_position(&self) -> LogPosition {
+        let state = self.state.borrow();
+        let index = state.config.applied();
+        LogPosition { term: state.tail.term_at(index).unwrap_or_default(), index }
+    }
+
+    async fn submit_locally(&self, submission: &Submission) -> ChangeReply {
+        match submission.order() {
+            Some(order) => self.order_locally(order).await,
+            None => self.change_locally(&submission.change).await,
+        }
+    }
+
+    async fn forward(&self, address: SocketAddr, submission: &Submission) -> ChangeReply {
+        let call = || ChangeCall { change: submission.change.clone() };
+        let reply = match submission.order() {
+            Some(order) => match self.submit_remotely(address, ORDER, &order).await {
+                // The leader is of an earlier release.
+                Err(error) if error.is_unknown_method() => {
+                    self.submit_remotely(address, CHANGE, &call()).await
+                }
+                reply => reply,
+            },
+            None => self.submit_remotely(address, CHANGE, &call()).await,
+        };
+        reply.unwrap_or_else(|error| {
+            if error.nothing_sent() {
+                return Err(ChangeError::NoLeader);
+            }
+            Err(ChangeError::Unknown { reason: error.to_string() })
+        })
+    }
+
+    async fn submit_remotely<Q: Serialize>(
+        &self,
+        address: SocketAddr,
+        method: &str,
+        call: &Q,
+    ) -> Result<ChangeReply, PeerError> {
+        self.call(address, method, call, self.config.change_limit / 2).await
+    }
+
+    async fn order_locally(&self, order: OrderCall) -> ChangeReply {
+        self.wait_for_joins().await;
+        let OrderCall { change, observed } = order;
+        let outcome = self.propose_observed(Command::Traffic(change), Some(observed)).await?;
+        outcome.ok_or_else(no_outcome)
+    }
+
     async fn change_locally(&self, change: &ConfigChange) -> ChangeReply {
         if let Some(recorded) = self.state.borrow().config.recorded_outcome(change) {
             return Ok(recorded?);
@@ -132,20 +222,20 @@
         {
             return Ok(ConfigOutcome::Traffic(outcome));
         }
-        let outcome = self.propose(change.command()).await?;
-        let no_outcome =
-            || ChangeError::Unknown { reason: "the log returned no outcome".to_owned() };
-        outcome.ok_or_else(no_outcome)
+        self.propose(change.command()).await?.ok_or_else(no_outcome)
     }
 
-    /// Returns the outcome of a change to the traffic configuration that has no effect, such as a
-    /// resend or an older version. It is not appended to the log, where each copy would hold the
-    /// whole text.
+    /// Returns the outcome of a configuration that has no effect, such as a resend or an older
+    /// version. It is not appended to the log, where each copy would hold the whole text. Since the
+    /// version in force only increases, no entry that is not applied yet can make it take effect.
     async fn unchanged_traffic(
         &self,
         change: &TrafficChange,
     ) -> Result<Option<TrafficOutcome>, ChangeError> {
         self.wait_for_joins().await;
+        if matches!(change, TrafficChange::Evacuate { .. }) {
+            return Ok(None);
+        }
         let effect = |s: &NodeState| s.config.traffic().effect(change);
         if effect(&self.state.borrow()) == TrafficEffect::Applied {
             return Ok(None);
@@ -156,16 +246,6 @@
         Ok((effect(&state) == TrafficEffect::Unchanged).then_some(outcome))
     }
 
-    async fn forward_change(&self, address: SocketAddr, call: &ChangeCall) -> ChangeReply {
-        let reply = self.call(address, CHANGE, call, self.config.change_limit / 2).await;
-        reply.unwrap_or_else(|error| {
-            if error.nothing_sent() {
-                return Err(ChangeError::NoLeader);
-            }
-            Err(ChangeError::Unknown { reason: error.to_string() })
-        })
-    }
-
     /// Waits until a leader is known.
     async fn find_leader(&self) -> Result<LeaderLocation, ChangeError> {
         self.wait_until(|s| {
@@ -242,6 +322,7 @@
                 let call: ChangeCall = decode_body(body)?;
                 Ok(reply(&self.change_locally(&call.change).await))
             }
+            ORDER => Ok(reply(&self.order_locally(decode_body(body)?).await)),
             REPLACE => {
                 let call: ReplaceCall = decode_body(body)?;
                 Ok(reply(&self.begin_replacement(call.old, call.address).await))
@@ -259,6 +340,10 @@
     }
 }
 
+fn no_outcome() -> ChangeError {
+    ChangeError::Unknown { reason: "the log returned no outcome".to_owned() }
+}
+
 fn decode_body<T: DeserializeOwned>(body: &[u8]) -> Result<T, PeerFault> {
     decode(body).map_err(PeerFault::malformed)
 }
--- a/crates/control/src/consensus/error.rs
+++ b/crates/control/src/consensus/error.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         change::{ChangeRefusal, RequestError},
-        entry::{LogIndex, MemberId},
+        entry::{LogIndex, MemberId, Term},
         groups::GroupRefusal,
         log::LogError,
     },
@@ -97,6 +97,18 @@
         /// The reason for the stop.
         reason: String,
     },
+    /// Another order about the same failure domain may have been accepted meanwhile. The order was
+    /// not run.
+    #[snafu(display(
+        "another order for this failure domain may have been accepted meanwhile (term {}, index \
+         {}); the order was not run: check which one is meant and send it again", term.0, index.0
+    ))]
+    Superseded {
+        /// The term of the other order, or of the leader that does not know an earlier one.
+        term: Term,
+        /// Its index, or that of the first entry of the leader.
+        index: LogIndex,
+    },
 }
 
 impl ChangeError {
--- a/crates/control/src/consensus/leader.rs
+++ b/crates/control/src/consensus/leader.rs
@@ -7,8 +7,9 @@
         state::{Proposal, ProposalEnd},
     },
     crate::{
-        entry::{Command, LogEntry, LogIndex, Term},
+        entry::{Command, LogEntry, LogIndex, LogPosition, Term},
         log::LogRecord,
+        traffic::TrafficChange,
     },
     futures::channel::oneshot,
     gullglade_event::{EventDraft, Level},
@@ -26,6 +27,16 @@
 impl ControlCore {
     /// Proposes a command and waits until it is committed.
     pub(super) async fn propose(&self, command: Command) -> ProposalEnd {
+        self.propose_observed(command, None).await
+    }
+
+    /// Proposes a command and waits until it is committed. An evacuation order is rejected if
+    /// another one may have been accepted since its receiver observed the log at `observed`.
+    pub(super) async fn propose_observed(
+        &self,
+        command: Command,
+        observed: Option<LogPosition>,
+    ) -> ProposalEnd {
         let (done, end) = oneshot::channel();
         {
             let mut state = self.state.borrow_mut();
@@ -35,7 +46,7 @@
             if state.pending.len() >= MAX_PENDING_COMMANDS {
                 return Err(ChangeError::Overloaded { waiting: state.pending.len() });
             }
-            state.pending.push_back(Proposal { command, done });
+            state.pending.push_back(Proposal { command, observed, done });
         }
         self.signal.notify();
         let cancelled =
@@ -63,6 +74,9 @@
     async fn write_batch(&self, term: Term) -> Option<()> {
         let mut store = self.store.lock().await;
         let batch = self.take_batch(term)?;
+        if batch.is_empty() {
+            return Some(());
+        }
         let records: Vec<_> = batch.iter().map(|(e, _)| LogRecord::Entry(e.clone())).collect();
         let written = self.write(&mut store, &records).await;
         let mut state = self.state.borrow_mut();
@@ -85,20 +99,38 @@
         written.ok()
     }
 
+    /// Gives the waiting commands their positions in the log. Rejects evacuation orders that were
+    /// superseded.
     fn take_batch(&self, term: Term) -> Option<Vec<(LogEntry, oneshot::Sender<ProposalEnd>)>> {
         let mut state = self.state.borrow_mut();
         state.leadership(term)?;
         let wall = self.context.clock.wall();
         let wall =
             wall.max(state.config.wall()).max(state.tail.last_wall().unwrap_or(WallMillis(0)));
-        let first = state.tail.last().next();
+        let mut index = state.tail.last().next();
         let count = state.pending.len().min(MAX_BATCH_COMMANDS);
-        let proposals = state.pending.drain(..count);
-        let to_entry = |(offset, proposal): (usize, Proposal)| {
-            let index = LogIndex(first.0 + offset as u64);
-            (LogEntry { index, term, wall, command: proposal.command }, proposal.done)
-        };
-        Some(proposals.enumerate().map(to_entry).collect())
+        let proposals: Vec<Proposal> = state.pending.drain(..count).collect();
+        let fence = &mut state.leadership_mut(term)?.order_fence;
+        let mut batch = Vec::new();
+        for Proposal { command, observed, done } in proposals {
+            match fence.admit(&command, observed, LogPosition { term, index }) {
+                Ok(()) => {
+                    batch.push((LogEntry { index, term, wall, command }, done));
+                    index = index.next();
+                }
+                Err(superseded) => {
+                    self.emit_superseded(&command, &superseded);
+                    drop(done.send(Err(superseded)));
+                }
+            }
+        }
+        Some(batch)
+    }
+
+    fn emit_superseded(&self, command: &Command, error: &ChangeError) {
+        let Command::Traffic(TrafficChange::Evacuate { domain, is_on }) = command else { return };
+        let event = EventDraft::new("change.superseded").field("evacuate", *is_on);
+        self.events.emit(event.field("domain", domain).error("reason", error));
     }
 
     /// Commits the entries that a quorum holds.
--- a/crates/control/src/consensus/message.rs
+++ b/crates/control/src/consensus/message.rs
@@ -5,6 +5,7 @@
         change::{ConfigChange, ConfigOutcome},
         consensus::error::{ChangeError, ReplaceError},
         entry::{ClusterId, LogEntry, LogIndex, LogPosition, Member, MemberId, Membership, Term},
+        traffic::TrafficChange,
     },
     bytes::Bytes,
     gullglade_units::{ClockStamp, RegionName, VmName},
@@ -20,6 +21,7 @@
 pub(crate) const APPEND: &str = "log.append";
 pub(crate) const SNAPSHOT: &str = "log.snapshot";
 pub(crate) const CHANGE: &str = "log.change";
+pub(crate) const ORDER: &str = "log.order";
 pub(crate) const REPLACE: &str = "log.replace";
 pub(crate) const JOIN: &str = "log.join";
 pub(crate) const READ: &str = "log.read";
@@ -138,6 +140,15 @@
     pub(crate) change: ConfigChange,
 }
 
+/// Proposes an evacuation order. The reply is a [`ChangeReply`]. Processes that do not serve it are
+/// sent a [`ChangeCall`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct OrderCall {
+    pub(crate) change: TrafficChange,
+    /// A position that the sender observed while the operator was waiting.
+    pub(crate) observed: LogPosition,
+}
+
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct ReplaceCall {
     pub(crate) old: VmName,
--- a/crates/control/src/consensus/mod.rs
+++ b/crates/control/src/consensus/mod.rs
@@ -22,6 +22,7 @@
 mod leader;
 mod membership_rules;
 mod message;
+mod order_fence;
 mod replacement;
 mod replicator;
 mod seeding;
--- a/crates/control/src/consensus/state.rs
+++ b/crates/control/src/consensus/state.rs
@@ -1,7 +1,7 @@
 //! The in-memory state of a member. The durable part of it has been synced.
 
 use {
-    super::{error::ControlError, tail::LogTail},
+    super::{error::ControlError, order_fence::OrderFence, tail::LogTail},
     crate::{
         change::{ChangeRefusal, ConfigOutcome},
         consensus::error::ChangeError,
@@ -36,6 +36,7 @@
     pub(crate) progress: BTreeMap<MemberId, MemberProgress>,
     /// The members for which a replication task of this term runs.
     pub(crate) replicating: BTreeSet<MemberId>,
+    pub(crate) order_fence: OrderFence,
 }
 
 /// The replication progress of a member.
@@ -52,6 +53,8 @@
 /// A command to be appended to the log.
 pub(crate) struct Proposal {
     pub(crate) command: Command,
+    /// For an evacuation order: a position observed while its operator was waiting.
+    pub(crate) observed: Option<LogPosition>,
     pub(crate) done: oneshot::Sender<ProposalEnd>,
 }
 
@@ -236,11 +239,19 @@
         let first = self.tail.last().next();
         let progress = BTreeMap::new();
         let replicating = BTreeSet::from([me]);
-        self.role =
-            Role::Leader(Leadership { term, began: now, probe: now, first, progress, replicating });
+        let order_fence = OrderFence::new(LogPosition { term, index: first });
+        self.role = Role::Leader(Leadership {
+            term,
+            began: now,
+            probe: now,
+            first,
+            progress,
+            replicating,
+            order_fence,
+        });
         self.leader = Some(me);
         let (done, _) = oneshot::channel();
-        self.pending.push_back(Proposal { command: Command::Noop, done });
+        self.pending.push_back(Proposal { command: Command::Noop, observed: None, done });
     }
 
     /// Ends a leadership. Callers waiting for an entry receive an unknown outcome, since the next
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -67,12 +67,15 @@
         self.core.change_group(request).await
     }
 
-    /// Proposes a change to the traffic configuration and waits for its outcome.
+    /// Proposes a change to the traffic configuration and waits for its outcome for at most `limit`,
+    /// the time after which the operator turns to another process. An evacuation order that reaches
+    /// the leader later is not applied if another one was acknowledged meanwhile.
     pub async fn change_traffic(
         &self,
         change: TrafficChange,
+        limit: Duration,
     ) -> Result<TrafficOutcome, ChangeError> {
-        self.core.change_traffic(change).await
+        self.core.change_traffic(change, limit).await
     }
 
     /// Waits until the traffic configuration applied by this process is newer than `index`.
--- a/crates/control/src/traffic/change.rs
+++ b/crates/control/src/traffic/change.rs
@@ -11,7 +11,8 @@
 pub type ConfigVersion = u64;
 
 /// A change to the traffic configuration. It carries no id, since applying it again has no further
-/// effect.
+/// effect, unless it is an evacuation order and the opposite one was applied in between; the leader
+/// rejects such late orders.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TrafficChange {
     /// Puts a complete configuration in force if its version is greater than the current one.
--- a/crates/control/tests/full_disk.rs
+++ b/crates/control/tests/full_disk.rs
@@ -28,8 +28,8 @@
             let running = cluster.vms[at].running.borrow();
             let context = running.as_ref().expect("it runs").process.context().clone();
             drop(running);
-            let deciding = node.change_traffic(configure(version));
             let limit = Duration::from_millis(900);
+            let deciding = node.change_traffic(configure(version), limit);
             match cluster.world.run_until(timeout(&*context.clock, limit, deciding)) {
                 Some(Ok(outcome)) => return outcome,
                 Some(Err(ChangeError::Stopped { reason })) => panic!("stopped: {reason}"),
@@ -106,8 +106,8 @@
         let running = cluster.vms[at].running.borrow();
         let clock = running.as_ref().expect("it runs").process.context().clock.clone();
         drop(running);
-        let deciding = node.change_traffic(configure(2));
         let limit = Duration::from_secs(2);
+        let deciding = node.change_traffic(configure(2), limit);
         let outcome = cluster.world.run_until(timeout(&*clock, limit, deciding));
         assert!(!matches!(outcome, Some(Ok(_))), "acknowledged on full disks: {outcome:?}");
     }
--- a/crates/control/tests/seeded.rs
+++ b/crates/control/tests/seeded.rs
@@ -69,7 +69,8 @@
     fn change(&self, at: usize, change: TrafficChange) -> Option<TrafficOutcome> {
         let node = self.cluster.node(at)?;
         let clock = self.cluster.vms[at].running.borrow().as_ref()?.process.context().clock.clone();
-        let decided = timeout(&*clock, OPERATOR_TIMEOUT, node.change_traffic(change));
+        let decided =
+            timeout(&*clock, OPERATOR_TIMEOUT, node.change_traffic(change, OPERATOR_TIMEOUT));
         match self.cluster.world.run_until(decided) {
             Some(Ok(outcome)) => Some(outcome),
             Some(Err(ChangeError::Stopped { reason })) => panic!("a member stopped: {reason}"),
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -4,5 +4,6 @@
 pub mod cluster;
 pub mod disk;
 pub mod gateways;
+pub mod held_link;
 pub mod history;
 pub mod schedule;
--- a/crates/node/src/config_routes.rs
+++ b/crates/node/src/config_routes.rs
@@ -160,6 +160,7 @@
         ChangeError::Refused { .. } => (StatusCode::CONFLICT, "change_refused"),
         ChangeError::NoLeader => (StatusCode::SERVICE_UNAVAILABLE, "no_leader"),
         ChangeError::Overloaded { .. } => (StatusCode::SERVICE_UNAVAILABLE, "overloaded"),
+        ChangeError::Superseded { .. } => (StatusCode::CONFLICT, "superseded"),
         ChangeError::Stopped { .. } => (StatusCode::SERVICE_UNAVAILABLE, "control_stopped"),
         ChangeError::Unknown { .. } => (StatusCode::GATEWAY_TIMEOUT, "outcome_unknown"),
     };
--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -198,4 +198,9 @@
             Self::Fault { .. } => false,
         }
     }
+
+    /// Returns whether the peer serves no such method, as one of an earlier release may.
+    pub fn is_unknown_method(&self) -> bool {
+        matches!(self, Self::Fault { source } if source.kind == FaultKind::UnknownMethod)
+    }
 }
