Tell an order whose earlier copy may have run as unknown, not as superseded

What operators would see: an evacuation order is forwarded and applied, its reply is lost, and the second copy is rejected, as the first one precedes it. If the process stands still then until its time limit has passed, the order was told as superseded, "not run".

Cause: the error for a passed time limit was that of the last copy, whatever became of the copies before.

Change: once a copy may have been received and was not rejected, the outcome is unknown.

Evidence: the test with a lost reply failed before (Superseded) and passes.

--- a/crates/control/src/consensus/change.rs
+++ b/crates/control/src/consensus/change.rs
@@ -127,7 +127,7 @@
     /// Retries until the log has decided the change, or the deadline has passed. A resend is safe:
     /// a change with an id takes effect at most once, a configuration has a version, and an
     /// evacuation order is rejected if it was superseded. `is_submitted` records whether a leader
-    /// may have received the change.
+    /// may have received the change and not rejected it.
     async fn change_at_leader(
         &self,
         change: ConfigChange,
@@ -141,7 +141,9 @@
             // A process that stood still may get here long after its operator has turned away, with
             // a position that it has observed only now.
             if self.boot() >= deadline {
-                return Err(failure);
+                let reason = "its time limit has passed".to_owned();
+                let unknown = ChangeError::Unknown { reason };
+                return Err(if is_submitted.get() { unknown } else { failure });
             }
             let was_submitted = is_submitted.replace(true);
             let reply = match leader {
--- a/crates/control/tests/orders.rs
+++ b/crates/control/tests/orders.rs
@@ -47,10 +47,16 @@
 
 impl Operator {
     fn started(seed: u64, members: usize) -> Self {
+        Self::with_change_limit(seed, members, Duration::from_secs(5))
+    }
+
+    /// Starts a cluster whose calls to the leader end after half of `change_limit`.
+    fn with_change_limit(seed: u64, members: usize, change_limit: Duration) -> Self {
         let link = Rc::new(HeldLink::new(LINK, seed));
         let mut cluster = Cluster::new(seed, members, 0, Rc::clone(&link) as _);
-        cluster.config = Box::new(|config| {
+        cluster.config = Box::new(move |config| {
             config
+                .change_limit(change_limit)
                 .heartbeat(Duration::from_millis(150))
                 .election_timeout(Duration::from_millis(550), Duration::from_millis(400))
                 .call_limit(Duration::from_millis(450))
@@ -201,6 +207,31 @@
     assert!(operator.is_evacuated(leader, &domain));
 }
 
+/// Guards against an order that is told as not run because a second copy of it was rejected, while
+/// the first one was applied and its reply was lost.
+#[test]
+fn order_with_a_lost_reply_is_not_told_as_not_run() {
+    let operator = Operator::with_change_limit(1, 3, Duration::from_secs(1));
+    let domain = domain("inland-a");
+    let leader = operator.cluster.wait_for_leader();
+    let follower = (leader + 1) % 3;
+    operator.cluster.world.run_for(Duration::from_secs(1));
+    let node = operator.node(follower);
+    let evacuation = TrafficChange::Evacuate { domain: domain.clone(), is_on: true };
+    let mut deciding = pin!(node.change_traffic(evacuation, OPERATOR_TIMEOUT));
+    let mut run_for = |millis| {
+        let limit = Duration::from_millis(millis);
+        operator.cluster.world.run_until(timeout(&*operator.clock, limit, &mut deciding))
+    };
+    assert_eq!(run_for(10), None, "on its way");
+    operator.hold(follower, Duration::from_millis(400));
+    assert_eq!(run_for(600), None, "sent again");
+    operator.cluster.world.run_for(Duration::from_secs(2));
+    assert!(operator.is_evacuated(leader, &domain), "the first copy was applied");
+    let outcome = operator.cluster.world.run_until(deciding);
+    assert!(matches!(outcome, Err(ChangeError::Unknown { .. })), "{outcome:?}");
+}
+
 /// Guards against an older configuration that is held up on its way to the leader and replaces a
 /// newer one.
 #[test]
