--- a/crates/control/tests/orders.rs
+++ b/crates/control/tests/orders.rs
@@ -25,7 +25,7 @@
 /// The maximum time by which a forwarded change is late.
 const MAX_LATENESS: Duration = Duration::from_secs(4);
 
-/// The number of attempts after which an operator lets an order go.
+/// The number of attempts after which an operator gives up on an order.
 const MAX_ATTEMPTS: usize = 20;
 
 /// The default number of seeded histories.
@@ -37,7 +37,7 @@
     link: Rc<HeldLink>,
     random: SeededRandom,
     clock: Rc<dyn Clock>,
-    /// The acknowledged state of each domain, or `None` if an order was let go since.
+    /// The acknowledged state of each domain, or `None` if an order was given up since.
     acknowledged: BTreeMap<FailureDomain, Option<bool>>,
 }
 
--- a/crates/control/tests/support/held_link.rs
+++ b/crates/control/tests/support/held_link.rs
@@ -15,7 +15,7 @@
 /// The time for which a call that its caller has dropped may still reach its handler.
 const WITHDRAWAL_DELAY: Duration = Duration::from_secs(20);
 
-/// Holds messages between pairs of addresses until a given time. A reply that is held up is lost,
+/// Holds messages between two addresses until a given time. A reply that is held up is lost,
 /// as its caller has turned away.
 pub struct HeldLink {
     delay: Duration,
--- a/crates/dispatch/tests/support/phase_simulation.rs
+++ b/crates/dispatch/tests/support/phase_simulation.rs
@@ -187,7 +187,7 @@
         }
     }
 
-    /// Merges what the control processes report, and hands it to the scheduler.
+    /// Merges what the control processes report, and updates the scheduler.
     fn refresh(&mut self, index: usize) {
         let now = at(self.now_ms);
         let is_cut = self.lifecycles[index].cut_ms.contains(&self.now_ms);
