Look up routes of long paths in linear time

A path of 15,000 slashes cost a look-up, and a hash of all before it, for each slash: the square of its length, a quarter of a gigabyte hashed for one legal request. No prefix longer than the longest configured one can match, so only the slashes within that length are tried.

--- a/crates/traffic/src/table.rs
+++ b/crates/traffic/src/table.rs
@@ -9,6 +9,8 @@
 #[derive(Debug, Default)]
 pub struct RouteTable {
     hosts: HashMap<String, HashMap<String, Rc<TrafficRoute>>>,
+    /// Bytes of the longest prefix.
+    longest_prefix: usize,
 }
 
 impl RouteTable {
@@ -23,6 +25,7 @@
             let first = first.name.clone();
             return Err(TrafficError::DuplicateRoute { first, second: route.name });
         }
+        self.longest_prefix = self.longest_prefix.max(route.prefix.len());
         prefixes.insert(route.prefix.clone(), Rc::new(route));
         Ok(())
     }
@@ -30,15 +33,18 @@
     /// Returns the route with the longest prefix that matches `path`. `host` may include a port and
     /// is matched regardless of case.
     ///
-    /// Prefixes end with a slash, so one lookup for each slash in `path` is enough. The cost grows
-    /// with the depth of the path, not with the number of routes.
+    /// Prefixes end with a slash, so one lookup for each slash in `path` is enough, up to the length
+    /// of the longest prefix: each hashes all that is before the slash, so a long path of slashes
+    /// would cost the square of its length.
     pub fn find(&self, host: &str, path: &str) -> Option<&Rc<TrafficRoute>> {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
         let prefixes = match self.hosts.get(name) {
             Some(prefixes) => prefixes,
             None => self.hosts.get(&name.to_ascii_lowercase())?,
         };
-        let slashes = path.rmatch_indices('/');
+        let length = path.len().min(self.longest_prefix);
+        let slashes = path.as_bytes()[..length].iter().enumerate().rev();
+        let slashes = slashes.filter(|(_, byte)| **byte == b'/');
         slashes.map(|(index, _)| &path[..=index]).find_map(|prefix| prefixes.get(prefix))
     }
 
