Bound connections to the peer port that do not identify themselves

Sessions were counted before their handshake, so 1,024 strangers that sent nothing made real peers be refused as over the limit, and an accept loop that always found a connection held up all timers. Now only sessions count, 256 connections at most are in their handshake, of which the oldest gives way, and accepting pauses for a timer after 32 connections.

--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -15,6 +15,7 @@
     snafu::{ResultExt, Snafu},
     std::{
         cell::{Cell, RefCell},
+        collections::BTreeMap,
         io,
         net::SocketAddr,
         pin::pin,
@@ -36,6 +37,16 @@
 /// Delay after a failed accept. The usual cause is a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Connections accepted before other tasks and timers have their turn.
+const ACCEPTS_PER_TURN: usize = 32;
+
+/// Pause after so many.
+const TURN_PAUSE: Duration = Duration::from_millis(1);
+
+/// Connections that may be in their handshake at once. A further one takes the place of the oldest,
+/// so that strangers that never identify themselves do not keep peers out.
+const HANDSHAKE_LIMIT: usize = 256;
+
 /// State shared by all sessions of a server.
 struct ServerShared {
     config: PeerConfig,
@@ -43,6 +54,29 @@
     clock: Rc<HybridClock>,
     handlers: Rc<HandlerTable>,
     sessions: Cell<usize>,
+    handshakes: RefCell<PendingHandshakes>,
+}
+
+/// Connections that have not identified themselves yet, by age.
+#[derive(Default)]
+struct PendingHandshakes {
+    by_age: BTreeMap<u64, SignalSource>,
+    next_id: u64,
+}
+
+impl PendingHandshakes {
+    /// Adds a connection, and returns its id and the signal that it has to give way.
+    fn add(&mut self) -> (u64, Signal) {
+        if self.by_age.len() >= HANDSHAKE_LIMIT {
+            // Dropping a signal source raises its signal.
+            drop(self.by_age.pop_first());
+        }
+        let (source, evicted) = signal();
+        let id = self.next_id;
+        self.next_id += 1;
+        self.by_age.insert(id, source);
+        (id, evicted)
+    }
 }
 
 /// Accepts sessions of peers and serves their calls.
@@ -105,7 +139,14 @@
         let (stop_source, stop) = signal();
         let (abort_source, abort) = signal();
         let (finished_source, finished) = signal();
-        let shared = ServerShared { config, context, clock, handlers, sessions: Cell::new(0) };
+        let shared = ServerShared {
+            config,
+            context,
+            clock,
+            handlers,
+            sessions: Cell::new(0),
+            handshakes: RefCell::default(),
+        };
         Ok(Self {
             listener,
             address,
@@ -154,14 +195,17 @@
     session_guard: mpsc::Sender<()>,
 ) {
     loop {
-        match listener.accept().await {
-            Ok((stream, from)) => {
-                let session =
-                    ServerSession { shared: shared.clone(), stop: signals.stop.clone(), from };
-                start_session(session, stream, signals.abort.clone(), session_guard.clone());
+        for _ in 0..ACCEPTS_PER_TURN {
+            match listener.accept().await {
+                Ok((stream, from)) => {
+                    let session =
+                        ServerSession { shared: shared.clone(), stop: signals.stop.clone(), from };
+                    start_session(session, stream, signals.abort.clone(), session_guard.clone());
+                }
+                Err(_) => shared.context.clock.sleep(ACCEPT_RETRY_DELAY).await,
             }
-            Err(_) => shared.context.clock.sleep(ACCEPT_RETRY_DELAY).await,
         }
+        shared.context.clock.sleep(TURN_PAUSE).await;
     }
 }
 
--- a/crates/peer/src/server/session.rs
+++ b/crates/peer/src/server/session.rs
@@ -63,7 +63,6 @@
 impl ServerSession {
     /// Performs the handshake on `stream` and serves calls until either side ends the session.
     pub(super) async fn run(self, stream: TcpStream) {
-        let count_guard = SessionCountGuard::new(&self.shared);
         if stream.set_nodelay(true).is_err() {
             return;
         }
@@ -74,12 +73,21 @@
             self.shared.config.connect_timeout,
             self.accept_handshake(stream),
         );
-        let Some(Some((mut connection, handshake_result))) = pending_handshake.await else {
+        let (id, evicted) = self.shared.handshakes.borrow_mut().add();
+        let handshake = match select(pin!(pending_handshake), pin!(evicted.raised())).await {
+            Either::Left((handshake, _)) => handshake.flatten(),
+            Either::Right(_) => None,
+        };
+        self.shared.handshakes.borrow_mut().by_age.remove(&id);
+        let Some((mut connection, handshake_result)) = handshake else {
             self.emit(EventDraft::new("peer.handshake_lost").field("address", self.from));
             return;
         };
         match handshake_result {
-            Ok(peer) => self.serve(connection, peer, last_received).await,
+            Ok(peer) => {
+                let _counted = SessionCountGuard::new(&self.shared);
+                self.serve(connection, peer, last_received).await;
+            }
             Err(refusal) => {
                 let event = EventDraft::new("peer.refused").field("address", self.from);
                 self.emit(event.error("reason", &refusal));
@@ -89,7 +97,6 @@
                 timeout(clock, REFUSAL_LINGER, closed).await;
             }
         }
-        drop(count_guard);
     }
 
     async fn accept_handshake(
@@ -156,7 +163,7 @@
 
     fn admit(&self, hello: &Hello) -> Result<(), SessionRefusal> {
         let limit = self.shared.config.session_limit;
-        if self.shared.sessions.get() > limit {
+        if self.shared.sessions.get() >= limit {
             return Err(SessionRefusal::Busy { limit });
         }
         validate_hello(hello, &self.shared.config)
