Serve heads with more than 100 fields

A request with 300 short fields, well inside the configured limit on its head, got 431: `hyper` and the check before it read 100 fields. A longer head is split: `hyper` reads the lines by which it frames the request, and the handler gets all fields beside it. The number of fields is bounded by the size of the head alone.

--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -54,10 +54,13 @@
         let stream = self.guarded(MonoioIo::new(stream), &exchange, &share);
         let server = ExchangeServer { shared: self.shared, remote: self.remote, exchange, share };
         let server = Rc::new(server);
-        let service = service_fn(|request| {
+        let service = service_fn(|mut request: Request<Incoming>| {
             // Taken here and not in the future: this runs as soon as the head is parsed, so a
             // refusal cannot be taken for that of another request.
             let refusal = server.exchange.take_refusal();
+            if let Some(headers) = server.exchange.take_headers() {
+                *request.headers_mut() = headers;
+            }
             let server = Rc::clone(&server);
             // Boxed, so that it is freed when the reply begins: `hyper` keeps the place of this
             // future for as long as the connection lives.
--- a/crates/http/src/server/exchange.rs
+++ b/crates/http/src/server/exchange.rs
@@ -3,6 +3,7 @@
 
 use {
     crate::ApiError,
+    http::HeaderMap,
     std::{
         cell::{Cell, RefCell},
         task::{Context, Waker},
@@ -18,6 +19,8 @@
     last: Cell<bool>,
     /// Why the head handed on is a substitute.
     refusal: RefCell<Option<ApiError>>,
+    /// The headers of the head handed on, if it names only some of them.
+    headers: RefCell<Option<HeaderMap>>,
     /// Whoever waits for the end of the request in progress.
     waiter: RefCell<Option<Waker>>,
 }
@@ -33,6 +36,15 @@
         self.last.set(last);
     }
 
+    /// Notes all headers of the next head handed on.
+    pub(crate) fn set_headers(&self, headers: HeaderMap) {
+        self.headers.replace(Some(headers));
+    }
+
+    pub(crate) fn take_headers(&self) -> Option<HeaderMap> {
+        self.headers.take()
+    }
+
     /// Notes that the reply is complete, or given up.
     pub(crate) fn end(&self) {
         self.active.set(false);
--- a/crates/http/src/server/guard.rs
+++ b/crates/http/src/server/guard.rs
@@ -162,13 +162,20 @@
 
     fn check(&mut self, end: usize) {
         match check_head(&self.buffer[..end], self.parts.config.body_limit) {
-            Ok(framing) => {
-                self.parts.exchange.begin(framing == BodyFraming::Chunked);
+            Ok(checked) => {
+                self.parts.exchange.begin(checked.framing == BodyFraming::Chunked);
                 self.cleared = end;
+                if let Some(split) = checked.split {
+                    self.parts.exchange.set_headers(split.headers);
+                    let rest = self.buffer.split_off(end);
+                    self.buffer = split.essential;
+                    self.cleared = self.buffer.len();
+                    self.buffer.unsplit(rest);
+                }
                 self.searched = 0;
                 self.skipped = 0;
                 self.read_timer = None;
-                self.phase = match framing {
+                self.phase = match checked.framing {
                     BodyFraming::Length(length) => after_body(length),
                     BodyFraming::Chunked => ReadPhase::Rest,
                 };
--- a/crates/http/src/server/head.rs
+++ b/crates/http/src/server/head.rs
@@ -7,12 +7,20 @@
 
 use {
     crate::ApiError,
-    http::{Method, StatusCode, Uri},
+    bytes::{BufMut, BytesMut},
+    http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri},
     httparse::{EMPTY_HEADER, Header, Status},
 };
 
-/// The most headers of a request.
-const HEADER_LIMIT: usize = 100;
+/// The most headers that `hyper` reads. A head with more is split.
+const HYPER_HEADERS: usize = 100;
+
+/// The headers by which `hyper` frames a request and keeps its connection.
+const ESSENTIAL_HEADERS: [&str; 5] =
+    ["host", "content-length", "transfer-encoding", "connection", "expect"];
+
+/// The most lines of one essential header that `hyper` sees of a split head.
+const ESSENTIAL_LINES: usize = 8;
 
 /// How the body that follows a head is framed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,15 +31,78 @@
     Chunked,
 }
 
-/// Checks a whole head, empty line included, and says how its body is framed.
-pub(crate) fn check_head(head: &[u8], body_limit: u64) -> Result<BodyFraming, ApiError> {
-    let mut headers = [EMPTY_HEADER; HEADER_LIMIT];
+/// A head that may be handed on.
+#[derive(Debug)]
+pub(crate) struct CheckedHead {
+    pub(crate) framing: BodyFraming,
+    /// Set if the head has more headers than `hyper` reads.
+    pub(crate) split: Option<SplitHead>,
+}
+
+/// A head in two parts.
+#[derive(Debug)]
+pub(crate) struct SplitHead {
+    /// The head that `hyper` reads.
+    pub(crate) essential: BytesMut,
+    /// All headers.
+    pub(crate) headers: HeaderMap,
+}
+
+/// Checks a whole head, empty line included. The number of headers is bounded only by the size of
+/// the head.
+pub(crate) fn check_head(head: &[u8], body_limit: u64) -> Result<CheckedHead, ApiError> {
+    let mut headers = [EMPTY_HEADER; HYPER_HEADERS];
     let mut request = httparse::Request::new(&mut headers);
     match request.parse(head) {
-        Ok(Status::Complete(_)) => (),
-        Ok(Status::Partial) => return Err(malformed("an empty line stands inside it")),
-        Err(httparse::Error::TooManyHeaders) => return Err(too_many_headers()),
-        Err(error) => return Err(malformed(&error.to_string())),
+        Ok(status) => {
+            let framing = check_request(&request, status, body_limit)?;
+            Ok(CheckedHead { framing, split: None })
+        }
+        Err(httparse::Error::TooManyHeaders) => check_long_head(head, body_limit),
+        Err(error) => Err(malformed(&error.to_string())),
+    }
+}
+
+fn check_long_head(head: &[u8], body_limit: u64) -> Result<CheckedHead, ApiError> {
+    let lines = head.iter().filter(|byte| **byte == b'\n').count();
+    let mut headers = vec![EMPTY_HEADER; lines];
+    let mut request = httparse::Request::new(&mut headers);
+    let status = request.parse(head).map_err(|error| malformed(&error.to_string()))?;
+    let framing = check_request(&request, status, body_limit)?;
+    Ok(CheckedHead { framing, split: Some(SplitHead::new(head, request.headers)?) })
+}
+
+impl SplitHead {
+    fn new(head: &[u8], headers: &[Header<'_>]) -> Result<Self, ApiError> {
+        let first_line = head.iter().position(|byte| *byte == b'\n').map_or(0, |end| end + 1);
+        let mut essential = BytesMut::from(&head[..first_line]);
+        for name in ESSENTIAL_HEADERS {
+            for value in values(headers, name).take(ESSENTIAL_LINES) {
+                for part in [name.as_bytes(), b": ", value, b"\r\n"] {
+                    essential.put_slice(part);
+                }
+            }
+        }
+        essential.put_slice(b"\r\n");
+        let mut all = HeaderMap::new();
+        for header in headers {
+            let name = HeaderName::from_bytes(header.name.as_bytes());
+            let name = name.map_err(|error| malformed(&error.to_string()))?;
+            let value = HeaderValue::from_bytes(header.value);
+            let value = value.map_err(|error| malformed(&error.to_string()))?;
+            all.try_append(name, value).map_err(|_| too_many_headers(headers.len()))?;
+        }
+        Ok(Self { essential, headers: all })
+    }
+}
+
+fn check_request(
+    request: &httparse::Request<'_, '_>,
+    status: Status<usize>,
+    body_limit: u64,
+) -> Result<BodyFraming, ApiError> {
+    if status.is_partial() {
+        return Err(malformed("an empty line stands inside it"));
     }
     check_method(request.method.unwrap_or_default())?;
     check_target(request.path.unwrap_or_default())?;
@@ -129,10 +200,10 @@
     )
 }
 
-fn too_many_headers() -> ApiError {
+fn too_many_headers(count: usize) -> ApiError {
     ApiError::new(
         StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
         "too_many_headers",
-        format!("the request has more than {HEADER_LIMIT} headers; send fewer"),
+        format!("the request has {count} headers, more than can be kept; send fewer"),
     )
 }
