Apply the limits of the configuration in force to callers

`TrafficConfig::limits()` had no reader: a body of `maxBodyBytes` + 1 and a head of 40,000 bytes were served, and the times for heads and idle connections did nothing. The gateway sets them for its port for callers with each configuration; the sizes apply beside the server's own bounds, and a head may be 4 KiB longer for its first line.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -17,6 +17,7 @@
 mod event_boundary;
 mod headers;
 mod request;
+mod request_limits;
 mod server;
 
 pub use api_error::{ApiError, RunState};
@@ -29,4 +30,5 @@
 pub use event_boundary::{EventBoundary, MAX_EVENT_BYTES};
 pub use headers::strip_hop_by_hop;
 pub use request::RequestBody;
+pub use request_limits::{RequestLimits, SharedLimits};
 pub use server::{BindError, HttpServer, RequestHandler, ServerConfig, StopHandle};
--- a/crates/http/src/server/config.rs
+++ b/crates/http/src/server/config.rs
@@ -1,10 +1,14 @@
 //! Bounds of a server.
 
-use std::time::Duration;
+use {
+    crate::{RequestLimits, SharedLimits},
+    std::time::Duration,
+};
 
 /// The bounds of a server; each method sets one of them.
 #[derive(Clone, Debug)]
 pub struct ServerConfig {
+    pub(crate) limits: SharedLimits,
     pub(crate) head_limit: usize,
     pub(crate) head_timeout: Duration,
     pub(crate) idle_timeout: Duration,
@@ -22,6 +26,7 @@
 impl Default for ServerConfig {
     fn default() -> Self {
         Self {
+            limits: SharedLimits::default(),
             head_limit: 64 << 10,
             head_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(75),
@@ -44,6 +49,28 @@
         Self::default()
     }
 
+    /// Limits that apply once they are set: the sizes beside those of this configuration, the times
+    /// in place of them.
+    pub fn shared_limits(mut self, limits: &SharedLimits) -> Self {
+        self.limits = limits.clone();
+        self
+    }
+
+    /// The limits on requests in force.
+    pub(crate) fn request_limits(&self) -> RequestLimits {
+        let own = RequestLimits {
+            head_bytes: self.head_limit,
+            body_bytes: self.body_limit,
+            head_timeout: self.head_timeout,
+            idle_timeout: self.idle_timeout,
+        };
+        self.limits.get().map_or(own, |shared| RequestLimits {
+            head_bytes: shared.head_bytes.min(own.head_bytes),
+            body_bytes: shared.body_bytes.min(own.body_bytes),
+            ..shared
+        })
+    }
+
     /// The most bytes of a request's head; at least 8,192. Default 64 KiB; over it: 431.
     pub fn head_limit(mut self, bytes: usize) -> Self {
         self.head_limit = bytes.max(8 << 10);
--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -153,7 +153,7 @@
         let config = &self.shared.config;
         ReadBounds {
             clock: Rc::clone(&self.shared.context.clock),
-            size: config.body_limit,
+            size: config.request_limits().body_bytes,
             pause: config.body_timeout,
             total: config.body_total_timeout,
         }
--- a/crates/http/src/server/guard.rs
+++ b/crates/http/src/server/guard.rs
@@ -15,7 +15,7 @@
         scratch::ScratchBuffer,
         stop::OnceSignal,
     },
-    crate::{ApiError, ServerConfig},
+    crate::{ApiError, RequestLimits, ServerConfig},
     bytes::{Buf, BytesMut},
     gullglade_units::{Clock, LocalFuture},
     hyper::rt::{Read, ReadBufCursor, Write},
@@ -132,6 +132,10 @@
         self.read_timer = None;
     }
 
+    fn limits(&self) -> RequestLimits {
+        self.parts.config.request_limits()
+    }
+
     /// Clears for handing on what the buffer holds of the phase's message.
     fn clear(&mut self) {
         match self.phase {
@@ -154,7 +158,7 @@
 
     fn clear_head(&mut self) {
         self.skip_empty_lines();
-        let limit = self.parts.config.head_limit;
+        let limit = self.limits().head_bytes;
         if self.skipped > EMPTY_LINE_BYTES {
             return self.refuse(refusal::empty_lines(EMPTY_LINE_BYTES));
         }
@@ -166,7 +170,7 @@
     }
 
     fn check(&mut self, end: usize) {
-        match check_head(&self.buffer[..end], self.parts.config.body_limit) {
+        match check_head(&self.buffer[..end], self.limits().body_bytes) {
             Ok(checked) => {
                 self.parts.exchange.begin(checked.framing == BodyFraming::Chunked);
                 self.cleared = end;
@@ -235,7 +239,7 @@
             return Poll::Ready(self.end_wait(wait, refusal::stopping()));
         }
         ready!(self.poll_read_timer(wait, context));
-        Poll::Ready(self.end_wait(wait, refusal::head_timeout(self.parts.config.head_timeout)))
+        Poll::Ready(self.end_wait(wait, refusal::head_timeout(self.limits().head_timeout)))
     }
 
     fn end_wait(&mut self, wait: ReadWait, error: ApiError) -> bool {
@@ -257,8 +261,8 @@
         let started = self.read_timer.take().filter(|timer| timer.wait == wait);
         let timer = started.unwrap_or_else(|| {
             let limit = match wait {
-                ReadWait::Idle => self.parts.config.idle_timeout,
-                ReadWait::Head => self.parts.config.head_timeout,
+                ReadWait::Idle => self.limits().idle_timeout,
+                ReadWait::Head => self.limits().head_timeout,
             };
             ReadTimer { wait, sleep: self.parts.clock.sleep(limit) }
         });
@@ -267,7 +271,7 @@
 
     /// Whether the buffer may take more: beyond a whole head only so much that a hang-up is seen.
     fn has_room(&self) -> bool {
-        let limit = if self.phase == ReadPhase::Ended { 0 } else { self.parts.config.head_limit };
+        let limit = if self.phase == ReadPhase::Ended { 0 } else { self.limits().head_bytes };
         self.buffer.len() <= limit
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod deferred_handler;
 mod error;
 mod held_requests;
+mod listener_resources;
 mod node;
 mod operator;
 mod proxy_node;
--- a/crates/node/src/proxy_node.rs
+++ b/crates/node/src/proxy_node.rs
@@ -5,6 +5,7 @@
         StartError,
         core::{CoreSettings, NodeCore, http_server},
         error::NoticeStart,
+        listener_resources::request_limits,
         scheduler_inputs::SchedulerInputs,
     },
     gullglade_dispatch::{FirstByteTimes, RegionInfo, Scheduler, SchedulerSettings},
@@ -13,7 +14,9 @@
         FleetFollower, FollowerParts, GatewayPhase, GatewayProfile, RegionOffer, ServiceOffer,
         VmCapacity,
     },
-    gullglade_http::{ClientConfig, PooledClient, RequestHandler, ServerConfig, StopHandle},
+    gullglade_http::{
+        ClientConfig, PooledClient, RequestHandler, ServerConfig, SharedLimits, StopHandle,
+    },
     gullglade_peer::{NoticeSocket, PeerPool, PeerStopHandle},
     gullglade_poison::{CrashTrackerSettings, SharedCrashTracker},
     gullglade_proxy::{BackendDialect, Dispatcher, ForwardServer, Proxy, ProxyParts},
@@ -86,6 +89,8 @@
     pool: Rc<PeerPool>,
     peer_stop: PeerStopHandle,
     caller_stops: RefCell<Vec<StopHandle>>,
+    /// Limits of the configuration in force on callers' requests.
+    caller_limits: SharedLimits,
 }
 
 impl ProxyNode {
@@ -150,6 +155,7 @@
             pool: core.pool,
             peer_stop: core.server.stop_handle(),
             caller_stops: RefCell::default(),
+            caller_limits: SharedLimits::default(),
             settings,
             context,
         });
@@ -204,6 +210,7 @@
             .read(|view| SchedulerInputs::read(view, &self.settings.core.identity.region, now));
         self.dispatcher.update_scheduler(|scheduler, now| {
             if let Some(traffic) = self.fleet.traffic() {
+                self.caller_limits.set(request_limits(traffic.config.limits()));
                 let services = traffic.config.services().cloned();
                 scheduler.set_configuration(services, &traffic.evacuated, now);
             }
@@ -264,13 +271,15 @@
         self.fleet.phase() == GatewayPhase::Ready
     }
 
-    /// Serves callers at `address` with `handler` until shutdown.
+    /// Serves callers at `address` with `handler` until shutdown, within the limits of the
+    /// configuration in force.
     pub fn serve_callers(
         &self,
         address: SocketAddr,
         config: ServerConfig,
         handler: Rc<dyn RequestHandler>,
     ) -> Result<(), StartError> {
+        let config = config.shared_limits(&self.caller_limits);
         let server = http_server("callers'", address, config, &self.context, handler)?;
         self.caller_stops.borrow_mut().push(server.stop_handle());
         self.spawn(server.run());
