Bound the memory of all bodies and unread replies together

Gateways and control processes were killed over their memory by bodies of legal size (120 of 4 MiB at once, whole or not, with or without a route; 300 configurations without their last byte), by whole replies that callers did not read, and by replies collected for HTTP/1.0: each was bounded by itself, nothing bounded the sum. Without room: 503 `no_memory`, not run. A request without a route is refused before its body is read, and a body must arrive within the caller's deadline and the route's timeout.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -10,6 +10,9 @@
     std::{fmt, pin::Pin, time::Duration},
 };
 
+/// When a body for which there was no memory may be sent again.
+const NO_MEMORY_RETRY: Duration = Duration::from_secs(1);
+
 /// A boxed stream of body pieces, of this thread.
 pub type LocalStream = Pin<Box<dyn Stream<Item = Result<Bytes, BodyError>>>>;
 
@@ -42,6 +45,11 @@
         /// What ended it.
         reason: String,
     },
+    /// The bodies of all requests use the memory that they may have.
+    #[snafu(display(
+        "this VM has no memory left for the body; send it again later, or to another VM"
+    ))]
+    NoMemory,
     /// Whoever produces the body gave it up; the connection is broken off so that the receiver
     /// sees that it is not whole.
     #[snafu(display("the body was given up by its producer: {reason}"))]
@@ -73,6 +81,14 @@
             BodyError::Malformed { .. } => (StatusCode::BAD_REQUEST, "body_malformed"),
             BodyError::Timeout { .. } => (StatusCode::REQUEST_TIMEOUT, "body_timeout"),
             BodyError::Incomplete { .. } => (StatusCode::BAD_REQUEST, "body_incomplete"),
+            BodyError::NoMemory => {
+                return ApiError::new(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "no_memory",
+                    error.to_string(),
+                )
+                .retry_after(NO_MEMORY_RETRY);
+            }
             BodyError::Aborted { .. } => (StatusCode::BAD_GATEWAY, "body_aborted"),
         };
         ApiError::new(status, kind, error.to_string())
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod api_error;
 mod body;
+mod body_budget;
 mod client;
 mod event_boundary;
 mod headers;
@@ -22,6 +23,7 @@
 
 pub use api_error::{ApiError, RunState};
 pub use body::{BodyError, LocalStream, ReplyBody};
+pub use body_budget::{BodyBudget, BodyLease, BodyUpload};
 pub use client::{
     ClientBody, ClientConfig, ClientError, ClientReply, CorrelationKey, ExchangeTrace,
     FreshConnection, HeadTimeout, HttpClient, KeptWithin, PooledClient, SendPermit, UnframedBody,
--- a/crates/http/src/server/accept.rs
+++ b/crates/http/src/server/accept.rs
@@ -95,7 +95,7 @@
         self.address
     }
 
-    /// A function that returns how many bytes of streamed replies the server holds because callers
+    /// A function that returns how many bytes of replies the server holds because callers
     /// have not read them.
     pub fn unread_bytes(&self) -> impl Fn() -> usize + 'static {
         let buffers = Rc::clone(&self.shared.buffers);
--- a/crates/http/src/server/config.rs
+++ b/crates/http/src/server/config.rs
@@ -1,14 +1,15 @@
 //! Bounds of a server.
 
 use {
-    crate::{RequestLimits, SharedLimits},
+    crate::{BodyBudget, RequestLimits, SharedLimits},
     std::time::Duration,
 };
 
 /// The bounds of a server; each method sets one of them.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct ServerConfig {
     pub(crate) limits: SharedLimits,
+    pub(crate) body_budget: Option<BodyBudget>,
     pub(crate) head_limit: usize,
     pub(crate) head_timeout: Duration,
     pub(crate) idle_timeout: Duration,
@@ -27,6 +28,7 @@
     fn default() -> Self {
         Self {
             limits: SharedLimits::default(),
+            body_budget: None,
             head_limit: 64 << 10,
             head_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(75),
@@ -56,6 +58,13 @@
         self
     }
 
+    /// Memory for the bodies that handlers collect, and for replies to HTTP/1.0. Default: no bound
+    /// on their sum. Without room for a body: 503.
+    pub fn body_budget(mut self, budget: &BodyBudget) -> Self {
+        self.body_budget = Some(budget.clone());
+        self
+    }
+
     /// The limits on requests in force.
     pub(crate) fn request_limits(&self) -> RequestLimits {
         let own = RequestLimits {
@@ -116,7 +125,7 @@
         self
     }
 
-    /// The most bytes of streamed replies that the server holds in sum because callers have not
+    /// The most bytes of replies that the server holds in sum because callers have not
     /// read them, apart from one piece for each connection. Default 32 MiB, a quarter of the
     /// memory of a small VM; over it no more is taken from the producers of the replies.
     pub fn unread_limit(mut self, bytes: usize) -> Self {
--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -9,9 +9,10 @@
         wire_body::WireBody,
     },
     crate::{
-        ApiError, ClientBody, ReplyBody, RequestBody, RunState, request::ReadBounds,
-        strip_hop_by_hop,
+        ApiError, BodyBudget, BodyError, ClientBody, LocalStream, ReplyBody, RequestBody, RunState,
+        request::ReadBounds, strip_hop_by_hop,
     },
+    bytes::{Bytes, BytesMut},
     gullglade_units::LocalFuture,
     http::{
         HeaderValue, Method, Request, Response, StatusCode, Version,
@@ -123,7 +124,7 @@
             }
         };
         let response = match version {
-            Version::HTTP_10 => without_chunks(response, self.shared.config.body_limit).await,
+            Version::HTTP_10 => self.without_chunks(response).await,
             _ => response,
         };
         self.outgoing(&method, response)
@@ -153,30 +154,53 @@
         let config = &self.shared.config;
         ReadBounds {
             clock: Rc::clone(&self.shared.context.clock),
+            budget: config.body_budget.clone(),
             size: config.request_limits().body_bytes,
             pause: config.body_timeout,
             total: config.body_total_timeout,
         }
     }
-}
 
-/// The reply with its stream collected. HTTP/1.0 has no chunks, so a stream would end with the
-/// connection, and one that broke would look whole to the caller.
-async fn without_chunks(response: Response<ReplyBody>, limit: u64) -> Response<ReplyBody> {
-    let (head, body) = response.into_parts();
-    let stream = match body {
-        ReplyBody::Full(_) => return Response::from_parts(head, body),
-        ReplyBody::Stream(stream) => stream,
-    };
-    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    match ClientBody::from_stream(stream).collect(limit).await {
-        Ok(bytes) => Response::from_parts(head, ReplyBody::full(bytes)),
-        Err(error) => {
-            let run = head.headers.get(RunState::HEADER).and_then(RunState::from_value);
-            let message = format!("{error}; replies of unknown length need HTTP/1.1, use that");
-            ApiError::new(StatusCode::BAD_GATEWAY, "reply_broken", message)
-                .run(run.unwrap_or(RunState::Unknown))
-                .into_response()
+    /// The reply with its stream collected. HTTP/1.0 has no chunks, so a stream would end with the
+    /// connection, and one that broke would look whole to the caller.
+    async fn without_chunks(&self, response: Response<ReplyBody>) -> Response<ReplyBody> {
+        let (head, body) = response.into_parts();
+        let stream = match body {
+            ReplyBody::Full(_) => return Response::from_parts(head, body),
+            ReplyBody::Stream(stream) => stream,
+        };
+        match self.collect(stream).await {
+            Ok(bytes) => Response::from_parts(head, ReplyBody::full(bytes)),
+            Err(error) => {
+                let run = head.headers.get(RunState::HEADER).and_then(RunState::from_value);
+                let message = format!("{error}; replies of unknown length need HTTP/1.1, use that");
+                ApiError::new(StatusCode::BAD_GATEWAY, "reply_broken", message)
+                    .run(run.unwrap_or(RunState::Unknown))
+                    .into_response()
+            }
+        }
+    }
+
+    /// Collects a reply, whose memory counts like that of a request's body.
+    async fn collect(&self, stream: LocalStream) -> Result<Bytes, BodyError> {
+        let config = &self.shared.config;
+        let mut lease = config.body_budget.as_ref().map(BodyBudget::lease);
+        let mut body = ClientBody::from_stream(stream);
+        let mut whole = BytesMut::new();
+        while let Some(piece) = body.next().await {
+            let piece = piece?;
+            let size = whole.len() + piece.len();
+            if size as u64 > config.body_limit {
+                return Err(BodyError::TooLarge { limit: config.body_limit });
+            }
+            if let Some(lease) = &mut lease {
+                lease.grow_to(size.next_power_of_two())?;
+            }
+            whole.extend_from_slice(&piece);
         }
+        Ok(match lease {
+            Some(lease) => lease.attach(whole.freeze()),
+            None => whole.freeze(),
+        })
     }
 }
--- a/crates/http/src/server/reply_buffers.rs
+++ b/crates/http/src/server/reply_buffers.rs
@@ -6,7 +6,7 @@
     task::{Context, Waker},
 };
 
-/// The bytes that a server holds of streamed replies.
+/// The bytes that a server holds of replies.
 ///
 /// While they exceed the limit, only connections that hold nothing take a further piece, so every
 /// caller who reads makes progress, and the sum exceeds the limit by one piece a connection at
--- a/crates/http/src/server/wire_body.rs
+++ b/crates/http/src/server/wire_body.rs
@@ -12,6 +12,9 @@
     },
 };
 
+/// The most bytes of a whole reply that are taken at once: `hyper` copies what it takes.
+const SLICE_BYTES: usize = 16 << 10;
+
 /// Hands a [`ReplyBody`] to `hyper` piece by piece; its drop is the end of the exchange.
 pub(crate) struct WireBody {
     body: ReplyBody,
@@ -42,16 +45,13 @@
         let Self { body, share, .. } = &mut *self;
         let piece = match body {
             ReplyBody::Full(bytes) if bytes.is_empty() => None,
-            ReplyBody::Full(bytes) => Some(Ok(std::mem::take(bytes))),
-            ReplyBody::Stream(_) if !share.may_take(context) => return Poll::Pending,
-            ReplyBody::Stream(stream) => {
-                let piece = ready!(stream.as_mut().poll_next(context));
-                if let Some(Ok(bytes)) = &piece {
-                    share.take(bytes.len());
-                }
-                piece
-            }
+            _ if !share.may_take(context) => return Poll::Pending,
+            ReplyBody::Full(bytes) => Some(Ok(bytes.split_to(bytes.len().min(SLICE_BYTES)))),
+            ReplyBody::Stream(stream) => ready!(stream.as_mut().poll_next(context)),
         };
+        if let Some(Ok(bytes)) = &piece {
+            share.take(bytes.len());
+        }
         Poll::Ready(piece.map(|result| result.map(Frame::data)))
     }
 
--- a/crates/http/tests/http/main.rs
+++ b/crates/http/tests/http/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the HTTP server and client over loopback, one runtime for each test.
 
+mod budget;
 mod client;
 mod common;
 mod driver;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -29,6 +29,7 @@
 pub use core::CoreSettings;
 pub use error::StartError;
 pub use held_requests::{HeldError, HeldRequests, HeldRow};
+pub use listener_resources::ListenerResources;
 pub use node::{GatewayNode, NodeAddresses};
 pub use operator::{OperatorPort, OperatorRoute};
 pub use proxy_node::{ProxyNode, ProxyNodeSettings};
--- a/crates/node/src/proxy_node.rs
+++ b/crates/node/src/proxy_node.rs
@@ -15,7 +15,8 @@
         VmCapacity,
     },
     gullglade_http::{
-        ClientConfig, PooledClient, RequestHandler, ServerConfig, SharedLimits, StopHandle,
+        BodyBudget, ClientConfig, PooledClient, RequestHandler, ServerConfig, SharedLimits,
+        StopHandle,
     },
     gullglade_peer::{NoticeSocket, PeerPool, PeerStopHandle},
     gullglade_poison::{CrashTrackerSettings, SharedCrashTracker},
@@ -73,6 +74,8 @@
     pub regions: BTreeSet<RegionName>,
     /// Configuration of the HTTP client for backend servers.
     pub client: ClientConfig,
+    /// Memory for the bodies of requests and buffered responses.
+    pub body_budget: BodyBudget,
     /// Grace period for shutdown.
     pub grace: Duration,
 }
@@ -140,6 +143,7 @@
             tolerance: settings.tolerance,
             regions: settings.regions.clone(),
             fingerprint_key: settings.core.peer.derived_key(FINGERPRINT_KEY_PURPOSE).into(),
+            body_budget: settings.body_budget.clone(),
             events: Rc::clone(&events),
             metrics: Rc::clone(&core.metrics),
         });
@@ -291,9 +295,9 @@
     pub fn serve_operators(
         &self,
         address: SocketAddr,
+        config: ServerConfig,
         handler: Rc<dyn RequestHandler>,
     ) -> Result<(), StartError> {
-        let config = ServerConfig::new();
         let server = http_server("operators'", address, config, &self.context, handler)?;
         self.spawn(server.run());
         Ok(())
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -54,5 +54,5 @@
     gateway_choice::{GatewayOption, choose_gateways},
     hint_batching::batch_delay,
     hints::{decode_notice, encode_notices},
-    proxy::{Proxy, ProxyParts},
+    proxy::{Proxy, ProxyParts, RouteLookup},
 };
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -20,7 +20,7 @@
     gullglade_dispatch::{PathChange, STALL_CHECK_INTERVAL, Scheduler},
     gullglade_event::{EventDraft, EventSink, Level, MetricSet},
     gullglade_fleet::{ActiveTraffic, FleetFollower},
-    gullglade_http::{HttpClient, ReplyBody},
+    gullglade_http::{ApiError, BodyBudget, BodyError, HttpClient, ReplyBody},
     gullglade_peer::{NoticeSender, PeerTransport},
     gullglade_poison::{FingerprintKey, SharedCrashTracker},
     gullglade_quota::QuotaTolerance,
@@ -56,6 +56,8 @@
     pub tolerance: QuotaTolerance,
     /// Regions of the deployment; which of them have gateways is discovered.
     pub regions: BTreeSet<RegionName>,
+    /// Memory for responses that are buffered before the first byte is relayed.
+    pub body_budget: BodyBudget,
     /// Sink for log events.
     pub events: Rc<dyn EventSink>,
     /// Counters and histograms.
@@ -119,6 +121,20 @@
     }
 }
 
+/// What the head of a request says about its route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteLookup {
+    /// This gateway has no configuration yet.
+    Unconfigured,
+    /// No route matches the request.
+    Unrouted,
+    /// A route matches, which limits the time of its requests.
+    Routed {
+        /// Longest time for which a request may be kept waiting.
+        timeout: Duration,
+    },
+}
+
 /// Serves callers' requests.
 #[derive(Clone)]
 pub struct Proxy {
@@ -215,6 +231,28 @@
         }));
     }
 
+    /// Looks up the route of a request whose body has not been read.
+    pub fn look_up(&self, host: &str, path: &str) -> RouteLookup {
+        let Some(traffic) = self.traffic() else { return RouteLookup::Unconfigured };
+        match traffic.config.routes().find(host, path) {
+            Some(route) => RouteLookup::Routed { timeout: route.timeout },
+            None => RouteLookup::Unrouted,
+        }
+    }
+
+    /// Refuses a request that [`look_up`](Self::look_up) found no route for.
+    pub fn refuse_unrouted(&self, id: &CallerRequestId) -> Response<ReplyBody> {
+        self.log_refused(id, RequestError::NoRoute, Duration::ZERO);
+        RequestError::NoRoute.into_response(self.dialect())
+    }
+
+    /// Refuses a request whose body did not arrive whole; it has not run.
+    pub fn refuse_body(&self, id: &CallerRequestId, error: BodyError) -> Response<ReplyBody> {
+        let event = EventDraft::new("request.body_refused").field("request", id);
+        self.events().emit(event.error("reason", &error));
+        ApiError::from(error).into_response()
+    }
+
     /// Serves a caller's request. Dropping the future cancels the work of the backend server, and
     /// so does dropping the body of the response before its end.
     pub async fn serve(&self, mut request: CallerRequest) -> Response<ReplyBody> {
@@ -361,6 +399,10 @@
         &self.shared.parts.events
     }
 
+    pub(crate) fn body_budget(&self) -> &BodyBudget {
+        &self.shared.parts.body_budget
+    }
+
     pub(crate) fn metrics(&self) -> &Rc<MetricSet> {
         &self.shared.parts.metrics
     }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -18,7 +18,7 @@
 };
 
 /// Responses up to this size are read completely before the first byte is relayed, so that one that
-/// breaks off can still be retried or reported as an error.
+/// breaks off can still be retried or reported as an error. Without memory for them, less is.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
 
 /// Another place is sought for a resumable stream after a pause of the longest one that callers
@@ -77,10 +77,11 @@
         let AttemptResponse { target, liveness, status, headers, mut body } = response;
         let monitor = self.body_monitor(target, liveness);
         let mut buffered = BytesMut::new();
+        let mut lease = self.proxy.body_budget().lease();
         loop {
             match self.wait_or_replace(&monitor, body.next()).await {
                 WaitOutcome::Output(None) => {
-                    let body = RelayedBody::Complete(buffered.freeze());
+                    let body = RelayedBody::Complete(lease.attach(buffered.freeze()));
                     return Ok(Some(RelayedReply { status, headers, body }));
                 }
                 WaitOutcome::Output(Some(Ok(bytes))) => buffered.extend_from_slice(&bytes),
@@ -95,7 +96,8 @@
                     return Ok(None);
                 }
             }
-            if buffered.len() > MAX_BUFFERED_BYTES {
+            let has_memory = lease.grow_to(buffered.len().next_power_of_two()).is_ok();
+            if buffered.len() > MAX_BUFFERED_BYTES || !has_memory {
                 let body = RelayedBody::Long { first: buffered.freeze(), rest: body };
                 return Ok(Some(RelayedReply { status, headers, body }));
             }
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -23,7 +23,7 @@
         FleetFollower, FleetServer, FleetSettings, FollowerParts, GatewayPhase, GatewayProfile,
         VmCapacity,
     },
-    gullglade_http::ReplyBody,
+    gullglade_http::{BodyBudget, ReplyBody},
     gullglade_peer::{
         HandlerTable, NoticeSender, PeerIdentity,
         fake::{FakeLink, FakeNetwork, FakeNode, FakeTransport},
@@ -321,6 +321,7 @@
             regions: BTreeSet::from([region("west"), region("east")]),
             fingerprint_key: FingerprintKey::from([1; 32]),
             events,
+            body_budget: BodyBudget::new(64 << 20),
             metrics: Rc::new(MetricSet::new().expect("metrics")),
         });
         ForwardServer::register(&proxy, &handlers);
