Close connections without progress in favour of new ones

4,500 connections that sent nothing, or a byte a second, used up a gateway's descriptors: ordinary callers got 503 or a reset, and readiness was not answered while its port was held. At the limit, the connection that has made no progress for the longest time is now closed for the new one: those without a request or with a stalled body first, then kept ones that are idle for 1 s, then those whose caller does not read. Requests being served are never given up for it.

--- a/crates/http/src/server/accept.rs
+++ b/crates/http/src/server/accept.rs
@@ -4,14 +4,14 @@
     super::{
         RequestHandler, ServerConfig, StopHandle,
         connection::ConnectionTask,
-        limits::{ConnectionLimits, ConnectionSlot},
+        connection_table::{ConnectionSlot, ConnectionTable},
         refusal,
         reply_buffers::ReplyBuffers,
         scratch::ScratchBuffer,
     },
     crate::ApiError,
     futures::channel::oneshot,
-    gullglade_units::ProcessContext,
+    gullglade_units::{MonotonicTime, ProcessContext},
     monoio::net::{ListenerOpts, TcpListener, TcpStream},
     snafu::{ResultExt, Snafu},
     std::{net::SocketAddr, pin::pin, rc::Rc, time::Duration},
@@ -143,8 +143,10 @@
     gate: &AcceptGate,
     alive: &Rc<oneshot::Sender<()>>,
 ) {
-    let Some((slot, refusal)) = gate.admit(remote) else { return };
-    let task = ConnectionTask { shared: Rc::clone(shared), remote, refusal };
+    let now = shared.context.clock.now();
+    let Some((slot, refusal)) = gate.admit(remote, now) else { return };
+    let status = Rc::clone(&slot.status);
+    let task = ConnectionTask { shared: Rc::clone(shared), remote, refusal, status };
     let alive = Rc::clone(alive);
     shared.context.spawner.spawn(Box::pin(async move {
         task.run(stream).await;
@@ -155,27 +157,31 @@
 
 /// Decides about accepted connections.
 struct AcceptGate {
-    served: Rc<ConnectionLimits>,
-    refused: Rc<ConnectionLimits>,
+    served: Rc<ConnectionTable>,
+    refused: Rc<ConnectionTable>,
 }
 
 impl AcceptGate {
     fn new(shared: &ServerShared) -> Self {
         let config = &shared.config;
         Self {
-            served: ConnectionLimits::new(config.connection_limit, config.per_address_limit),
-            refused: ConnectionLimits::new(REFUSAL_LIMIT, REFUSAL_LIMIT),
+            served: ConnectionTable::new(config.connection_limit, config.per_address_limit),
+            refused: ConnectionTable::new(REFUSAL_LIMIT, REFUSAL_LIMIT),
         }
     }
 
     /// The slot of a connection that is to be served or told why not; `None` where so many are
     /// being told that this one is just closed.
-    fn admit(&self, remote: SocketAddr) -> Option<(ConnectionSlot, Option<ApiError>)> {
-        let reached = match self.served.take(remote.ip()) {
+    fn admit(
+        &self,
+        remote: SocketAddr,
+        now: MonotonicTime,
+    ) -> Option<(ConnectionSlot, Option<ApiError>)> {
+        let reached = match self.served.take(remote.ip(), now) {
             Ok(slot) => return Some((slot, None)),
             Err(reached) => reached,
         };
-        let slot = self.refused.take(remote.ip()).ok()?;
+        let slot = self.refused.take(remote.ip(), now).ok()?;
         Some((slot, Some(refusal::too_many_connections(reached))))
     }
 }
--- a/crates/http/src/server/config.rs
+++ b/crates/http/src/server/config.rs
@@ -133,14 +133,16 @@
         self
     }
 
-    /// The most connections open at once. Default 12,000; over it: a short 503, then close.
+    /// The most connections open at once. Default 12,000. Over it, the connection without a request
+    /// in progress that has made no progress for the longest time is closed in favour of the new
+    /// one; if there is none: a short 503, then close.
     pub fn connection_limit(mut self, connections: usize) -> Self {
         self.connection_limit = connections;
         self
     }
 
     /// The most connections open at once from one IP address. Default 4,000, as whole sites come
-    /// from one address; over it: a short 503, then close.
+    /// from one address; over it, the same among the connections of that address.
     pub fn per_address_limit(mut self, connections: usize) -> Self {
         self.per_address_limit = connections;
         self
--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         accept::ServerShared,
+        connection_table::ConnectionStatus,
         exchange::ExchangeState,
         guard::{GuardParts, GuardedStream},
         reply_buffers::ReplyShare,
@@ -36,13 +37,16 @@
     pub(crate) remote: SocketAddr,
     /// Why the connection is refused whatever it asks.
     pub(crate) refusal: Option<ApiError>,
+    pub(crate) status: Rc<ConnectionStatus>,
 }
 
 impl ConnectionTask {
-    /// Serves `stream` until it ends, or the server is aborted.
+    /// Serves `stream` until it ends, gives way to another connection, or the server is aborted.
     pub(crate) async fn run(self, stream: TcpStream) {
         let abort = self.shared.handle.abort.clone();
-        abort.guard(pin!(self.serve(stream))).await;
+        let status = Rc::clone(&self.status);
+        let served = pin!(self.serve(stream));
+        abort.guard(pin!(status.eviction.guard(served))).await;
     }
 
     async fn serve(self, stream: TcpStream) {
@@ -50,7 +54,8 @@
             return;
         }
         let Ok(stream) = stream.into_poll_io() else { return };
-        let exchange = Rc::new(ExchangeState::default());
+        let clock = Rc::clone(&self.shared.context.clock);
+        let exchange = Rc::new(ExchangeState::new(Rc::clone(&self.status), clock));
         let share = ReplyShare::new(&self.shared.buffers);
         let stream = self.guarded(MonoioIo::new(stream), &exchange, &share);
         let server = ExchangeServer { shared: self.shared, remote: self.remote, exchange, share };
--- a/crates/http/src/server/exchange.rs
+++ b/crates/http/src/server/exchange.rs
@@ -2,17 +2,21 @@
 //! service above it.
 
 use {
+    super::connection_table::{ConnectionStage, ConnectionStatus},
     crate::ApiError,
+    gullglade_units::Clock,
     http::HeaderMap,
     std::{
         cell::{Cell, RefCell},
+        rc::Rc,
         task::{Context, Waker},
     },
 };
 
 /// The state of the exchange on one connection.
-#[derive(Default)]
 pub(crate) struct ExchangeState {
+    status: Rc<ConnectionStatus>,
+    clock: Rc<dyn Clock>,
     /// Whether a request was handed on whose reply is not complete.
     active: Cell<bool>,
     /// Whether the request in progress is the last one of its connection.
@@ -26,6 +30,27 @@
 }
 
 impl ExchangeState {
+    pub(crate) fn new(status: Rc<ConnectionStatus>, clock: Rc<dyn Clock>) -> Self {
+        Self {
+            status,
+            clock,
+            active: Cell::default(),
+            last: Cell::default(),
+            refusal: RefCell::default(),
+            headers: RefCell::default(),
+            waiter: RefCell::default(),
+        }
+    }
+
+    /// Notes what the connection is doing from now on.
+    pub(crate) fn enter(&self, stage: ConnectionStage) {
+        self.status.enter(stage, self.clock.now());
+    }
+
+    pub(crate) fn stage(&self) -> ConnectionStage {
+        self.status.stage()
+    }
+
     pub(crate) fn is_active(&self) -> bool {
         self.active.get()
     }
@@ -34,6 +59,7 @@
     pub(crate) fn begin(&self, last: bool) {
         self.active.set(true);
         self.last.set(last);
+        self.enter(ConnectionStage::Serving);
     }
 
     /// Notes all headers of the next head handed on.
@@ -48,6 +74,7 @@
     /// Notes that the reply is complete, or given up.
     pub(crate) fn end(&self) {
         self.active.set(false);
+        self.status.note_served(self.clock.now());
         if let Some(waiter) = self.waiter.take() {
             waiter.wake();
         }
--- a/crates/http/src/server/guard.rs
+++ b/crates/http/src/server/guard.rs
@@ -8,6 +8,7 @@
 use {
     super::{
         chunk_decoder::ChunkDecoder,
+        connection_table::ConnectionStage,
         exchange::ExchangeState,
         head::{BodyFraming, check_head},
         refusal,
@@ -36,6 +37,9 @@
 /// Reads of a lingering connection before other tasks have their turn.
 const LINGER_READS: usize = 16;
 
+/// A body makes progress when this many bytes of it have arrived.
+const PROGRESS_BYTES: usize = 16 << 10;
+
 /// The most bytes of empty lines before a head. They are not kept, so without a count a caller
 /// could send them for ever and no bound would see it.
 const EMPTY_LINE_BYTES: usize = 256;
@@ -65,6 +69,8 @@
     searched: usize,
     /// Bytes of empty lines skipped before the head.
     skipped: usize,
+    /// Bytes of a body since its last progress.
+    unmarked: usize,
     read_timer: Option<ReadTimer>,
     write_timer: Option<LocalFuture<'static, ()>>,
     linger: LingerState,
@@ -111,6 +117,7 @@
             cleared: 0,
             searched: 0,
             skipped: 0,
+            unmarked: 0,
             read_timer: None,
             write_timer: None,
             linger: LingerState::Open,
@@ -146,16 +153,30 @@
                 let cleared = remaining.min(available);
                 self.cleared = usize::try_from(cleared).unwrap_or(self.buffer.len());
                 self.phase = after_body(remaining - cleared);
+                self.note_body(self.cleared, self.phase == ReadPhase::Head);
             }
             ReadPhase::Chunked(mut decoder) => {
+                let length = self.buffer.len();
                 self.buffer = decoder.merge(&self.buffer);
                 self.cleared = self.buffer.len();
                 let is_done = decoder.is_done();
                 self.phase = if is_done { ReadPhase::Ended } else { ReadPhase::Chunked(decoder) };
+                self.note_body(length, is_done);
             }
         }
     }
 
+    /// Notes that `length` bytes of a body have arrived.
+    fn note_body(&mut self, length: usize, is_whole: bool) {
+        self.unmarked += length;
+        if is_whole {
+            self.parts.exchange.enter(ConnectionStage::Serving);
+        } else if self.unmarked >= PROGRESS_BYTES {
+            self.unmarked = 0;
+            self.parts.exchange.enter(ConnectionStage::Receiving);
+        }
+    }
+
     fn clear_head(&mut self) {
         self.skip_empty_lines();
         let limit = self.limits().head_bytes;
@@ -183,11 +204,15 @@
                 }
                 self.searched = 0;
                 self.skipped = 0;
+                self.unmarked = 0;
                 self.read_timer = None;
                 self.phase = match checked.framing {
                     BodyFraming::Length(length) => after_body(length),
                     BodyFraming::Chunked => ReadPhase::Chunked(ChunkDecoder::default()),
                 };
+                if self.phase != ReadPhase::Head {
+                    self.parts.exchange.enter(ConnectionStage::Receiving);
+                }
             }
             Err(error) => self.refuse(error),
         }
@@ -277,6 +302,9 @@
 
     fn poll_write_timer(&mut self, context: &mut Context<'_>) -> Poll<io::Error> {
         let limit = self.parts.config.write_timeout;
+        if self.write_timer.is_none() {
+            self.parts.exchange.enter(ConnectionStage::Unread);
+        }
         let timer = self.write_timer.get_or_insert_with(|| self.parts.clock.sleep(limit));
         ready!(timer.as_mut().poll(context));
         Poll::Ready(io::Error::new(io::ErrorKind::TimedOut, "the caller reads nothing"))
@@ -298,6 +326,9 @@
             return self.poll_write_timer(context).map(Err);
         }
         if self.write_timer.take().is_some() {
+            if self.parts.exchange.stage() == ConnectionStage::Unread {
+                self.parts.exchange.enter(ConnectionStage::Serving);
+            }
             // The reading side gave way to this write; it must look again.
             context.waker().wake_by_ref();
         }
@@ -404,6 +435,7 @@
             if self.phase == ReadPhase::Head && self.buffer.is_empty() {
                 return Poll::Ready(Ok(()));
             }
+            self.parts.exchange.enter(ConnectionStage::Closing);
             let sleep = self.parts.clock.sleep(self.parts.config.linger_timeout);
             self.linger = LingerState::Closing { sleep, discarded: 0 };
         }
--- a/crates/http/src/server/refusal.rs
+++ b/crates/http/src/server/refusal.rs
@@ -1,6 +1,8 @@
 //! What callers are told whose connection or head is refused before a handler sees it.
 
-use {super::limits::LimitReached, crate::ApiError, http::StatusCode, std::time::Duration};
+use {
+    super::connection_table::LimitReached, crate::ApiError, http::StatusCode, std::time::Duration,
+};
 
 /// When a refused connection may be tried again.
 const REFUSAL_RETRY: Duration = Duration::from_secs(1);
