Share the processor between connections that send much and all others

Requests sent ahead without reading, large heads, floods of new connections and bodies discarded after a refusal were read as long as there was more, and a task that wakes itself keeps the runtime from its timers: readiness and ordinary callers waited for seconds. A connection now reads in turns of 128 KiB, a byte of a head counting as 16; between turns it waits for a timer, in a lane of the process in which each turn is followed by a pause as long as it took. Accepting pauses after 32 connections. A connection with more than 8 KiB sent ahead of a reply is closed after it.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -20,6 +20,7 @@
 mod request;
 mod request_limits;
 mod server;
+mod work_lane;
 
 pub use api_error::{ApiError, RunState};
 pub use body::{BodyError, LocalStream, ReplyBody};
@@ -34,3 +35,4 @@
 pub use request::RequestBody;
 pub use request_limits::{RequestLimits, SharedLimits};
 pub use server::{BindError, HttpServer, RequestHandler, ServerConfig, StopHandle};
+pub use work_lane::WorkLane;
--- a/crates/http/src/server/accept.rs
+++ b/crates/http/src/server/accept.rs
@@ -26,6 +26,12 @@
 /// on the listener, which stays readable, and starve the connections that could free some.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Connections accepted before other tasks and timers have their turn.
+const ACCEPTS_PER_TURN: usize = 32;
+
+/// Pause after so many.
+const TURN_PAUSE: Duration = Duration::from_millis(1);
+
 /// The most connections over a limit that are told so at once; more are closed without a word.
 /// Without this bound the refusals of a flood would be the flood's way round the limit.
 const REFUSAL_LIMIT: usize = 64;
@@ -129,10 +135,13 @@
 ) {
     let gate = AcceptGate::new(shared);
     loop {
-        match listener.accept().await {
-            Ok((stream, remote)) => start(stream, remote, shared, &gate, &alive),
-            Err(_) => shared.context.clock.sleep(ACCEPT_PAUSE).await,
+        for _ in 0..ACCEPTS_PER_TURN {
+            match listener.accept().await {
+                Ok((stream, remote)) => start(stream, remote, shared, &gate, &alive),
+                Err(_) => shared.context.clock.sleep(ACCEPT_PAUSE).await,
+            }
         }
+        shared.context.clock.sleep(TURN_PAUSE).await;
     }
 }
 
--- a/crates/http/src/server/config.rs
+++ b/crates/http/src/server/config.rs
@@ -1,7 +1,7 @@
 //! Bounds of a server.
 
 use {
-    crate::{BodyBudget, RequestLimits, SharedLimits},
+    crate::{BodyBudget, RequestLimits, SharedLimits, WorkLane},
     std::time::Duration,
 };
 
@@ -10,6 +10,7 @@
 pub struct ServerConfig {
     pub(crate) limits: SharedLimits,
     pub(crate) body_budget: Option<BodyBudget>,
+    pub(crate) work_lane: WorkLane,
     pub(crate) head_limit: usize,
     pub(crate) head_timeout: Duration,
     pub(crate) idle_timeout: Duration,
@@ -29,6 +30,7 @@
         Self {
             limits: SharedLimits::default(),
             body_budget: None,
+            work_lane: WorkLane::default(),
             head_limit: 64 << 10,
             head_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(75),
@@ -65,6 +67,13 @@
         self
     }
 
+    /// The lane in which connections that send much wait for their turns. Default: one of the
+    /// server's own.
+    pub fn work_lane(mut self, lane: &WorkLane) -> Self {
+        self.work_lane = lane.clone();
+        self
+    }
+
     /// The limits on requests in force.
     pub(crate) fn request_limits(&self) -> RequestLimits {
         let own = RequestLimits {
--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -25,7 +25,7 @@
         net::{TcpStream, tcp::stream_poll::TcpStreamPoll},
     },
     monoio_compat::hyper::MonoioIo,
-    std::{convert::Infallible, net::SocketAddr, pin::pin, rc::Rc},
+    std::{convert::Infallible, future::poll_fn, net::SocketAddr, pin::pin, rc::Rc},
 };
 
 /// What `hyper` may buffer beyond a head that was already checked against its limit.
@@ -45,8 +45,20 @@
     pub(crate) async fn run(self, stream: TcpStream) {
         let abort = self.shared.handle.abort.clone();
         let status = Rc::clone(&self.status);
-        let served = pin!(self.serve(stream));
-        abort.guard(pin!(status.eviction.guard(served))).await;
+        let lane = self.shared.config.work_lane.clone();
+        let clock = Rc::clone(&self.shared.context.clock);
+        let mut served = pin!(self.serve(stream));
+        let charged = pin!(poll_fn(|context| {
+            if !status.is_bulk() {
+                return served.as_mut().poll(context);
+            }
+            let began = clock.now();
+            let outcome = served.as_mut().poll(context);
+            let now = clock.now();
+            lane.charge(now.since(began), now);
+            outcome
+        }));
+        abort.guard(pin!(status.eviction.guard(charged))).await;
     }
 
     async fn serve(self, stream: TcpStream) {
--- a/crates/http/src/server/connection_table.rs
+++ b/crates/http/src/server/connection_table.rs
@@ -49,6 +49,8 @@
     /// Time of the last progress.
     since: Cell<MonotonicTime>,
     has_served: Cell<bool>,
+    /// True if the connection has sent more than fits into a turn.
+    is_bulk: Cell<bool>,
     pub(crate) eviction: OnceSignal,
 }
 
@@ -91,6 +93,7 @@
             stage: Cell::new(ConnectionStage::Waiting),
             since: Cell::new(now),
             has_served: Cell::new(false),
+            is_bulk: Cell::new(false),
             eviction: OnceSignal::new(),
         })
     }
@@ -105,6 +108,14 @@
         self.since.set(now);
     }
 
+    pub(crate) fn note_bulk(&self) {
+        self.is_bulk.set(true);
+    }
+
+    pub(crate) fn is_bulk(&self) -> bool {
+        self.is_bulk.get()
+    }
+
     /// Notes that a request was served.
     pub(crate) fn note_served(&self, now: MonotonicTime) {
         self.has_served.set(true);
--- a/crates/http/src/server/exchange.rs
+++ b/crates/http/src/server/exchange.rs
@@ -47,6 +47,11 @@
         self.status.enter(stage, self.clock.now());
     }
 
+    /// Notes that the connection sends more than others.
+    pub(crate) fn note_bulk(&self) {
+        self.status.note_bulk();
+    }
+
     pub(crate) fn stage(&self) -> ConnectionStage {
         self.status.stage()
     }
@@ -62,6 +67,11 @@
         self.enter(ConnectionStage::Serving);
     }
 
+    /// Notes that the request in progress is the last one of its connection.
+    pub(crate) fn set_last(&self) {
+        self.last.set(true);
+    }
+
     /// Notes all headers of the next head handed on.
     pub(crate) fn set_headers(&self, headers: HeaderMap) {
         self.headers.replace(Some(headers));
--- a/crates/http/src/server/guard.rs
+++ b/crates/http/src/server/guard.rs
@@ -11,6 +11,7 @@
         connection_table::ConnectionStage,
         exchange::ExchangeState,
         head::{BodyFraming, check_head},
+        read_turn::ReadTurn,
         refusal,
         reply_buffers::ReplyShare,
         scratch::ScratchBuffer,
@@ -34,8 +35,9 @@
 /// The most bytes discarded while a connection lingers.
 const LINGER_BYTES: usize = 16 << 20;
 
-/// Reads of a lingering connection before other tasks have their turn.
-const LINGER_READS: usize = 16;
+/// The most bytes held of requests that were sent ahead of a reply. A connection with more is closed
+/// after the reply: the caller does not read, and each of its requests would be served for nothing.
+const PIPELINE_BYTES: usize = 8 << 10;
 
 /// A body makes progress when this many bytes of it have arrived.
 const PROGRESS_BYTES: usize = 16 << 10;
@@ -69,6 +71,7 @@
     searched: usize,
     /// Bytes of empty lines skipped before the head.
     skipped: usize,
+    turn: ReadTurn,
     /// Bytes of a body since its last progress.
     unmarked: usize,
     read_timer: Option<ReadTimer>,
@@ -107,6 +110,7 @@
 impl<S> GuardedStream<S> {
     pub(crate) fn new(stream: S, parts: GuardParts) -> Self {
         let stop = parts.stop.clone();
+        let turn = ReadTurn::new(parts.config.work_lane.clone());
         Self {
             stream,
             parts,
@@ -117,6 +121,7 @@
             cleared: 0,
             searched: 0,
             skipped: 0,
+            turn,
             unmarked: 0,
             read_timer: None,
             write_timer: None,
@@ -193,7 +198,10 @@
     fn check(&mut self, end: usize) {
         match check_head(&self.buffer[..end], self.limits().body_bytes) {
             Ok(checked) => {
-                self.parts.exchange.begin(checked.framing == BodyFraming::Chunked);
+                let is_last = checked.framing == BodyFraming::Chunked
+                    || self.buffer.len() - end > PIPELINE_BYTES
+                        && checked.framing == BodyFraming::Length(0);
+                self.parts.exchange.begin(is_last);
                 self.cleared = end;
                 if let Some(split) = checked.split {
                     self.parts.exchange.set_headers(split.headers);
@@ -206,6 +214,7 @@
                 self.skipped = 0;
                 self.unmarked = 0;
                 self.read_timer = None;
+                self.turn.spend_request();
                 self.phase = match checked.framing {
                     BodyFraming::Length(length) => after_body(length),
                     BodyFraming::Chunked => ReadPhase::Chunked(ChunkDecoder::default()),
@@ -296,10 +305,28 @@
 
     /// Whether the buffer may take more: beyond a whole head only so much that a hang-up is seen.
     fn has_room(&self) -> bool {
-        let limit = if self.phase == ReadPhase::Ended { 0 } else { self.limits().head_bytes };
+        let limit = match self.phase {
+            ReadPhase::Ended => 0,
+            ReadPhase::Head if self.parts.exchange.is_active() => PIPELINE_BYTES,
+            _ => self.limits().head_bytes,
+        };
         self.buffer.len() <= limit
     }
 
+    /// Whether a request that was sent ahead is the next one.
+    fn waits_for_turn(&self) -> bool {
+        self.phase == ReadPhase::Head && !self.buffer.is_empty() && !self.parts.exchange.is_active()
+    }
+
+    /// Waits for the next turn if this one is used up.
+    fn poll_turn(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let Self { turn, parts, .. } = self;
+        if turn.is_over() {
+            parts.exchange.note_bulk();
+        }
+        turn.poll_begin(&*parts.clock, context)
+    }
+
     fn poll_write_timer(&mut self, context: &mut Context<'_>) -> Poll<io::Error> {
         let limit = self.parts.config.write_timeout;
         if self.write_timer.is_none() {
@@ -339,9 +366,19 @@
 impl<S: Read + Unpin> GuardedStream<S> {
     /// Reads from the socket into the buffer; 0 is the end of the connection.
     fn poll_fill(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
-        let Self { stream, parts, buffer, .. } = self;
+        let is_head = self.phase == ReadPhase::Head;
+        ready!(self.poll_turn(context));
+        let Self { stream, parts, buffer, turn, .. } = self;
         let take = |bytes: &[u8]| buffer.extend_from_slice(bytes);
-        parts.scratch.poll_read(stream, context, take)
+        let filled = parts.scratch.poll_read(stream, context, take);
+        match &filled {
+            Poll::Ready(Ok(length)) if is_head => turn.spend_head(*length),
+            Poll::Ready(outcome) => turn.spend(*outcome.as_ref().unwrap_or(&0)),
+            // What was sent ahead still waits for its turn.
+            Poll::Pending if buffer.is_empty() => turn.end(),
+            Poll::Pending => {}
+        }
+        filled
     }
 
     /// Discards what the caller still sends, until it closes or the time is up. Closing with
@@ -354,18 +391,16 @@
         if sleep.as_mut().poll(context).is_ready() || *discarded >= LINGER_BYTES {
             return Poll::Ready(());
         }
-        for _ in 0..LINGER_READS {
-            let filled = ready!(self.poll_fill(context)).unwrap_or(0);
-            if filled == 0 {
-                return Poll::Ready(());
-            }
+        loop {
             self.buffer.clear();
+            let filled = ready!(self.poll_fill(context)).unwrap_or(0);
             if let LingerState::Closing { discarded, .. } = &mut self.linger {
                 *discarded += filled;
+                if filled == 0 || *discarded >= LINGER_BYTES {
+                    return Poll::Ready(());
+                }
             }
         }
-        context.waker().wake_by_ref();
-        Poll::Pending
     }
 }
 
@@ -377,6 +412,9 @@
     ) -> Poll<io::Result<()>> {
         loop {
             if self.cleared == 0 {
+                if self.waits_for_turn() {
+                    ready!(self.poll_turn(context));
+                }
                 self.clear();
             }
             if self.cleared > 0 {
@@ -393,6 +431,9 @@
             if self.phase != ReadPhase::Head {
                 return Poll::Pending;
             }
+            if self.buffer.len() > PIPELINE_BYTES && self.parts.exchange.is_active() {
+                self.parts.exchange.set_last();
+            }
             if ready!(self.poll_wait(context)) {
                 return Poll::Ready(Ok(()));
             }
--- a/crates/http/tests/http/main.rs
+++ b/crates/http/tests/http/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod client;
 mod common;
+mod crowds;
 mod driver;
 mod errors;
 mod exchange;
--- a/crates/node/src/listener_resources.rs
+++ b/crates/node/src/listener_resources.rs
@@ -4,7 +4,7 @@
 //! connections to backend servers.
 
 use {
-    gullglade_http::{BodyBudget, RequestLimits, ServerConfig},
+    gullglade_http::{BodyBudget, RequestLimits, ServerConfig, WorkLane},
     gullglade_traffic::CallerLimits,
     std::time::Duration,
 };
@@ -41,6 +41,7 @@
 pub struct ListenerResources {
     descriptors: usize,
     body_budget: BodyBudget,
+    work_lane: WorkLane,
 }
 
 impl ListenerResources {
@@ -52,6 +53,7 @@
         Self {
             descriptors: max_descriptors.saturating_sub(RESERVED_DESCRIPTORS + probes),
             body_budget: BodyBudget::new(body_memory),
+            work_lane: WorkLane::default(),
         }
     }
 
@@ -80,6 +82,7 @@
             .connection_limit(connections)
             .per_address_limit(connections)
             .body_budget(&self.body_budget)
+            .work_lane(&self.work_lane)
     }
 }
 
