Weigh heads by their own bytes, not by those read with them

A head is now counted once it is whole and before it is handed on, a body by its bytes, and a connection leaves the lane when it has nothing more to read.

--- a/crates/http/src/server/connection_table.rs
+++ b/crates/http/src/server/connection_table.rs
@@ -49,7 +49,7 @@
     /// Time of the last progress.
     since: Cell<MonotonicTime>,
     has_served: Cell<bool>,
-    /// True if the connection has sent more than fits into a turn.
+    /// True if the connection has sent more than fits into a turn, and waits for the next one.
     is_bulk: Cell<bool>,
     pub(crate) eviction: OnceSignal,
 }
@@ -108,8 +108,8 @@
         self.since.set(now);
     }
 
-    pub(crate) fn note_bulk(&self) {
-        self.is_bulk.set(true);
+    pub(crate) fn set_bulk(&self, is_bulk: bool) {
+        self.is_bulk.set(is_bulk);
     }
 
     pub(crate) fn is_bulk(&self) -> bool {
--- a/crates/http/src/server/exchange.rs
+++ b/crates/http/src/server/exchange.rs
@@ -47,9 +47,9 @@
         self.status.enter(stage, self.clock.now());
     }
 
-    /// Notes that the connection sends more than others.
-    pub(crate) fn note_bulk(&self) {
-        self.status.note_bulk();
+    /// Notes whether the connection has sent more than fits into a turn.
+    pub(crate) fn set_bulk(&self, is_bulk: bool) {
+        self.status.set_bulk(is_bulk);
     }
 
     pub(crate) fn stage(&self) -> ConnectionStage {
--- a/crates/http/src/server/guard.rs
+++ b/crates/http/src/server/guard.rs
@@ -72,6 +72,8 @@
     /// Bytes of empty lines skipped before the head.
     skipped: usize,
     turn: ReadTurn,
+    /// True if the head in the buffer has been counted.
+    is_weighed: bool,
     /// Bytes of a body since its last progress.
     unmarked: usize,
     read_timer: Option<ReadTimer>,
@@ -122,6 +124,7 @@
             searched: 0,
             skipped: 0,
             turn,
+            is_weighed: false,
             unmarked: 0,
             read_timer: None,
             write_timer: None,
@@ -214,6 +217,7 @@
                 self.skipped = 0;
                 self.unmarked = 0;
                 self.read_timer = None;
+                self.is_weighed = false;
                 self.turn.spend_request();
                 self.phase = match checked.framing {
                     BodyFraming::Length(length) => after_body(length),
@@ -318,11 +322,22 @@
         self.phase == ReadPhase::Head && !self.buffer.is_empty() && !self.parts.exchange.is_active()
     }
 
+    /// Counts the head in the buffer, once it is whole, before it is handed on.
+    fn weigh_head(&mut self) {
+        self.skip_empty_lines();
+        if !self.is_weighed
+            && let Some(end) = self.find_head_end()
+        {
+            self.turn.spend_head(end);
+            self.is_weighed = true;
+        }
+    }
+
     /// Waits for the next turn if this one is used up.
     fn poll_turn(&mut self, context: &mut Context<'_>) -> Poll<()> {
         let Self { turn, parts, .. } = self;
         if turn.is_over() {
-            parts.exchange.note_bulk();
+            parts.exchange.set_bulk(true);
         }
         turn.poll_begin(&*parts.clock, context)
     }
@@ -366,16 +381,17 @@
 impl<S: Read + Unpin> GuardedStream<S> {
     /// Reads from the socket into the buffer; 0 is the end of the connection.
     fn poll_fill(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
-        let is_head = self.phase == ReadPhase::Head;
         ready!(self.poll_turn(context));
         let Self { stream, parts, buffer, turn, .. } = self;
         let take = |bytes: &[u8]| buffer.extend_from_slice(bytes);
         let filled = parts.scratch.poll_read(stream, context, take);
         match &filled {
-            Poll::Ready(Ok(length)) if is_head => turn.spend_head(*length),
             Poll::Ready(outcome) => turn.spend(*outcome.as_ref().unwrap_or(&0)),
             // What was sent ahead still waits for its turn.
-            Poll::Pending if buffer.is_empty() => turn.end(),
+            Poll::Pending if buffer.is_empty() => {
+                turn.end();
+                parts.exchange.set_bulk(false);
+            }
             Poll::Pending => {}
         }
         filled
@@ -413,6 +429,7 @@
         loop {
             if self.cleared == 0 {
                 if self.waits_for_turn() {
+                    self.weigh_head();
                     ready!(self.poll_turn(context));
                 }
                 self.clear();
