Bound lingering connections and what the kernel receives ahead

With the charge kept until the next request, both gateways and all control processes were killed: up to 200 MB of bytes that had arrived and were not read, and 160 MB resident. Each refused connection lingers for a second, and a crowd that comes again at once leaves thousands of them. 64 linger at once now, the next ones are closed at once, and the kernel receives 64 KiB at most ahead of the server on each connection, which it had grown to megabytes.

The budget for bodies is an eighth of the memory and not a fifth: with whole bodies a gateway took 224 MB of 260, as copies on their way to backend servers are several times what is counted.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -8,6 +8,7 @@
 mod exchange;
 mod guard;
 mod head;
+mod linger_slots;
 mod read_turn;
 mod refusal;
 mod reply_buffers;
--- a/crates/http/src/server/accept.rs
+++ b/crates/http/src/server/accept.rs
@@ -5,6 +5,7 @@
         RequestHandler, ServerConfig, StopHandle,
         connection::ConnectionTask,
         connection_table::{ConnectionSlot, ConnectionTable},
+        linger_slots::LingerSlots,
         refusal,
         reply_buffers::ReplyBuffers,
         scratch::ScratchBuffer,
@@ -22,6 +23,11 @@
 /// a second.
 const ACCEPT_BACKLOG: i32 = 4_096;
 
+/// Bytes that the kernel receives ahead of the server on each connection. Left to itself, it grows the
+/// buffers of fast callers to megabytes, which nothing here could count. A body of 4 MiB over a round
+/// trip of 50 ms takes about 4 s with it.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+
 /// Pause after a failed accept. Without it a process that ran out of file descriptors would spin
 /// on the listener, which stays readable, and starve the connections that could free some.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -66,6 +72,7 @@
     pub(crate) handle: StopHandle,
     pub(crate) scratch: ScratchBuffer,
     pub(crate) buffers: Rc<ReplyBuffers>,
+    pub(crate) lingers: LingerSlots,
 }
 
 impl HttpServer {
@@ -79,7 +86,8 @@
         let options = ListenerOpts::new()
             .reuse_port(config.reuse_port)
             .reuse_addr(true)
-            .backlog(ACCEPT_BACKLOG);
+            .backlog(ACCEPT_BACKLOG)
+            .recv_buf_size(RECEIVE_BUFFER_BYTES);
         let listener =
             TcpListener::bind_with_config(address, &options).context(BindSnafu { address })?;
         let bound = listener.local_addr().context(BindSnafu { address })?;
@@ -92,6 +100,7 @@
             handle,
             scratch: ScratchBuffer::new(),
             buffers,
+            lingers: LingerSlots::default(),
         });
         Ok(Self { listener, address: bound, shared })
     }
--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -109,6 +109,7 @@
             stop: self.shared.handle.stop.clone(),
             exchange: Rc::clone(exchange),
             share: Rc::clone(share),
+            lingers: self.shared.lingers.clone(),
         };
         match &self.refusal {
             None => GuardedStream::new(stream, parts),
--- a/crates/http/src/server/connection_table.rs
+++ b/crates/http/src/server/connection_table.rs
@@ -49,7 +49,7 @@
     /// Time of the last progress.
     since: Cell<MonotonicTime>,
     has_served: Cell<bool>,
-    /// True if the connection has sent more than fits into a turn, and waits for the next one.
+    /// True if the request in progress has sent more than fits into a turn.
     is_bulk: Cell<bool>,
     pub(crate) eviction: OnceSignal,
 }
--- a/crates/http/src/server/exchange.rs
+++ b/crates/http/src/server/exchange.rs
@@ -47,7 +47,7 @@
         self.status.enter(stage, self.clock.now());
     }
 
-    /// Notes whether the connection has sent more than fits into a turn.
+    /// Notes whether the request in progress has sent more than fits into a turn.
     pub(crate) fn set_bulk(&self, is_bulk: bool) {
         self.status.set_bulk(is_bulk);
     }
--- a/crates/http/src/server/guard.rs
+++ b/crates/http/src/server/guard.rs
@@ -11,6 +11,7 @@
         connection_table::ConnectionStage,
         exchange::ExchangeState,
         head::{BodyFraming, check_head},
+        linger_slots::{LingerSlot, LingerSlots},
         read_turn::ReadTurn,
         refusal,
         reply_buffers::ReplyShare,
@@ -54,6 +55,7 @@
     pub(crate) stop: OnceSignal,
     pub(crate) exchange: Rc<ExchangeState>,
     pub(crate) share: Rc<ReplyShare>,
+    pub(crate) lingers: LingerSlots,
 }
 
 /// A socket whose reads are checked and whose waits are bounded.
@@ -106,7 +108,7 @@
 
 enum LingerState {
     Open,
-    Closing { sleep: LocalFuture<'static, ()>, discarded: usize },
+    Closing { sleep: LocalFuture<'static, ()>, discarded: usize, _slot: LingerSlot },
 }
 
 impl<S> GuardedStream<S> {
@@ -382,6 +384,8 @@
     /// Reads from the socket into the buffer; 0 is the end of the connection.
     fn poll_fill(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
         ready!(self.poll_turn(context));
+        let is_between_requests =
+            self.phase == ReadPhase::Head && matches!(self.linger, LingerState::Open);
         let Self { stream, parts, buffer, turn, .. } = self;
         let take = |bytes: &[u8]| buffer.extend_from_slice(bytes);
         let filled = parts.scratch.poll_read(stream, context, take);
@@ -390,7 +394,9 @@
             // What was sent ahead still waits for its turn.
             Poll::Pending if buffer.is_empty() => {
                 turn.end();
-                parts.exchange.set_bulk(false);
+                if is_between_requests {
+                    parts.exchange.set_bulk(false);
+                }
             }
             Poll::Pending => {}
         }
@@ -401,7 +407,7 @@
     /// bytes unread would make the operating system reset the connection, and the caller would
     /// lose a reply that it has not read yet.
     fn poll_linger(&mut self, context: &mut Context<'_>) -> Poll<()> {
-        let LingerState::Closing { sleep, discarded } = &mut self.linger else {
+        let LingerState::Closing { sleep, discarded, .. } = &mut self.linger else {
             return Poll::Ready(());
         };
         if sleep.as_mut().poll(context).is_ready() || *discarded >= LINGER_BYTES {
@@ -494,8 +500,9 @@
                 return Poll::Ready(Ok(()));
             }
             self.parts.exchange.enter(ConnectionStage::Closing);
+            let Some(slot) = self.parts.lingers.take() else { return Poll::Ready(Ok(())) };
             let sleep = self.parts.clock.sleep(self.parts.config.linger_timeout);
-            self.linger = LingerState::Closing { sleep, discarded: 0 };
+            self.linger = LingerState::Closing { sleep, discarded: 0, _slot: slot };
         }
         self.poll_linger(context).map(Ok)
     }
--- a/crates/http/src/server/read_turn.rs
+++ b/crates/http/src/server/read_turn.rs
@@ -19,7 +19,7 @@
 /// only when no task is ready: a task that just wakes itself would hold up all others.
 const TURN_PAUSE: Duration = Duration::from_millis(1);
 
-/// What a connection has read since it last waited for its caller.
+/// What a connection has read since it last waited for a request.
 pub(crate) struct ReadTurn {
     lane: WorkLane,
     spent: usize,
--- a/crates/node/src/listener_resources.rs
+++ b/crates/node/src/listener_resources.rs
@@ -21,12 +21,12 @@
 /// Fewest connections to a port for callers, backend servers or operators.
 const MIN_CONNECTIONS: usize = 100;
 
-/// A fifth of the memory is for request bodies. Copies of a body on its way to a backend server, or
-/// to another gateway, are not counted and take about as much again.
-const BODY_MEMORY_DIVISOR: usize = 5;
+/// An eighth of the memory is for bodies. Copies of a body on its way to a backend server, or to
+/// another gateway, are not counted and take several times as much.
+const BODY_MEMORY_DIVISOR: usize = 8;
 
 /// Memory for request bodies if the memory of the VM is not stated.
-const DEFAULT_BODY_MEMORY: usize = 52 << 20;
+const DEFAULT_BODY_MEMORY: usize = 32 << 20;
 
 /// Idle time of a connection to a port for readiness checks and metrics.
 const PROBE_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
