--- a/crates/http/src/body_budget.rs
+++ b/crates/http/src/body_budget.rs
@@ -70,8 +70,7 @@
     state: Rc<UploadState>,
 }
 
-/// Memory of a body that is not received from a caller, such as that of a reply. Dropping it releases
-/// the memory.
+/// Memory of a whole body, or of a reply that is being collected. Dropping it releases the memory.
 pub struct BodyLease {
     held: Arc<AtomicUsize>,
     limit: usize,
--- a/crates/http/src/server/accept.rs
+++ b/crates/http/src/server/accept.rs
@@ -24,8 +24,7 @@
 const ACCEPT_BACKLOG: i32 = 4_096;
 
 /// Bytes that the kernel receives ahead of the server on each connection. Left to itself, it grows the
-/// buffers of fast callers to megabytes, which nothing here could count. A body of 4 MiB over a round
-/// trip of 50 ms takes about 4 s with it.
+/// buffers of fast callers to megabytes, which nothing here could count.
 const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
 
 /// Pause after a failed accept. Without it a process that ran out of file descriptors would spin
--- a/crates/http/src/server/linger_slots.rs
+++ b/crates/http/src/server/linger_slots.rs
@@ -1,4 +1,4 @@
-//! How many connections of a listener linger after their last reply.
+//! Bounds the number of connections that linger after their last reply.
 
 use std::{cell::Cell, rc::Rc};
 
--- a/crates/http/src/server/read_turn.rs
+++ b/crates/http/src/server/read_turn.rs
@@ -15,8 +15,8 @@
 /// A byte of a head costs about as much as this many of a body.
 const HEAD_BYTE_WEIGHT: usize = 16;
 
-/// Shortest pause between two turns. It is a timer because the runtime looks at sockets and timers
-/// only when no task is ready: a task that just wakes itself would hold up all others.
+/// Shortest pause between two turns. It is a timer because the runtime runs its timers only when no
+/// task is ready: a task that just wakes itself would hold up all time limits.
 const TURN_PAUSE: Duration = Duration::from_millis(1);
 
 /// What a connection has read since it last waited for a request.
