Bound the buffers of replies that arrive while nobody reads them

Callers who asked for replies of 4 MiB and read nothing had both gateways killed over their memory (283 and 262 MB of 260): each such reply held up to 1 MiB that was read ahead of its caller, counted in the budget for bodies only until it was relayed, and the buffers of two connections that nothing counted. The number of such replies was bounded by the slots of all backend servers alone.

The beginning of a reply stays in the budget until its last byte is written, and is relayed in pieces, so that it counts as unread. Of replies that arrive while their callers do not read, as many are kept as the memory for bodies has 256 KiB; the one that has been unread for the longest time, 100 ms or more, is given up for the next.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`SilentRun`] decides when to look for a replacement of a run that produces no output.
 //! - [`AttemptTracker`] limits the backend servers that one request is sent to.
 //! - [`HandoverDelays`] determines how long a run is kept after its replacement was sent.
+//! - [`ReplyReaders`] decides which replies are given up because their callers do not read.
 //! - [`RepeatBudget`] and [`AllowanceShare`] divide a fleet-wide retry budget among gateways.
 
 mod answer_end;
@@ -39,6 +40,7 @@
 mod rate;
 mod regions;
 mod rejection;
+mod reply_readers;
 mod scheduler;
 mod share;
 mod silence;
@@ -64,6 +66,7 @@
     path_monitor::PathChange,
     regions::{FirstByteTimes, RegionInfo},
     rejection::{InvalidRejectionLimit, RejectionLimit},
+    reply_readers::{ReaderId, ReplyReaders},
     scheduler::{STALL_CHECK_INTERVAL, Scheduler},
     share::AllowanceShare,
     silence::{SilenceAction, SilentRun},
--- a/crates/http/src/body_budget.rs
+++ b/crates/http/src/body_budget.rs
@@ -94,6 +94,11 @@
         Self { state: Rc::new(state) }
     }
 
+    /// Returns the size of the budget, bytes.
+    pub fn limit(&self) -> usize {
+        self.state.limit
+    }
+
     /// Returns the bytes in use.
     pub fn held(&self) -> usize {
         self.state.held.load(Ordering::Relaxed)
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -36,6 +36,7 @@
 mod proxy;
 mod quota;
 mod relay;
+mod relayed_replies;
 mod replacement;
 mod request_fingerprint;
 mod reservation;
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -15,6 +15,7 @@
         notice::GatewayNotice,
         outcome::RequestError,
         quota::{QuotaEnforcer, QuotaParts},
+        relayed_replies::RelayedReplies,
         unread_headers::UnreadHeaderReporter,
     },
     gullglade_dispatch::{PathChange, STALL_CHECK_INTERVAL, Scheduler},
@@ -77,6 +78,7 @@
     /// Callers' requests that arrived before the first configuration.
     configuration_gate: ConfigurationGate,
     known_runs: Rc<KnownRuns>,
+    relayed_replies: Rc<RelayedReplies>,
 }
 
 impl ProxyShared {
@@ -182,6 +184,11 @@
         let cutoff = Cell::new(None);
         let forwards = Cell::new(0);
         let configuration_gate = ConfigurationGate::default();
+        let relayed_replies = RelayedReplies::new(
+            &parts.body_budget,
+            Rc::clone(&parts.context.clock),
+            Rc::clone(&parts.events),
+        );
         let shared = ProxyShared {
             parts,
             attempts,
@@ -192,6 +199,7 @@
             forwards,
             configuration_gate,
             known_runs,
+            relayed_replies,
         };
         let proxy = Self { shared: Rc::new(shared) };
         proxy.watch_configuration();
@@ -199,8 +207,8 @@
         proxy
     }
 
-    /// Starts the task that detects stalls of this process and probes backend servers to which
-    /// connections failed.
+    /// Starts the task that detects stalls of this process, probes backend servers to which
+    /// connections failed, and gives up replies that nobody reads.
     fn watch_stalls(&self) {
         let shared = Rc::downgrade(&self.shared);
         let clock = Rc::clone(&self.context().clock);
@@ -209,9 +217,15 @@
                 clock.sleep(STALL_CHECK_INTERVAL).await;
                 let Some(shared) = shared.upgrade() else { return };
                 let ProxyParts { dispatcher, events, metrics, .. } = &shared.parts;
-                if let Some(stall) = dispatcher.with_scheduler(Scheduler::check_stall) {
-                    let event = EventDraft::new("gateway.stood_still").level(Level::Warn);
-                    events.emit(event.millis("stall_ms", stall));
+                match dispatcher.with_scheduler(Scheduler::check_stall) {
+                    Some(stall) => {
+                        let event = EventDraft::new("gateway.stood_still").level(Level::Warn);
+                        events.emit(event.millis("stall_ms", stall));
+                    }
+                    // After a stall the callers have not been offered anything either.
+                    None => {
+                        shared.relayed_replies.free_memory();
+                    }
                 }
                 let above = dispatcher.with_scheduler(|s, now| s.workspaces_above_share(now));
                 metrics.workspaces_above_share(above);
@@ -387,6 +401,10 @@
         &self.shared.attempts
     }
 
+    pub(crate) fn relayed_replies(&self) -> &Rc<RelayedReplies> {
+        &self.shared.relayed_replies
+    }
+
     pub(crate) fn forwarder(&self) -> &Forwarder {
         &self.shared.forwarder
     }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -21,6 +21,9 @@
 /// breaks off can still be retried or reported as an error. Without memory for them, less is.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
 
+/// The most bytes of the beginning of a long response that are relayed at once.
+const RELAYED_PIECE_BYTES: usize = 16 << 10;
+
 /// Another place is sought for a resumable stream after a pause of the longest one that callers
 /// accept as prompt, multiplied by this factor, and of at least [`MIN_GAP_LIMIT`].
 const GAP_FACTOR: u32 = 4;
@@ -98,7 +101,8 @@
             }
             let has_memory = lease.grow_to(buffered.len().next_power_of_two()).is_ok();
             if buffered.len() > MAX_BUFFERED_BYTES || !has_memory {
-                let body = RelayedBody::Long { first: buffered.freeze(), rest: body };
+                let first = lease.attach(buffered.freeze());
+                let body = RelayedBody::Long { first, rest: body };
                 return Ok(Some(RelayedReply { status, headers, body }));
             }
         }
@@ -276,24 +280,29 @@
     let relay = LongRelay {
         execution,
         status,
-        first: Some(first),
+        first,
         rest: Some(rest),
         late: LateBytes::default(),
         began,
         waited: Duration::ZERO,
     };
+    let (replies, request) =
+        (Rc::clone(relay.execution.proxy.relayed_replies()), relay.execution.request.id.clone());
+    let service = relay.execution.item.service.clone();
     // Boxed, since the stream moves its state with each chunk.
-    ReplyBody::stream(unfold(Box::new(relay), |mut relay| async move {
+    let stream = unfold(Box::new(relay), |mut relay| async move {
         let chunk = relay.next().await?;
         Some((chunk, relay))
-    }))
+    });
+    replies.watch(request, service, Box::pin(stream))
 }
 
 /// Relays a long response.
 struct LongRelay {
     execution: RequestExecution,
     status: StatusCode,
-    first: Option<Bytes>,
+    /// What has not been relayed of the beginning.
+    first: Bytes,
     /// `None` after the end.
     rest: Option<ResponseBody>,
     late: LateBytes,
@@ -304,8 +313,9 @@
 
 impl LongRelay {
     async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
-        if let Some(first) = self.first.take() {
-            return Some(Ok(first));
+        if !self.first.is_empty() {
+            let length = self.first.len().min(RELAYED_PIECE_BYTES);
+            return Some(Ok(self.first.split_to(length)));
         }
         let rest = self.rest.as_mut()?;
         let clock = Rc::clone(&self.execution.proxy.context().clock);
@@ -360,8 +370,11 @@
     events: EventReader,
 ) -> ReplyBody {
     // Boxed, since the stream moves its state with each chunk.
+    let (replies, request) =
+        (Rc::clone(execution.proxy.relayed_replies()), execution.request.id.clone());
+    let service = execution.item.service.clone();
     let state = Box::new((execution, first, events, false));
-    ReplyBody::stream(unfold(state, move |mut state| async move {
+    let stream = unfold(state, move |mut state| async move {
         let (execution, first, events, is_finished) = &mut *state;
         if *is_finished {
             return None;
@@ -379,7 +392,8 @@
                 None
             }
         }
-    }))
+    });
+    replies.watch(request, service, Box::pin(stream))
 }
 
 /// A batch of complete events.
