Give up unread replies whose slots others lack

A reply of which its caller has read nothing for 2 s is given up now while requests of its service wait, or its backend servers have no slot or connection left. The run is cancelled at once; the connection is broken off when its caller reads on, or at the write timeout, so that such callers do not come back at once. Nothing is given up right after a stall of the process, which offered nothing to its callers meanwhile.

Not covered: a reply that comes through a gateway of another region holds its slot there.

--- a/crates/dispatch/src/reply_readers.rs
+++ b/crates/dispatch/src/reply_readers.rs
@@ -9,8 +9,10 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
-/// A reply of which its caller has taken nothing for this time is given up if the replies have used
-/// up their memory.
+/// A reply of which its caller has taken nothing for this time is given up if others lack its slot.
+const UNREAD_LIMIT: Duration = Duration::from_secs(2);
+
+/// The same if the replies have used up their memory.
 const UNREAD_LIMIT_WITHOUT_MEMORY: Duration = Duration::from_millis(100);
 
 /// Identifies a reply among those that are relayed.
@@ -80,6 +82,16 @@
         unread
     }
 
+    /// Returns the replies to give up at `now` so that others get their slots, the one that is
+    /// unread for the longest time first. `is_full` tells whether a service has no slot left.
+    pub fn over_slots(
+        &self,
+        is_full: impl Fn(&ServiceName) -> bool,
+        now: MonotonicTime,
+    ) -> Vec<ReaderId> {
+        self.unread_for(UNREAD_LIMIT, is_full, now)
+    }
+
     fn unread_for(
         &self,
         limit: Duration,
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -290,6 +290,24 @@
         (self.waiting.len(), self.sent.len())
     }
 
+    /// Returns whether requests of a service wait, or none of its backend servers has a slot and a
+    /// connection left.
+    pub fn is_full(&self, service: &ServiceName, now: MonotonicTime) -> bool {
+        let has_room = |b: &Backend| {
+            b.load.total_requests(now) < b.info.slots
+                && b.load.own_requests() < self.connection_share(service)
+        };
+        self.waiting.iter().any(|w| w.item.service == *service)
+            || !self.serving(service).any(has_room)
+    }
+
+    /// Returns the number of connections that this gateway may have to each backend server of a
+    /// service.
+    fn connection_share(&self, service: &ServiceName) -> usize {
+        let limit = self.services.get(service).map_or(0, |pool| pool.connection_limit as usize);
+        (limit / self.gateways.len().max(1)).max(1)
+    }
+
     /// Returns the number of workspaces that used more than their share of a service under shortage.
     /// Zero without overload control.
     pub fn workspaces_above_share(&self, now: MonotonicTime) -> usize {
--- a/crates/dispatch/src/scheduler/place.rs
+++ b/crates/dispatch/src/scheduler/place.rs
@@ -247,8 +247,7 @@
         now: MonotonicTime,
     ) -> bool {
         let Some(service) = self.services.get(&item.service) else { return false };
-        let connections = service.connection_limit as usize / self.gateways.len().max(1);
-        if backend.load.own_requests() >= connections.max(1) {
+        if backend.load.own_requests() >= self.connection_share(&item.service) {
             return false;
         }
         if let Some(limit) = self.rejection_limit(&item.service) {
--- a/crates/dispatch/tests/reply_readers.rs
+++ b/crates/dispatch/tests/reply_readers.rs
@@ -16,6 +16,39 @@
     ServiceName::try_from(name).expect("a valid name")
 }
 
+/// Unread replies kept the slots of backend servers until their connections timed out.
+#[test]
+fn unread_replies_give_up_the_slots_that_others_lack() {
+    struct Case {
+        name: &'static str,
+        /// When the reply was offered to its caller, and when it was taken.
+        offered: u64,
+        taken: Option<u64>,
+        is_full: bool,
+        is_given_up: bool,
+    }
+    let cases = [
+        Case { name: "deaf", offered: 0, taken: None, is_full: true, is_given_up: true },
+        Case { name: "free slots", offered: 0, taken: None, is_full: false, is_given_up: false },
+        Case { name: "just offered", offered: 500, taken: None, is_full: true, is_given_up: false },
+        Case { name: "reading", offered: 0, taken: Some(1_900), is_full: true, is_given_up: false },
+    ];
+    for Case { name, offered, taken, is_full, is_given_up } in cases {
+        let mut readers = ReplyReaders::new(LIMIT);
+        let id = readers.add(service("full"));
+        readers.note_offered(id, at(offered));
+        if let Some(taken) = taken {
+            readers.note_taken(id);
+            readers.note_offered(id, at(taken));
+        }
+        let given_up =
+            readers.over_slots(|service| is_full && service.as_str() == "full", at(2_000));
+        assert_eq!(!given_up.is_empty(), is_given_up, "{name}");
+        readers.remove(id);
+        assert!(readers.over_slots(|_| true, at(9_000)).is_empty(), "{name}: after its end");
+    }
+}
+
 /// The buffers of unread replies exceeded the memory. Replays crowds of callers of which some read
 /// nothing: the unread replies stay within the limit, and those that are read are never given up.
 #[test]
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -225,6 +225,7 @@
                     // After a stall the callers have not been offered anything either.
                     None => {
                         shared.relayed_replies.free_memory();
+                        shared.relayed_replies.free_slots(dispatcher);
                     }
                 }
                 let above = dispatcher.with_scheduler(|s, now| s.workspaces_above_share(now));
--- a/crates/proxy/src/relayed_replies.rs
+++ b/crates/proxy/src/relayed_replies.rs
@@ -1,7 +1,7 @@
 //! Replies that are relayed while they arrive from backend servers.
 
 use {
-    crate::CallerRequestId,
+    crate::{CallerRequestId, Dispatcher},
     bytes::Bytes,
     futures::Stream,
     gullglade_dispatch::{ReaderId, ReplyReaders},
@@ -68,6 +68,14 @@
         ReplyBody::stream(WatchedReply { table: Rc::clone(self), id, reply })
     }
 
+    /// Gives up replies that their callers do not read, where others lack their slots.
+    pub(crate) fn free_slots(&self, dispatcher: &Dispatcher) {
+        let unread = dispatcher.with_scheduler(|scheduler, now| {
+            self.readers.borrow().over_slots(|service| scheduler.is_full(service, now), now)
+        });
+        unread.into_iter().for_each(|id| self.give_up(id, "slots"));
+    }
+
     /// Gives up replies that their callers do not read, if there are too many for the memory.
     pub(crate) fn free_memory(&self) {
         let unread = self.readers.borrow().over_memory(self.clock.now());
