Bound the bodies at both ports of the product's own interface

A gateway without `on-platform` was killed over 260 MB within a second by 3,500 clients that announced a backend server, without a token, and left out the last byte of 256 KiB: its memory for bodies counted the requests of callers alone, not announcements and not the operators' port. Both ports share one budget of 64 MiB now, in which stalled uploads give way, and one lane for connections that send much; the operators' port takes 400 connections, so that a crowd at one port leaves descriptors for the other.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,12 +18,18 @@
     gullglade_document::ConfigSource,
     gullglade_event::{EventDraft, EventLog, EventSink, MetricSet},
     gullglade_gateway::{Gateway, GatewayConfig, GatewayDependencies, RelayDirectory},
-    gullglade_http::{ClientConfig, PooledClient, ServerConfig, StopHandle},
+    gullglade_http::{BodyBudget, ClientConfig, PooledClient, ServerConfig, StopHandle, WorkLane},
     gullglade_peer::{HandlerTable, PeerHandler, PeerPool, PeerStopHandle},
     gullglade_units::{ProcessContext, RegionName, VmName, timeout},
     std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
+/// Memory for the bodies of all requests that are received or in progress, at both ports.
+const BODY_MEMORY: usize = 64 << 20;
+
+/// Connections to the operators' port.
+const OPERATOR_CONNECTIONS: usize = 400;
+
 /// Interval at which the relay is given the current load, which entry replies use as a weight.
 const LOAD_PUBLISH_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -67,6 +73,10 @@
         let core = NodeCore::bind(settings, &context, dependencies.link)?;
         let deferred = Rc::new(DeferredHandler::default());
         let config = ServerConfig::new()
+            .body_budget(&BodyBudget::new(BODY_MEMORY))
+            .work_lane(&WorkLane::default());
+        let operator_config = config.clone().connection_limit(OPERATOR_CONNECTIONS);
+        let config = config
             .connection_limit(settings.connection_limit)
             .per_address_limit(settings.per_address_limit);
         let caller_server =
@@ -115,7 +125,7 @@
         let operator_server = http_server(
             "operators'",
             settings.operator_address,
-            ServerConfig::new(),
+            operator_config,
             &context,
             Rc::clone(&operator) as _,
         )?;
