Bound the prompt parts that gateways remember of engines

Requests whose prompts had 1,600 new parts without tokens, each legal in size, ended both gateways within 12 s: 60 callers made them grow by 20 MB a second until both were killed over 260 MB, and afterwards nobody was served. The estimate of what an engine has cached forgot parts by their tokens alone, so those without any, malformed ones among them, were never forgotten; with one token each, an engine of 470,000 had room for 282,000 parts. Hints carry the parts to all gateways of a region.

--- a/crates/dispatch/src/cache.rs
+++ b/crates/dispatch/src/cache.rs
@@ -17,6 +17,10 @@
 /// running requests. A larger share would count parts that were already evicted.
 const CACHE_SHARE: f64 = 0.6;
 
+/// The most parts that are remembered of an engine. Parts without tokens use none of its memory, so
+/// the memory alone does not bound their number.
+const MAX_PARTS: usize = 4_096;
+
 /// A part that is asked for again within this time would have saved a prefill. The load of an
 /// engine and the parts in use change over longer times.
 const REUSE_HORIZON: Duration = Duration::from_secs(5);
@@ -65,6 +69,16 @@
 }
 
 impl CacheEstimate {
+    /// Returns the number of parts that are remembered.
+    pub fn len(&self) -> usize {
+        self.parts.len()
+    }
+
+    /// Returns whether no part is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+
     /// Returns the number of leading prompt tokens that are probably cached: the parts up to the
     /// first one that is not.
     pub fn held_tokens(&self, shape: &PromptShape) -> u32 {
@@ -77,7 +91,7 @@
         for part in parts {
             self.insert(*part, now);
         }
-        while self.tokens > capacity(memory_tokens) {
+        while self.tokens > capacity(memory_tokens) || self.parts.len() > MAX_PARTS {
             let Some((_, id)) = self.by_use.first().copied() else { return };
             self.remove(id);
         }
@@ -95,13 +109,15 @@
     ) -> f64 {
         let free = capacity(memory_tokens).saturating_sub(self.tokens);
         let mut missing = u64::from(needed).saturating_sub(free);
+        let mut kept: Vec<u64> = shape.parts.iter().map(|part| part.id).collect();
+        kept.sort_unstable();
         let mut lost = 0.0;
         for (_, id) in &self.by_use {
             if missing == 0 {
                 break;
             }
             let Some(cached) = self.parts.get(id) else { continue };
-            if shape.parts.iter().any(|part| part.id == *id) {
+            if kept.binary_search(id).is_ok() {
                 continue;
             }
             missing = missing.saturating_sub(cached.tokens.into());
