Refuse prompts that are larger than the memory of an engine at once

Callers who stated prompts of 4,000,000,000 tokens made all others wait: each such prompt was sent to an engine, which rejects it, and until then its prefill counted as work ahead of everybody. 124 ordinary requests beside 60 such callers took up to 2.6 s, 2.1 s in the 95th percentile. No engine of the service can hold such a prompt, so it is refused now before it is placed (503, not run, `cannot_end`).

--- a/crates/dispatch/src/scheduler/decide.rs
+++ b/crates/dispatch/src/scheduler/decide.rs
@@ -72,7 +72,7 @@
         if now + REFUSAL_MARGIN >= item.first_byte_deadline {
             return Some(self.refuse(RefusalReason::TooLate, waiting, Duration::ZERO, now));
         }
-        if self.cannot_end(item, now) {
+        if self.exceeds_memory(item) || self.cannot_end(item, now) {
             return Some(self.refuse(RefusalReason::CannotEnd, waiting, Duration::ZERO, now));
         }
         let local = match item.allows(&self.settings.region) {
@@ -135,6 +135,14 @@
         }
     }
 
+    /// Returns whether the prompt is larger than the memory of an engine, which would reject it.
+    fn exceeds_memory(&self, item: &WorkItem) -> bool {
+        let engine = self.services.get(&item.service).and_then(|service| service.engine);
+        let engine = engine.zip(item.prompt.as_ref());
+        engine
+            .is_some_and(|(engine, prompt)| u64::from(prompt.prompt_tokens) > engine.memory_tokens)
+    }
+
     /// Returns whether a request met so many connection failures here that another gateway of this
     /// region should send it.
     fn has_failed_to_connect(&self, item: &WorkItem, now: MonotonicTime) -> bool {
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -135,7 +135,7 @@
     /// This gateway backs off from all eligible backend servers for longer than the request can
     /// wait.
     Backoff,
-    /// No engine can end the answer before the deadline of its caller.
+    /// No engine can hold the prompt, or end the answer before the deadline of its caller.
     CannotEnd,
 }
 
