--- a/crates/proxy/src/relayed_replies.rs
+++ b/crates/proxy/src/relayed_replies.rs
@@ -23,12 +23,13 @@
 /// All replies of a proxy that are relayed while they arrive.
 pub(crate) struct RelayedReplies {
     readers: RefCell<ReplyReaders>,
-    replies: RefCell<HashMap<ReaderId, Weak<RelayedReply>>>,
+    replies: RefCell<HashMap<ReaderId, Weak<GuardedReply>>>,
     clock: Rc<dyn Clock>,
     events: Rc<dyn EventSink>,
 }
 
-struct RelayedReply {
+/// A reply that can be given up while its caller does not read it.
+struct GuardedReply {
     request: CallerRequestId,
     service: ServiceName,
     /// `None` once the reply was given up. Dropping it cancels the work of the backend server.
@@ -39,7 +40,7 @@
 struct WatchedReply {
     table: Rc<RelayedReplies>,
     id: ReaderId,
-    reply: Rc<RelayedReply>,
+    reply: Rc<GuardedReply>,
 }
 
 impl RelayedReplies {
@@ -62,7 +63,7 @@
     ) -> ReplyBody {
         let id = self.readers.borrow_mut().add(service.clone());
         let stream = RefCell::new(Some(stream));
-        let reply = Rc::new(RelayedReply { request, service, stream });
+        let reply = Rc::new(GuardedReply { request, service, stream });
         self.replies.borrow_mut().insert(id, Rc::downgrade(&reply));
         self.free_memory();
         ReplyBody::stream(WatchedReply { table: Rc::clone(self), id, reply })
@@ -89,7 +90,7 @@
         let event = EventDraft::new("reply.unread").level(Level::Warn).field("lacking", lacking);
         let event = event.field("request", &reply.request);
         self.events.emit(event.field("service", &reply.service));
-        // Dropped after the borrow has ended, as this reports to the scheduler.
+        // Taken first: dropping the stream reports to the scheduler.
         let stream = reply.stream.take();
         drop(stream);
     }
