review: case 4, an engine's interim heads without end hang gateways

Cause: nothing bounds what a backend server may send before the head of its answer; interim heads are read one after the other in one poll. Change: a script with stand-ins that shows it, and the stand-ins of cases 4 to 8.

--- /dev/null
+++ b/review/lib2/main.rs
@@ -0,0 +1,26 @@
+//! The cases of the second review that are played as scripts. `cases NUMBER RECORD` plays one.
+
+mod cold;
+mod engine;
+mod http;
+mod interim;
+mod memory;
+mod poison;
+mod site;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let (Some(case), Some(path)) = (arguments.get(1), arguments.get(2)) else {
+        eprintln!("usage: cases NAME RECORD");
+        std::process::exit(2);
+    };
+    site::begin(path);
+    match case.as_str() {
+        "interim" => interim::run(),
+        "memory" => memory::run(),
+        "cold" => cold::run(),
+        "poison-restart" => poison::run_restart(),
+        "poison-burst" => poison::run_burst(),
+        _ => std::process::exit(2),
+    }
+}
