--- a/review/lib2/cold.rs
+++ b/review/lib2/cold.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         engine::{Behaviour, Engine, Plan},
-        http::{Call, Message},
+        http::{Call, Message, told},
         site::{HOST, Region, Site, elapsed, finish, has_trouble, record},
     },
     std::{
@@ -116,13 +116,15 @@
                 let (gateway, served, failed) =
                     (gateway.clone(), Arc::clone(&served), Arc::clone(&failed));
                 thread::spawn(move || {
+                    let id = format!("{}-{number}", gateway.name);
                     let headers = vec![
                         ("Host", HOST.to_owned()),
-                        ("X-Request-Id", format!("{}-{number}", gateway.name)),
+                        ("X-Request-Id", id.clone()),
                         ("X-Deadline-Ms", DEADLINE.as_millis().to_string()),
                     ];
                     let call = Call { method: "GET", target: "/status/1", headers, body: b"" };
                     let reply = call.send(gateway.front(), DEADLINE);
+                    record(&format!("{id}: {}", told(&reply)));
                     let is_served = reply.is_ok_and(|reply| reply.status() == 200);
                     if is_served { &served } else { &failed }.fetch_add(1, Ordering::SeqCst);
                 });
--- a/review/lib2/engine.rs
+++ b/review/lib2/engine.rs
@@ -209,6 +209,8 @@
                 )?;
                 continue;
             }
+            let id = request.header("x-request-id").unwrap_or_default();
+            record(&format!("{} runs {id}", self.name()));
             self.running.fetch_add(1, Ordering::SeqCst);
             let is_kept = (self.behaviour)(self, &request, &mut stream);
             self.running.fetch_sub(1, Ordering::SeqCst);
@@ -219,7 +221,12 @@
     }
 
     /// Writes a complete answer.
-    pub fn answer(&self, request: &Message, stream: &mut TcpStream, body: &str) -> io::Result<bool> {
+    pub fn answer(
+        &self,
+        request: &Message,
+        stream: &mut TcpStream,
+        body: &str,
+    ) -> io::Result<bool> {
         let id = request.header("x-request-id").unwrap_or_default();
         let running = self.running.load(Ordering::SeqCst).saturating_sub(1);
         let text = format!(
--- a/review/lib2/flood.rs
+++ b/review/lib2/flood.rs
@@ -44,6 +44,14 @@
 }
 
 impl Flood {
+    /// The zones of which one engine of a service gets into trouble.
+    fn zones(self) -> &'static [&'static str] {
+        match self {
+            Self::InterimHeads => &["puget-a"],
+            Self::SmallChunks => &["puget-a", "columbia-a"],
+        }
+    }
+
     fn piece(self) -> Vec<u8> {
         match self {
             Self::InterimHeads => b"HTTP/1.1 100 Continue\r\n\r\n".repeat(2_048),
@@ -106,8 +114,7 @@
         ("desk", "inland-a", 1),
     ] {
         for index in 0..count {
-            // One engine of the service gets into trouble.
-            let is_faulty = (service, zone, index) == ("lookup", "puget-a", 0);
+            let is_faulty = index == 0 && service == "lookup" && flood.zones().contains(&zone);
             let trouble = Arc::clone(&in_trouble);
             let behaviour: Behaviour =
                 Arc::new(move |engine: &Arc<Engine>, request: &Message, stream: &mut TcpStream| {
@@ -176,7 +183,7 @@
     let began = elapsed();
     if has_trouble() {
         in_trouble.store(true, Ordering::SeqCst);
-        record("the engine gets into trouble");
+        record("the trouble begins");
     }
     thread::sleep(TROUBLE);
     in_trouble.store(false, Ordering::SeqCst);
--- a/review/lib2/http.rs
+++ b/review/lib2/http.rs
@@ -165,3 +165,11 @@
     };
     Call { method, target, headers, body: body.as_bytes() }.send(to, limit)
 }
+
+/// How a request ended, for the record.
+pub fn told(reply: &io::Result<Message>) -> String {
+    match reply {
+        Ok(reply) => format!("answered {}", reply.status()),
+        Err(error) => format!("no answer: {error}"),
+    }
+}
--- a/review/lib2/memory.rs
+++ b/review/lib2/memory.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         engine::{Behaviour, Engine, Plan},
-        http::{Call, Message},
+        http::{Call, Message, told},
         site::{HOST, Region, Site, finish, has_trouble, record},
     },
     std::{
@@ -112,15 +112,11 @@
                         ("X-Token-Count", "400,40".to_owned()),
                         ("X-Prompt-Prefix", format!("{:x}:400", client * 100_000 + number)),
                     ];
-                    let call =
-                        Call { method: "POST", target: "/drafts/1", headers, body: &body };
+                    let call = Call { method: "POST", target: "/drafts/1", headers, body: &body };
                     let reply = call.send(gateway.front(), DEADLINE);
-                    let end = match &reply {
-                        Ok(reply) => format!("{}", reply.status()),
-                        Err(error) => error.to_string(),
-                    };
+                    let end = told(&reply);
                     record(&format!("{id}: {end}"));
-                    if end == "200" {
+                    if end == "answered 200" {
                         served.fetch_add(1, Ordering::SeqCst);
                     } else {
                         *other.lock().unwrap().entry(end).or_default() += 1;
--- a/review/lib2/poison.rs
+++ b/review/lib2/poison.rs
@@ -3,8 +3,10 @@
 use {
     crate::{
         engine::{Behaviour, Engine, Plan},
-        http::{Call, Message},
-        site::{HOST, Process, Region, STABILITY_WINDOW, Site, elapsed, finish, has_trouble, record},
+        http::{Call, Message, told},
+        site::{
+            HOST, Process, Region, STABILITY_WINDOW, Site, elapsed, finish, has_trouble, record,
+        },
     },
     std::{
         net::TcpStream,
@@ -155,17 +157,14 @@
         ("X-Deadline-Ms", DEADLINE.as_millis().to_string()),
     ];
     let reply = Call { method, target, headers, body }.send(to.front(), DEADLINE);
+    record(&format!("{id}: {}", told(&reply)));
     reply.ok().map(|reply| reply.status())
 }
 
 /// Sends the request, with an id of its own, and records the answer.
 fn send_suspect(to: &Process, id: &str) {
     record(&format!("{id} is sent to {}", to.name));
-    let end = match send(to, "POST", "/orders/poison", id, b"the same body") {
-        Some(status) => format!("answered {status}"),
-        None => "no answer".to_owned(),
-    };
-    record(&format!("{id}: {end}"));
+    send(to, "POST", "/orders/poison", id, b"the same body");
 }
 
 fn judge(scene: &Scene) -> ! {
--- a/review/lib2/site.rs
+++ b/review/lib2/site.rs
@@ -204,12 +204,7 @@
         }
         let zones: String =
             regions.iter().map(|r| format!("{} = \"{}\"\n", r.zone, r.name)).collect();
-        let mut site = Self {
-            gateways: Vec::new(),
-            controls: Vec::new(),
-            block,
-            next_engine: 71,
-        };
+        let mut site = Self { gateways: Vec::new(), controls: Vec::new(), block, next_engine: 71 };
         for (role, region, zone, ip) in plan {
             let process = start(&folder, role, region, zone, ip, &seeds, &zones, memory_mb);
             match role {
@@ -221,7 +216,8 @@
         let began = Instant::now();
         let second = Duration::from_secs(1);
         for gateway in &site.gateways {
-            while !call(gateway.ready(), "GET", "/ready", "", second).is_ok_and(|m| m.status() == 200)
+            while !call(gateway.ready(), "GET", "/ready", "", second)
+                .is_ok_and(|m| m.status() == 200)
             {
                 if began.elapsed() > Duration::from_secs(25) {
                     record(&format!("{} does not become ready", gateway.name));
@@ -330,9 +326,7 @@
         "control" => (
             "core",
             "\"control\",\"directory\"",
-            format!(
-                "control = \"{ip}:{CONTROL_PORT}\"\ndirectory = \"{ip}:{DIRECTORY_PORT}\"\n"
-            ),
+            format!("control = \"{ip}:{CONTROL_PORT}\"\ndirectory = \"{ip}:{DIRECTORY_PORT}\"\n"),
             format!("dataDir = \"{}\"\n", folder.join("data").display()),
             "cpuShare = 0.6\nmemoryMb = 256\nmaxFds = 4096\ndiskMb = 128\n".to_owned(),
         ),
