--- a/review/lib2/main.rs
+++ b/review/lib2/main.rs
@@ -5,6 +5,7 @@
 mod flood;
 mod http;
 mod memory;
+mod part;
 mod poison;
 mod site;
 
@@ -20,6 +21,7 @@
         "small-chunks" => flood::run(flood::Flood::SmallChunks),
         "memory" => memory::run(),
         "cold" => cold::run(),
+        "part" => part::run(),
         "poison-restart" => poison::run_restart(),
         "poison-burst" => poison::run_burst(),
         _ => std::process::exit(2),
--- a/review/lib2/site.rs
+++ b/review/lib2/site.rs
@@ -17,10 +17,12 @@
 };
 
 unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, value: u64, a: u64, b: u64, c: u64) -> i32;
 }
 
 const SIGKILL: u64 = 9;
+const SIGTERM: i32 = 15;
 
 /// Option of `prctl`: the signal that this process gets when its parent ends.
 const PR_SET_PDEATHSIG: i32 = 1;
@@ -113,6 +115,7 @@
     pub region: &'static str,
     pub ip: Ipv4Addr,
     pub id: u32,
+    folder: PathBuf,
 }
 
 impl Process {
@@ -261,6 +264,25 @@
         self.controls.iter().map(Process::control).collect()
     }
 
+    /// Stops a gateway with SIGTERM and, once it has ended, starts it again, as planned work does.
+    pub fn restart(&mut self, index: usize, grace: Duration) {
+        let gateway = &mut self.gateways[index];
+        record(&format!("{} gets SIGTERM", gateway.name));
+        unsafe { kill(gateway.id as i32, SIGTERM) };
+        let began = Instant::now();
+        while gateway.end().is_none() && began.elapsed() < grace {
+            thread::sleep(Duration::from_millis(50));
+        }
+        gateway.id = spawn(&gateway.folder, "gateway", &gateway.name);
+        let second = Duration::from_secs(1);
+        let is_ready =
+            || call(gateway.ready(), "GET", "/ready", "", second).is_ok_and(|m| m.status() == 200);
+        while !is_ready() && began.elapsed() < grace * 2 {
+            thread::sleep(Duration::from_millis(50));
+        }
+        record(&format!("{} is back", gateway.name));
+    }
+
     /// Records processes that ended by themselves, and returns their number.
     pub fn ended(&self) -> usize {
         let mut count = 0;
@@ -359,5 +381,5 @@
     );
     fs::write(folder.join("local.toml"), settings).expect("the settings of the process");
     let id = spawn(&folder, role, &name);
-    Process { name, region, ip, id }
+    Process { name, region, ip, id, folder }
 }
